--- /dev/null
+++ b/node/settings/tls.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+)
+
+// TLSFiles are the PEM files of one port.
+type TLSFiles struct {
+	// Cert and Key are the process's own certificate and its private key.
+	Cert string `json:"cert"`
+	Key  string `json:"key"`
+	// CA signs the certificates of peers. With it, a server asks every client
+	// for a certificate.
+	CA string `json:"ca"`
+}
+
+// Enabled says whether the port speaks TLS.
+func (f TLSFiles) Enabled() bool { return f != TLSFiles{} }
+
+// Server returns the port's configuration, nil when TLS is off. Errors are of
+// type Unreadable or Malformed.
+func (f TLSFiles) Server() (*tls.Config, error) {
+	return f.load(func(c *tls.Config, pool *x509.CertPool) {
+		c.ClientCAs = pool
+		if pool != nil {
+			c.ClientAuth = tls.RequireAndVerifyClientCert
+		}
+	})
+}
+
+// Client returns the configuration to dial ports that use the same files' CA,
+// nil when TLS is off. Errors are of type Unreadable or Malformed.
+func (f TLSFiles) Client() (*tls.Config, error) {
+	return f.load(func(c *tls.Config, pool *x509.CertPool) { c.RootCAs = pool })
+}
+
+func (f TLSFiles) load(setPool func(*tls.Config, *x509.CertPool)) (*tls.Config, error) {
+	if !f.Enabled() {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, Unreadable.Wrap(err, "certificate %q with key %q", f.Cert, f.Key)
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair}}
+	pool, err := loadPool(f.CA)
+	if err != nil {
+		return nil, err
+	}
+	setPool(config, pool)
+	return config, nil
+}
+
+func loadPool(file string) (*x509.CertPool, error) {
+	if file == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Unreadable.Wrap(err, "CA file %q", file)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, Malformed.New("CA file %q holds no certificate", file)
+	}
+	return pool, nil
+}
