--- /dev/null
+++ b/dispatch/event/kind.go
@@ -0,0 +1,163 @@
+package event
+
+// Kind says what happened.
+type Kind uint8
+
+// Kinds of events. The comment says who records it and what Peer, Value and
+// Detail hold; Job, Contract and Task are set where they apply.
+const (
+	// Unspecified is no event.
+	Unspecified Kind = iota
+
+	// JobAccepted is recorded by the home entry. Value: number of tasks.
+	JobAccepted
+	// JobJoined is recorded when a resubmission met the job already known.
+	JobJoined
+	// JobForwarded is recorded by an entry that passes a job on. Peer: the home.
+	JobForwarded
+	// JobRefused is recorded when a job ends as "not run" before any dispatch.
+	// Detail: the error code.
+	JobRefused
+	// JobCancelled is recorded when the caller gives a job up.
+	JobCancelled
+	// JobAnswered is recorded when the outcome is final. Detail: outcome and
+	// error code. Value: milliseconds since the job was accepted.
+	JobAnswered
+	// JobFenced is recorded by an agent that refuses every later start of a job,
+	// and by the entry that asked for it. Peer: the other side.
+	JobFenced
+
+	// CreditsGranted is recorded by the granting agent and the receiving entry.
+	// Value: number of credits. Peer: the other side.
+	CreditsGranted
+	// CreditsRecalled is recorded by an agent that wants credits back.
+	CreditsRecalled
+	// CreditsReturned is recorded by the entry that gives credits back, and by the agent.
+	CreditsReturned
+	// CreditsLost is recorded when credits end with their link.
+	CreditsLost
+
+	// TaskDispatched is recorded by the home entry. Peer: the agent.
+	TaskDispatched
+	// TaskResent is recorded when the home repeats a start over a new link. Peer: the agent.
+	TaskResent
+	// TaskStarted is recorded by the agent. Peer: the entry.
+	TaskStarted
+	// TaskDuplicate is recorded by an agent that dropped a repeated start.
+	TaskDuplicate
+	// TaskResult is recorded by the agent at the end of a task, and by the home
+	// when it learns of it. Detail: outcome. Value: run time in milliseconds.
+	TaskResult
+	// TaskRefused is recorded by an agent that will never start the task, and by
+	// the home when it learns so. Detail: reason.
+	TaskRefused
+	// TaskRevoked is recorded by the home that asks, and by the agent that obeys.
+	TaskRevoked
+	// TaskUnknown is recorded by the home when neither a start nor its absence
+	// can be proven any more. Detail: why.
+	TaskUnknown
+	// RecordsEvicted is recorded by an agent that dropped what it knew of old
+	// jobs. Value: number of records.
+	RecordsEvicted
+
+	// LinkUp and LinkDown are recorded by both ends. Peer: the other side.
+	// Value: epoch of the link. Detail: reason.
+	LinkUp
+	LinkDown
+	// PeerSuspected is recorded when a peer missed an acknowledgement or heartbeat.
+	PeerSuspected
+	// PeerBack is recorded when a suspected peer is heard again.
+	PeerBack
+	// PeerGone is recorded when a peer is given up or replaced. Detail: reason.
+	PeerGone
+	// WorkerSuspended is recorded by an entry that holds work back from a worker
+	// where tasks fail. Peer: its agent. Detail: reason.
+	WorkerSuspended
+	// WorkerTrial is recorded when a suspended worker gets one task to prove itself.
+	WorkerTrial
+	// WorkerResumed is recorded when a suspended worker gets work again.
+	WorkerResumed
+
+	// ConfigInForce is recorded when a contract's revision takes effect here.
+	// Value: revision.
+	ConfigInForce
+	// ConfigStale is recorded when an older revision arrived and was ignored.
+	ConfigStale
+	// StoreLost and StoreBack are recorded by entries. Detail: error.
+	StoreLost
+	StoreBack
+
+	// ProcessStarted is the first event of a process. Detail: version.
+	ProcessStarted
+	// DrainBegun and DrainEnded frame a planned stop. Detail: what was left.
+	DrainBegun
+	DrainEnded
+	// ClockRejected is recorded when a peer's clock is too far ahead. Peer: that peer.
+	ClockRejected
+
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	Unspecified:     "unspecified",
+	JobAccepted:     "job-accepted",
+	JobJoined:       "job-joined",
+	JobForwarded:    "job-forwarded",
+	JobRefused:      "job-refused",
+	JobCancelled:    "job-cancelled",
+	JobAnswered:     "job-answered",
+	JobFenced:       "job-fenced",
+	CreditsGranted:  "credits-granted",
+	CreditsRecalled: "credits-recalled",
+	CreditsReturned: "credits-returned",
+	CreditsLost:     "credits-lost",
+	TaskDispatched:  "task-dispatched",
+	TaskResent:      "task-resent",
+	TaskStarted:     "task-started",
+	TaskDuplicate:   "task-duplicate",
+	TaskResult:      "task-result",
+	TaskRefused:     "task-refused",
+	TaskRevoked:     "task-revoked",
+	TaskUnknown:     "task-unknown",
+	RecordsEvicted:  "records-evicted",
+	LinkUp:          "link-up",
+	LinkDown:        "link-down",
+	PeerSuspected:   "peer-suspected",
+	PeerBack:        "peer-back",
+	PeerGone:        "peer-gone",
+	WorkerSuspended: "worker-suspended",
+	WorkerTrial:     "worker-trial",
+	WorkerResumed:   "worker-resumed",
+	ConfigInForce:   "config-in-force",
+	ConfigStale:     "config-stale",
+	StoreLost:       "store-lost",
+	StoreBack:       "store-back",
+	ProcessStarted:  "process-started",
+	DrainBegun:      "drain-begun",
+	DrainEnded:      "drain-ended",
+	ClockRejected:   "clock-rejected",
+}
+
+// String returns the name of k as it stands in time lines.
+func (k Kind) String() string {
+	if k < kindCount {
+		return kindNames[k]
+	}
+	return kindNames[Unspecified]
+}
+
+// ParseKind returns the kind of a name; Unspecified and false for other names,
+// as sent by a newer process.
+func ParseKind(name string) (Kind, bool) {
+	for k, n := range kindNames {
+		if n == name {
+			return Kind(k), true
+		}
+	}
+	return Unspecified, false
+}
+
+// AboutTask reports whether Event.Task means something in events of kind k.
+func (k Kind) AboutTask() bool {
+	return k >= TaskDispatched && k <= TaskUnknown
+}
