Callers' interface: path of one job and its wait parameter

Cause: client and entry must agree on how a job is fetched and cancelled. Change: PathJob and ParamWait, and the methods in the package comment. Conclusion: both sides can be written against it.

--- a/api/jobs/jobs.go
+++ b/api/jobs/jobs.go
@@ -1,8 +1,16 @@
 // Package jobs holds the callers' HTTP interface: paths, headers and JSON
 // bodies. Entries serve it and the client package speaks it.
+//
+//	POST   /v1/jobs               submit a job and wait for its answer
+//	GET    /v1/jobs/{id}?wait_ms= wait for the answer of a job submitted before
+//	DELETE /v1/jobs/{id}          cancel a job
+//	GET    /v1/home               learn the home token
 package jobs
 
-import "time"
+import (
+	"net/url"
+	"time"
+)
 
 // Paths of the callers' interface.
 const (
@@ -10,6 +18,13 @@
 	PathHome = "/v1/home"
 )
 
+// ParamWait is the query parameter of GET that says how long to wait for the
+// answer, in milliseconds, at most MaxWait.
+const ParamWait = "wait_ms"
+
+// PathJob returns the path of one job.
+func PathJob(id string) string { return PathJobs + "/" + url.PathEscape(id) }
+
 // HeaderHome is set on every response: the incarnation of the entry that
 // answered. A caller puts it in front of its own part to make a job id.
 const HeaderHome = "Papayahoist-Home"
