--- /dev/null
+++ b/dispatch/agent/agent.go
@@ -0,0 +1,622 @@
+package agent
+
+import (
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/job"
+	"github.com/papayahoist/papayahoist/dispatch/link"
+)
+
+// Options configure an Agent.
+type Options struct {
+	// Hello names the agent and its worker's size.
+	Hello *pb.AgentHello
+	Link  link.Options
+	// MaxRecords bounds the tasks the agent remembers, running ones included.
+	MaxRecords int
+	// MaxResultBytes bounds the results it keeps.
+	MaxResultBytes int
+	// FenceTTL is how long a fence holds; longer than any job may last.
+	FenceTTL time.Duration
+	// MaxFences bounds the fences held at once.
+	MaxFences int
+	// LoadEvery is the least time between load reports on one link.
+	LoadEvery time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultMaxRecords     = 20_000
+	DefaultMaxResultBytes = 64 << 20
+	DefaultFenceTTL       = 30 * time.Minute
+	DefaultMaxFences      = 50_000
+	DefaultLoadEvery      = time.Second
+)
+
+func (o Options) withDefaults() Options {
+	o.Link = o.Link.WithDefaults()
+	if o.MaxRecords == 0 {
+		o.MaxRecords = DefaultMaxRecords
+	}
+	if o.MaxResultBytes == 0 {
+		o.MaxResultBytes = DefaultMaxResultBytes
+	}
+	if o.FenceTTL == 0 {
+		o.FenceTTL = DefaultFenceTTL
+	}
+	if o.MaxFences == 0 {
+		o.MaxFences = DefaultMaxFences
+	}
+	if o.LoadEvery == 0 {
+		o.LoadEvery = DefaultLoadEvery
+	}
+	return o
+}
+
+// TaskRef names one task.
+type TaskRef struct {
+	Job  string
+	Task uint32
+}
+
+// Run is a task to start at the endpoint.
+type Run struct {
+	TaskRef
+	Contract string
+	Kind     string
+	Payload  []byte
+	Deadline time.Time
+}
+
+// Out is a frame for one entry.
+type Out struct {
+	Entry string // incarnation
+	Epoch uint64
+	Frame *pb.AgentFrame
+}
+
+// Ready is what the driver must carry out, in any order.
+type Ready struct {
+	Frames []Out
+	Run    []Run
+	Stop   []TaskRef
+	// Relink lists the entries (incarnations) whose link has gone silent.
+	Relink []string
+}
+
+// Agent is the state of one endpoint's slots and tasks.
+type Agent struct {
+	opts Options
+
+	peers []*peer // in order of arrival, so that runs are repeatable
+	jobs  map[string]*record
+	// oldest ended jobs first, for eviction
+	ended       []*record
+	tasks       int // tasks in all records
+	resultBytes int
+
+	running  int
+	reserved uint64
+	loads    map[string]*pb.ContractLoad
+
+	fences     map[string]time.Time
+	fenceOrder []string
+	evicted    map[string]bool // homes with dropped records
+
+	leaving bool
+	ready   Ready
+}
+
+// peer is one entry process.
+type peer struct {
+	hello   *pb.EntryHello
+	session link.Session
+	// credits granted and not used; want is what the entry could use beyond them.
+	credits, want int
+	recalled      bool
+	leaving       bool
+
+	out        pb.AgentFrame // content of the next frame
+	dirty      bool
+	unacked    []sentNews
+	loadSentAt time.Time
+}
+
+// sentNews is the tasks whose results went out with frame seq.
+type sentNews struct {
+	seq   uint64
+	tasks []*task
+}
+
+// record is what the agent knows of one job.
+type record struct {
+	job, home string
+	contract  string
+	tasks     map[uint32]*task
+	open      int // tasks running or not acknowledged
+	watchers  []string
+	listed    bool // in Agent.ended
+}
+
+type task struct {
+	rec      *record
+	index    uint32
+	memory   uint64
+	result   *pb.TaskResult // nil while running
+	acked    bool
+	stopping bool
+}
+
+// New returns an Agent without links.
+func New(opts Options) *Agent {
+	return &Agent{
+		opts:    opts.withDefaults(),
+		jobs:    make(map[string]*record),
+		loads:   make(map[string]*pb.ContractLoad),
+		fences:  make(map[string]time.Time),
+		evicted: make(map[string]bool),
+	}
+}
+
+// LinkUp takes in a new link. It returns the reason when the link is refused.
+func (a *Agent) LinkUp(now time.Time, hello *pb.EntryHello) (refused string) {
+	if hello.AgentIncarnation != a.opts.Hello.Incarnation {
+		// A start meant for the process before this one must not run here: the
+		// entry may have had it started there already.
+		return "another incarnation of the agent"
+	}
+	p := a.peer(hello.Incarnation)
+	if p == nil {
+		p = &peer{}
+		a.peers = append(a.peers, p)
+	} else if hello.Epoch <= p.session.Epoch() {
+		// A connection that was slow to open after its successor: its starts are
+		// older than what the entry knows now.
+		return "older than the link in use"
+	}
+	p.hello = hello
+	p.session.Up(now, hello.Epoch, a.opts.Link)
+	p.credits, p.want, p.recalled = 0, 0, false
+	p.unacked = nil
+	p.out = pb.AgentFrame{Hello: a.opts.Hello, Leaving: a.leaving}
+	p.loadSentAt = time.Time{}
+	p.dirty = true
+	a.requeueResults(p)
+	a.balance()
+	return ""
+}
+
+// requeueResults puts every result the entry has not acknowledged on its new
+// link: what was sent on the old one may never have arrived.
+func (a *Agent) requeueResults(p *peer) {
+	for _, rec := range a.sortedRecords(p.hello.Incarnation) {
+		for _, t := range rec.sortedTasks() {
+			if t.result != nil && !t.acked {
+				a.addNews(p, rec.job, t.result)
+			}
+		}
+	}
+}
+
+// LinkDown ends a link. Its credits return at once: starts that are still on
+// their way on it will be dropped.
+func (a *Agent) LinkDown(now time.Time, entry string, epoch uint64) {
+	p := a.peer(entry)
+	if p == nil || p.session.Epoch() != epoch || !p.session.IsUp() {
+		return
+	}
+	a.drop(p)
+	a.balance()
+}
+
+func (a *Agent) drop(p *peer) {
+	p.session.Down()
+	p.credits, p.want = 0, 0
+	p.out = pb.AgentFrame{}
+	p.dirty = false
+}
+
+// Step takes in a frame of the link with the given epoch.
+func (a *Agent) Step(now time.Time, entry string, epoch uint64, f *pb.EntryFrame) {
+	p := a.peer(entry)
+	if p == nil || p.session.Epoch() != epoch {
+		return
+	}
+	if !p.session.Received(now, f.Seq, f.Ack, HasContent(f)) {
+		return
+	}
+	a.acknowledged(p)
+	p.leaving = f.Leaving
+	p.want = int(f.Want)
+	a.takeBack(p, int(f.Returned))
+	for _, b := range f.Starts {
+		a.start(now, p, b)
+	}
+	for _, r := range f.Revokes {
+		a.revoke(p, r)
+	}
+	for _, fe := range f.Fences {
+		a.fence(now, p, fe)
+	}
+	for _, id := range f.Finished {
+		a.finished(id)
+	}
+	a.balance()
+}
+
+// HasContent reports whether a frame must be acknowledged.
+func HasContent(f *pb.EntryFrame) bool {
+	return f.Hello != nil || len(f.Starts) > 0 || len(f.Revokes) > 0 || len(f.Fences) > 0 ||
+		f.Returned > 0 || len(f.Contracts) > 0
+}
+
+func (a *Agent) takeBack(p *peer, n int) {
+	if n == 0 {
+		return
+	}
+	p.recalled = false
+	p.credits = max(0, p.credits-n)
+}
+
+func (a *Agent) acknowledged(p *peer) {
+	acked := p.session.Acked()
+	n := 0
+	for ; n < len(p.unacked) && p.unacked[n].seq <= acked; n++ {
+		for _, t := range p.unacked[n].tasks {
+			a.taskAcked(t)
+		}
+	}
+	p.unacked = p.unacked[n:]
+}
+
+func (a *Agent) taskAcked(t *task) {
+	if t.acked {
+		return
+	}
+	t.acked = true
+	t.rec.open--
+	a.retire(t.rec)
+}
+
+// start accepts or refuses each task of a batch.
+func (a *Agent) start(now time.Time, p *peer, b *pb.StartBatch) {
+	for _, ts := range b.Tasks {
+		if p.credits > 0 {
+			p.credits--
+		}
+		if rec := a.jobs[b.Job]; rec != nil {
+			if t := rec.tasks[ts.Task]; t != nil {
+				// A start sent again on a new link after the first arrived: running it
+				// twice is what this record prevents. The result, if any, was put on the
+				// new link when it came up.
+				continue
+			}
+		}
+		if why := a.refuse(p, b, ts); why != "" {
+			a.addNews(p, b.Job, refusal(ts.Task, why))
+			continue
+		}
+		a.run(now, p, b, ts)
+	}
+}
+
+func refusal(index uint32, why string) *pb.TaskResult {
+	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Error: why}
+}
+
+func (a *Agent) refuse(p *peer, b *pb.StartBatch, ts *pb.TaskStart) string {
+	id, err := job.Parse(b.Job)
+	switch {
+	case err != nil || (id.HasHome() && id.Home.Incarnation != p.hello.Incarnation):
+		return job.RefusedForeign
+	case a.fenced(b.Job):
+		return job.RefusedFenced
+	case a.leaving:
+		return job.RefusedLeaving
+	case a.free() <= 0:
+		return job.RefusedNoSlot
+	case a.opts.Hello.MemoryBytes > 0 && a.reserved+ts.MemoryBytes > a.opts.Hello.MemoryBytes:
+		return job.RefusedMemory
+	case a.full():
+		return job.RefusedFull
+	}
+	return ""
+}
+
+// free is the slots neither running a task nor granted.
+func (a *Agent) free() int {
+	n := int(a.opts.Hello.Slots) - a.running
+	for _, p := range a.peers {
+		n -= p.credits
+	}
+	return n
+}
+
+// full reports whether the agent would have to forget something that an entry
+// has not acknowledged in order to take one more task.
+func (a *Agent) full() bool {
+	a.evict()
+	return a.tasks >= a.opts.MaxRecords || a.resultBytes >= a.opts.MaxResultBytes
+}
+
+func (a *Agent) run(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart) {
+	rec := a.jobs[b.Job]
+	if rec == nil {
+		rec = &record{job: b.Job, home: p.hello.Incarnation, contract: b.Contract, tasks: make(map[uint32]*task)}
+		a.jobs[b.Job] = rec
+	}
+	rec.tasks[ts.Task] = &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes}
+	rec.open++
+	a.tasks++
+	a.running++
+	a.reserve(b.Contract, 1, int64(ts.MemoryBytes))
+	a.ready.Run = append(a.ready.Run, Run{
+		TaskRef:  TaskRef{Job: b.Job, Task: ts.Task},
+		Contract: b.Contract,
+		Kind:     b.Kind,
+		Payload:  ts.Payload,
+		Deadline: now.Add(time.Duration(b.TimeoutMs) * time.Millisecond),
+	})
+}
+
+func (a *Agent) reserve(contract string, tasks int, memory int64) {
+	a.reserved = uint64(int64(a.reserved) + memory)
+	l := a.loads[contract]
+	if l == nil {
+		l = &pb.ContractLoad{Contract: contract}
+		a.loads[contract] = l
+	}
+	l.Running = uint32(int(l.Running) + tasks)
+	l.MemoryBytes = uint64(int64(l.MemoryBytes) + memory)
+	if l.Running == 0 {
+		delete(a.loads, contract)
+	}
+}
+
+// TaskEnded takes in the end of a task that Ready.Run asked for. The result's
+// outcome is complete, failed, not run (the endpoint proved it never began) or
+// unknown.
+func (a *Agent) TaskEnded(now time.Time, ref TaskRef, res *pb.TaskResult) {
+	rec := a.jobs[ref.Job]
+	if rec == nil {
+		return
+	}
+	t := rec.tasks[ref.Task]
+	if t == nil || t.result != nil {
+		return
+	}
+	res.Task = ref.Task
+	t.result = res
+	a.running--
+	a.resultBytes += len(res.Body)
+	a.reserve(rec.contract, -1, -int64(t.memory))
+	if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
+		// With the record kept, a new start of the task would be taken for a
+		// repetition of this one, and the caller would wait until the deadline.
+		a.dropTask(t)
+	}
+	if home := a.homeOf(rec); home != nil {
+		if home.session.IsUp() {
+			a.addNews(home, rec.job, res)
+		}
+	}
+	for _, w := range rec.watchers {
+		if p := a.peer(w); p != nil && p.session.IsUp() {
+			a.addNews(p, rec.job, res)
+		}
+	}
+	a.balance()
+}
+
+// dropTask forgets one task that has not run.
+func (a *Agent) dropTask(t *task) {
+	delete(t.rec.tasks, t.index)
+	t.rec.open--
+	a.tasks--
+	a.resultBytes -= len(t.result.Body)
+	if len(t.rec.tasks) == 0 {
+		delete(a.jobs, t.rec.job)
+	}
+}
+
+func (a *Agent) homeOf(rec *record) *peer { return a.peer(rec.home) }
+
+func (a *Agent) revoke(p *peer, r *pb.Revoke) {
+	rec := a.jobs[r.Job]
+	for _, index := range r.Tasks {
+		var t *task
+		if rec != nil {
+			t = rec.tasks[index]
+		}
+		switch {
+		case t == nil:
+			// The link is in order and older links are dropped: a start for this task
+			// can no longer arrive before the entry has seen this refusal.
+			a.addNews(p, r.Job, refusal(index, job.RefusedRevoked))
+		case t.result == nil && !t.stopping:
+			t.stopping = true
+			a.ready.Stop = append(a.ready.Stop, TaskRef{Job: r.Job, Task: index})
+		}
+	}
+}
+
+func (a *Agent) fence(now time.Time, p *peer, f *pb.Fence) {
+	report := &pb.FenceReport{Job: f.Job}
+	a.expireFences(now)
+	if _, ok := a.fences[f.Job]; !ok {
+		if len(a.fences) >= a.opts.MaxFences {
+			// Without room the job can't be fenced, and saying so keeps the asker from
+			// drawing conclusions.
+			report.Evicted = true
+		} else {
+			a.fences[f.Job] = now.Add(a.opts.FenceTTL)
+			a.fenceOrder = append(a.fenceOrder, f.Job)
+		}
+	}
+	if id, err := job.Parse(f.Job); err == nil && a.evicted[id.Home.Incarnation] {
+		report.Evicted = true
+	}
+	if rec := a.jobs[f.Job]; rec != nil {
+		for _, t := range rec.sortedTasks() {
+			if t.result == nil {
+				report.Running = append(report.Running, t.index)
+			} else {
+				report.Results = append(report.Results, t.result)
+			}
+		}
+		rec.watch(p.hello.Incarnation)
+	}
+	p.out.Fenced = append(p.out.Fenced, report)
+	p.dirty = true
+}
+
+func (a *Agent) fenced(jobID string) bool {
+	_, ok := a.fences[jobID]
+	return ok
+}
+
+func (a *Agent) expireFences(now time.Time) {
+	n := 0
+	for ; n < len(a.fenceOrder) && a.fences[a.fenceOrder[n]].Before(now); n++ {
+		delete(a.fences, a.fenceOrder[n])
+	}
+	a.fenceOrder = a.fenceOrder[n:]
+}
+
+// finished drops a job that its home has answered.
+func (a *Agent) finished(id string) {
+	rec := a.jobs[id]
+	if rec == nil || rec.open > 0 {
+		return
+	}
+	a.forget(rec)
+}
+
+func (a *Agent) addNews(p *peer, jobID string, res *pb.TaskResult) {
+	p.dirty = true
+	news := p.out.News
+	if n := len(news); n > 0 && news[n-1].Job == jobID {
+		news[n-1].Results = append(news[n-1].Results, res)
+		return
+	}
+	p.out.News = append(news, &pb.TaskNews{Job: jobID, Results: []*pb.TaskResult{res}})
+}
+
+// Tick takes in the passing of time; call it no later than Next says.
+func (a *Agent) Tick(now time.Time) {
+	changed := false
+	for _, p := range a.peers {
+		if p.session.Silent(now) {
+			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
+			a.drop(p)
+			changed = true
+		} else if p.session.Due(now) {
+			p.dirty = true
+		}
+	}
+	if changed {
+		a.balance()
+	}
+}
+
+// Next is when Tick is due; zero: not before the next input.
+func (a *Agent) Next() time.Time {
+	var next time.Time
+	for _, p := range a.peers {
+		next = link.Earlier(next, p.session.Next())
+	}
+	return next
+}
+
+// Leave stops the agent from taking new work and tells every entry.
+func (a *Agent) Leave(now time.Time) {
+	a.leaving = true
+	for _, p := range a.peers {
+		p.credits = 0
+		p.dirty = p.session.IsUp()
+	}
+}
+
+// Drained reports whether nothing is left that an entry waits for.
+func (a *Agent) Drained() bool {
+	if a.running > 0 {
+		return false
+	}
+	for _, rec := range a.jobs {
+		if rec.open > 0 && a.homeOf(rec) != nil && a.homeOf(rec).session.IsUp() {
+			return false
+		}
+	}
+	return true
+}
+
+// Ready returns what has to be done since the last call.
+func (a *Agent) Ready(now time.Time) Ready {
+	for _, p := range a.peers {
+		if p.dirty && p.session.IsUp() {
+			a.flush(now, p)
+		}
+	}
+	r := a.ready
+	a.ready = Ready{}
+	return r
+}
+
+func (a *Agent) flush(now time.Time, p *peer) {
+	f := &pb.AgentFrame{
+		Hello: p.out.Hello, News: p.out.News, Fenced: p.out.Fenced,
+		Granted: p.out.Granted, Recall: p.out.Recall, Leaving: a.leaving,
+	}
+	p.out = pb.AgentFrame{}
+	p.dirty = false
+	if now.Sub(p.loadSentAt) >= a.opts.LoadEvery {
+		f.Load = a.load()
+		p.loadSentAt = now
+	}
+	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
+	f.Seq, f.Ack = p.session.Send(now, content)
+	if tasks := a.tasksOf(f.News); len(tasks) > 0 {
+		p.unacked = append(p.unacked, sentNews{seq: f.Seq, tasks: tasks})
+	}
+	a.ready.Frames = append(a.ready.Frames, Out{Entry: p.hello.Incarnation, Epoch: p.session.Epoch(), Frame: f})
+}
+
+// tasksOf lists the recorded tasks that news is about; refusals have no record.
+func (a *Agent) tasksOf(news []*pb.TaskNews) []*task {
+	var out []*task
+	for _, n := range news {
+		rec := a.jobs[n.Job]
+		if rec == nil {
+			continue
+		}
+		for _, res := range n.Results {
+			if t := rec.tasks[res.Task]; t != nil && t.result == res {
+				out = append(out, t)
+			}
+		}
+	}
+	return out
+}
+
+func (a *Agent) load() *pb.AgentLoad {
+	l := &pb.AgentLoad{
+		Running:             uint32(a.running),
+		FreeSlots:           uint32(max(0, a.free())),
+		ReservedMemoryBytes: a.reserved,
+	}
+	for _, c := range sortedKeys(a.loads) {
+		cl := a.loads[c]
+		l.Contracts = append(l.Contracts, &pb.ContractLoad{Contract: cl.Contract, Running: cl.Running, MemoryBytes: cl.MemoryBytes})
+	}
+	return l
+}
+
+func (a *Agent) peer(incarnation string) *peer {
+	for _, p := range a.peers {
+		if p.hello.Incarnation == incarnation {
+			return p
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/entry/agents.go
@@ -0,0 +1,380 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/link"
+)
+
+// agent is one agent process as this entry sees it.
+type agent struct {
+	hello   *pb.AgentHello
+	session link.Session
+	epoch   uint64 // of the last link asked for
+	dialing bool
+	dialAt  time.Time // when the next attempt may start
+	downAt  time.Time // when the last link was lost
+	gone    bool      // given up; back when it announces itself
+
+	credits  int
+	leaving  bool
+	load     *pb.AgentLoad
+	revision uint64
+	wanted   uint32 // want as last told
+
+	tasks   []*taskState // sent or received
+	unacked []*taskState // sent, in the order of their frames
+	revoked []revoked    // not acknowledged
+
+	out    pb.EntryFrame // content of the next frame
+	placed []*taskState  // starts of the next frame
+	dirty  bool
+}
+
+// revoked is a revocation that went out with frame seq; zero: not sent yet.
+type revoked struct {
+	seq uint64
+	ref *taskState
+}
+
+// AgentSeen takes in an announcement. A new incarnation replaces the old one,
+// whose process has ended. Relink asks for a new link to the same process.
+func (e *Entry) AgentSeen(now time.Time, hello *pb.AgentHello, relink, leaving bool) {
+	a := e.byName[hello.Agent]
+	if a != nil && a.hello.Incarnation != hello.Incarnation {
+		e.lose(now, a, "the agent was restarted")
+		e.remove(a)
+		a = nil
+	}
+	if a == nil {
+		a = &agent{hello: hello, downAt: now}
+		e.byName[hello.Agent] = a
+		e.agents = append(e.agents, a)
+		slices.SortFunc(e.agents, func(x, y *agent) int { return strings.Compare(x.hello.Agent, y.hello.Agent) })
+	}
+	a.leaving = leaving
+	if a.gone {
+		a.gone = false
+		a.downAt = now
+	}
+	if relink && a.session.IsUp() {
+		e.down(now, a)
+		a.dialAt = now
+	}
+	e.dial(now, a)
+}
+
+func (e *Entry) remove(a *agent) {
+	delete(e.byName, a.hello.Agent)
+	e.agents = slices.DeleteFunc(e.agents, func(x *agent) bool { return x == a })
+}
+
+func (e *Entry) dial(now time.Time, a *agent) {
+	if a.dialing || a.session.IsUp() || a.gone || now.Before(a.dialAt) {
+		return
+	}
+	a.epoch++
+	a.dialing = true
+	a.dialAt = now.Add(e.opts.RedialAfter)
+	h := &pb.EntryHello{
+		Entry: e.opts.Hello.Entry, Incarnation: e.opts.Hello.Incarnation, Address: e.opts.Hello.Address,
+		FailureDomain: e.opts.Hello.FailureDomain, AgentIncarnation: a.hello.Incarnation, Epoch: a.epoch,
+	}
+	e.ready.Dials = append(e.ready.Dials, Dial{Agent: a.hello.Agent, Address: a.hello.Address, Hello: h})
+}
+
+// LinkUp takes in that the link asked for with the epoch is open. What the agent
+// has not acknowledged is sent again: it may have been lost with the old link,
+// and the agent knows which of it arrived.
+func (e *Entry) LinkUp(now time.Time, name string, epoch uint64) {
+	a := e.byName[name]
+	if a == nil || a.epoch != epoch || !a.dialing {
+		return
+	}
+	a.dialing = false
+	a.session.Up(now, epoch, e.opts.Link)
+	a.credits, a.wanted = 0, 0
+	a.out = pb.EntryFrame{}
+	a.dirty = false
+	again := a.unacked
+	a.unacked, a.placed = nil, nil
+	for _, r := range a.revoked {
+		if r.ref.phase != ended {
+			a.addRevoke(r.ref)
+		}
+	}
+	for _, t := range again {
+		if t.phase == sent && !a.isRevoked(t) {
+			a.placed = append(a.placed, t)
+			a.dirty = true
+		}
+	}
+	for i := range a.revoked {
+		a.revoked[i].seq = 0
+	}
+	for _, id := range e.recoveryIDs() {
+		e.fenceAt(e.recoveries[id], a)
+	}
+}
+
+// LinkDown takes in that a link was lost or could not be opened. Refused tells
+// that the process there is another one, and the agent's own has ended.
+func (e *Entry) LinkDown(now time.Time, name string, epoch uint64, refused bool) {
+	a := e.byName[name]
+	if a == nil || a.epoch != epoch {
+		return
+	}
+	if refused {
+		e.lose(now, a, "the agent was restarted")
+		e.remove(a)
+		return
+	}
+	wasUp := a.session.IsUp()
+	e.down(now, a)
+	if wasUp {
+		a.dialAt = now
+	}
+	e.dial(now, a)
+}
+
+func (e *Entry) down(now time.Time, a *agent) {
+	if a.session.IsUp() {
+		a.downAt = now
+	}
+	a.session.Down()
+	a.dialing = false
+	a.credits = 0
+	// Starts that were placed and never framed have not left this process.
+	for _, t := range a.placed {
+		if t.seq == 0 {
+			a.untrack(t)
+			e.requeue(t)
+		} else {
+			a.unacked = append(a.unacked, t)
+		}
+	}
+	a.placed = nil
+}
+
+func (e *Entry) tickAgent(now time.Time, a *agent) {
+	if a.session.Silent(now) {
+		e.down(now, a)
+		a.dialAt = now
+	}
+	if a.session.IsUp() {
+		if a.session.Due(now) {
+			a.dirty = true
+		}
+		return
+	}
+	if !a.gone && !now.Before(a.downAt.Add(e.opts.AgentLostAfter)) {
+		e.lose(now, a, "the agent can't be reached")
+		a.gone = true
+		return
+	}
+	e.dial(now, a)
+}
+
+func (a *agent) next(o Options) time.Time {
+	if a.session.IsUp() {
+		return a.session.Next()
+	}
+	if a.gone {
+		return time.Time{}
+	}
+	lost := a.downAt.Add(o.AgentLostAfter)
+	if a.dialing {
+		return lost
+	}
+	return link.Earlier(lost, a.dialAt)
+}
+
+// lose gives up on what was sent to an agent process: each such task may have
+// started there, and nobody else may start it.
+func (e *Entry) lose(now time.Time, a *agent, why string) {
+	e.down(now, a)
+	tasks := a.tasks
+	a.tasks, a.unacked, a.revoked = nil, nil, nil
+	for _, t := range tasks {
+		if t.phase == ended {
+			continue
+		}
+		e.taskEnded(now, t, &pb.TaskResult{Task: t.index, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: why})
+	}
+	for _, id := range e.recoveryIDs() {
+		e.recoveryLost(now, e.recoveries[id], a)
+	}
+}
+
+// Step takes in a frame of the link with the given epoch.
+func (e *Entry) Step(now time.Time, name string, epoch uint64, f *pb.AgentFrame) {
+	a := e.byName[name]
+	if a == nil || a.session.Epoch() != epoch {
+		return
+	}
+	if !a.session.Received(now, f.Seq, f.Ack, hasContent(f)) {
+		return
+	}
+	a.acknowledged()
+	if f.Hello != nil {
+		a.hello = f.Hello
+	}
+	if f.Load != nil {
+		a.load = f.Load
+	}
+	a.revision = max(a.revision, f.ConfigRevision)
+	a.credits += int(f.Granted)
+	for _, n := range f.News {
+		e.news(now, a, n)
+	}
+	for _, r := range f.Fenced {
+		e.fenceReport(now, a, r)
+	}
+	a.leaving = f.Leaving
+	if a.leaving {
+		a.credits = 0
+	}
+	if f.Recall > 0 {
+		e.giveBack(a, int(f.Recall))
+	}
+}
+
+func hasContent(f *pb.AgentFrame) bool {
+	return f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
+}
+
+// giveBack returns credits that no waiting task needs; it answers even with
+// none, so that the agent may ask again.
+func (e *Entry) giveBack(a *agent, n int) {
+	n = min(n, a.credits)
+	a.credits -= n
+	a.out.Returned += uint32(n)
+	a.dirty = true
+}
+
+func (a *agent) acknowledged() {
+	acked := a.session.Acked()
+	n := 0
+	for ; n < len(a.unacked) && a.unacked[n].seq <= acked; n++ {
+		if t := a.unacked[n]; t.phase == sent {
+			t.phase = received
+		}
+	}
+	a.unacked = a.unacked[n:]
+	a.revoked = slices.DeleteFunc(a.revoked, func(r revoked) bool {
+		return r.seq != 0 && r.seq <= acked
+	})
+}
+
+func (e *Entry) news(now time.Time, a *agent, n *pb.TaskNews) {
+	if r := e.recoveries[n.Job]; r != nil {
+		e.recoveryNews(now, r, a, n.Results)
+	}
+	js := e.jobs[n.Job]
+	if js == nil {
+		return
+	}
+	for _, res := range n.Results {
+		if int(res.Task) >= len(js.tasks) {
+			continue
+		}
+		t := &js.tasks[res.Task]
+		if t.agent != a || (t.phase != sent && t.phase != received) {
+			// A result that came twice, over an old and a new link.
+			continue
+		}
+		a.untrack(t)
+		if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
+			e.refused(now, t, res)
+			continue
+		}
+		e.taskEnded(now, t, res)
+	}
+}
+
+// flush sends what has gathered for an agent.
+func (e *Entry) flush(now time.Time, a *agent) {
+	f := &pb.EntryFrame{
+		Revokes: a.out.Revokes, Fences: a.out.Fences, Finished: a.out.Finished,
+		Returned: a.out.Returned, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
+	}
+	a.out = pb.EntryFrame{}
+	a.dirty = false
+	for _, t := range a.placed {
+		f.Starts = addStart(now, f.Starts, t)
+	}
+	content := len(f.Starts) > 0 || len(f.Revokes) > 0 || len(f.Fences) > 0 || f.Returned > 0 || len(f.Contracts) > 0
+	f.Seq, f.Ack = a.session.Send(now, content)
+	for _, t := range a.placed {
+		t.seq = f.Seq
+		a.unacked = append(a.unacked, t)
+	}
+	a.placed = a.placed[:0]
+	for i := range a.revoked {
+		if a.revoked[i].seq == 0 {
+			a.revoked[i].seq = f.Seq
+		}
+	}
+	e.ready.Frames = append(e.ready.Frames, Out{Agent: a.hello.Agent, Epoch: a.session.Epoch(), Frame: f})
+}
+
+func addStart(now time.Time, batches []*pb.StartBatch, t *taskState) []*pb.StartBatch {
+	j := t.job.job
+	if n := len(batches); n > 0 && batches[n-1].Job == j.Id {
+		batches[n-1].Tasks = append(batches[n-1].Tasks, t.start)
+		return batches
+	}
+	left := max(1, t.job.deadline.Sub(now)/time.Millisecond)
+	return append(batches, &pb.StartBatch{
+		Job: j.Id, Contract: j.Contract, Kind: j.Kind, TimeoutMs: uint32(left), Tasks: []*pb.TaskStart{t.start},
+	})
+}
+
+// track notes that a task is this agent's.
+func (a *agent) track(t *taskState) {
+	t.agent = a
+	t.phase = sent
+	t.seq = 0
+	t.pos = len(a.tasks)
+	a.tasks = append(a.tasks, t)
+	a.placed = append(a.placed, t)
+	a.dirty = true
+}
+
+func (a *agent) untrack(t *taskState) {
+	last := len(a.tasks) - 1
+	if t.pos > last || a.tasks[t.pos] != t {
+		return
+	}
+	a.tasks[t.pos] = a.tasks[last]
+	a.tasks[t.pos].pos = t.pos
+	a.tasks = a.tasks[:last]
+}
+
+// revoke asks the agent not to start a task, or to stop it.
+func (a *agent) revoke(t *taskState) {
+	if a.isRevoked(t) {
+		return
+	}
+	a.revoked = append(a.revoked, revoked{ref: t})
+	if a.session.IsUp() {
+		a.addRevoke(t)
+	}
+}
+
+func (a *agent) addRevoke(t *taskState) {
+	a.dirty = true
+	id := t.job.job.Id
+	if n := len(a.out.Revokes); n > 0 && a.out.Revokes[n-1].Job == id {
+		a.out.Revokes[n-1].Tasks = append(a.out.Revokes[n-1].Tasks, t.index)
+		return
+	}
+	a.out.Revokes = append(a.out.Revokes, &pb.Revoke{Job: id, Tasks: []uint32{t.index}})
+}
+
+func (a *agent) isRevoked(t *taskState) bool {
+	return slices.ContainsFunc(a.revoked, func(r revoked) bool { return r.ref == t })
+}
--- /dev/null
+++ b/node/agent/links.go
@@ -0,0 +1,179 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/node/rpc"
+)
+
+// entryLink is one connection from an entry.
+type entryLink struct {
+	epoch uint64
+	out   *rpc.Queue[*pb.AgentFrame]
+	end   context.CancelFunc
+}
+
+func (a *Agent) nodesHandler() http.Handler {
+	r := chi.NewRouter()
+	path, h := papayahoistv1connect.NewAgentServiceHandler(&linkService{a: a}, connect.WithReadMaxBytes(2*jobs.MaxBody))
+	r.Mount(path, h)
+	return r
+}
+
+type linkService struct {
+	papayahoistv1connect.UnimplementedAgentServiceHandler
+	a *Agent
+}
+
+type linkStream = connect.BidiStream[pb.EntryFrame, pb.AgentFrame]
+
+// Link serves one link until it ends.
+func (s *linkService) Link(ctx context.Context, stream *linkStream) error {
+	a := s.a
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello.GetIncarnation() == "" {
+		return connect.NewError(connect.CodeInvalidArgument, ErrLink.New("the first frame has no hello"))
+	}
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	l := &entryLink{epoch: hello.Epoch, out: rpc.NewQueue[*pb.AgentFrame](), end: end}
+	if refused := a.linkUp(hello, l); refused != "" {
+		return stream.Send(&pb.AgentFrame{Hello: &pb.AgentHello{
+			Agent: a.opts.Hello.Agent, Incarnation: a.opts.Hello.Incarnation, Refused: refused,
+		}})
+	}
+	defer a.linkDown(hello, l)
+	go a.readLink(stream, hello, end)
+	return writeLink(ctx, stream, l)
+}
+
+func (a *Agent) linkUp(hello *pb.EntryHello, l *entryLink) (refused string) {
+	a.decide(func(now time.Time) {
+		if refused = a.core.LinkUp(now, hello); refused != "" {
+			return
+		}
+		if old := a.links[hello.Incarnation]; old != nil {
+			old.end()
+		}
+		a.links[hello.Incarnation] = l
+		if hello.Address != "" {
+			a.known[hello.Address] = hello.Incarnation
+		}
+	})
+	return refused
+}
+
+func (a *Agent) linkDown(hello *pb.EntryHello, l *entryLink) {
+	a.decide(func(now time.Time) {
+		a.core.LinkDown(now, hello.Incarnation, hello.Epoch)
+		if a.links[hello.Incarnation] == l {
+			delete(a.links, hello.Incarnation)
+		}
+	})
+}
+
+func (a *Agent) readLink(stream *linkStream, hello *pb.EntryHello, end context.CancelFunc) {
+	defer end()
+	for {
+		f, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		a.decide(func(now time.Time) { a.core.Step(now, hello.Incarnation, hello.Epoch, f) })
+	}
+}
+
+func writeLink(ctx context.Context, stream *linkStream, l *entryLink) error {
+	for {
+		frames, ok := l.out.Take(ctx)
+		if !ok {
+			return nil
+		}
+		for _, f := range frames {
+			if err := stream.Send(f); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+const (
+	announceEvery   = 500 * time.Millisecond
+	announceTimeout = time.Second
+)
+
+// announceLoop makes the agent known to each entry that has no link to it.
+func (a *Agent) announceLoop() {
+	t := time.NewTicker(announceEvery)
+	defer t.Stop()
+	for {
+		for _, address := range a.unlinked() {
+			a.announce(address, false, false)
+		}
+		select {
+		case <-t.C:
+		case <-a.ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) unlinked() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []string
+	for address, incarnation := range a.known {
+		if incarnation == "" || a.links[incarnation] == nil {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+func (a *Agent) announce(address string, relink, leaving bool) {
+	ctx, cancel := context.WithTimeout(a.ctx, announceTimeout)
+	defer cancel()
+	client := rpc.NewClient(a.opts.NodesTLS)
+	defer client.CloseIdleConnections()
+	resp, err := papayahoistv1connect.NewEntryServiceClient(client, rpc.URL(address, a.opts.NodesTLS)).Announce(ctx,
+		connect.NewRequest(&pb.AnnounceRequest{Agent: a.opts.Hello, Relink: relink, Leaving: leaving}))
+	if err != nil {
+		a.log.Debug("announce failed", "entry", address, "err", err)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range resp.Msg.Peers {
+		if _, ok := a.known[p.Address]; !ok {
+			a.known[p.Address] = p.Incarnation
+		}
+	}
+}
+
+// relink asks an entry for a new link over a new connection: the one in use has
+// gone silent, and only the entry opens links.
+func (a *Agent) relink(incarnation string) {
+	a.mu.Lock()
+	var to string
+	for address, inc := range a.known {
+		if inc == incarnation {
+			to = address
+		}
+	}
+	a.mu.Unlock()
+	if to != "" {
+		a.announce(to, true, false)
+	}
+}
--- /dev/null
+++ b/node/entry/callers.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/job"
+)
+
+// callersHandler serves the callers' interface of api/jobs.
+func (e *Entry) callersHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(e.withHome)
+	r.Get(jobs.PathHome, e.handleHome)
+	r.Post(jobs.PathJobs, e.handleSubmit)
+	r.Get(jobs.PathJobs+"/{id}", e.handleFetch)
+	r.Delete(jobs.PathJobs+"/{id}", e.handleCancel)
+	return r
+}
+
+func (e *Entry) token() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Token(time.Now()).String()
+}
+
+func (e *Entry) withHome(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(jobs.HeaderHome, e.token())
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) handleHome(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, jobs.Home{Token: e.token()})
+}
+
+func (e *Entry) handleSubmit(w http.ResponseWriter, r *http.Request) {
+	var in jobs.SubmitRequest
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, jobs.MaxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&in); err != nil {
+		writeBadBody(w, err)
+		return
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		writeError(w, refusal(in.ID, jobs.CodeBadRequest, "the body goes on after the JSON value"))
+		return
+	}
+	if msg := e.check(&in); msg != "" {
+		writeError(w, refusal(in.ID, jobs.CodeBadRequest, msg))
+		return
+	}
+	if in.ID == "" {
+		in.ID = e.token() + "." + rand.Text()
+	}
+	e.respond(w, r, in.ID, request{job: toJob(&in), contract: in.Contract, wait: waitOf(in.WaitMillis)})
+}
+
+func (e *Entry) check(in *jobs.SubmitRequest) string {
+	switch {
+	case in.Contract == "":
+		return "contract is missing"
+	case len(in.Tasks) == 0 || len(in.Tasks) > jobs.MaxTasks:
+		return "tasks: want 1 to 160"
+	case time.Duration(in.TimeoutMillis)*time.Millisecond > jobs.MaxTimeout:
+		return "timeout_ms: want at most 600000"
+	}
+	if in.ID != "" {
+		if _, err := job.Parse(in.ID); err != nil {
+			return "id: want 1 to 128 printable ASCII characters without space and slash"
+		}
+	}
+	return ""
+}
+
+func waitOf(millis uint32) time.Duration {
+	d := time.Duration(millis) * time.Millisecond
+	if d == 0 || d > jobs.MaxWait {
+		return jobs.MaxWait
+	}
+	return d
+}
+
+func toJob(in *jobs.SubmitRequest) *pb.Job {
+	j := &pb.Job{
+		Id: in.ID, Contract: in.Contract, Kind: in.Kind, TimeoutMs: in.TimeoutMillis,
+		FirstSentUnixMs: in.FirstSentUnixMillis, Tasks: make([]*pb.Task, len(in.Tasks)),
+	}
+	tasks := make([]pb.Task, len(in.Tasks))
+	for i, t := range in.Tasks {
+		p := &tasks[i]
+		p.Payload, p.MemoryBytes, p.CpuMillis, p.RunMillis = t.Payload, t.MemoryBytes, t.CPUMillis, t.RunMillis
+		j.Tasks[i] = p
+	}
+	return j
+}
+
+func (e *Entry) handleFetch(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil || wait > jobs.MaxWait || wait < 0 {
+		wait = jobs.MaxWait
+	}
+	e.respond(w, r, id, request{job: &pb.Job{Id: id}, contract: r.URL.Query().Get("contract"), fetch: true, wait: wait})
+}
+
+func (e *Entry) handleCancel(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	e.respond(w, r, id, request{job: &pb.Job{Id: id}, contract: r.URL.Query().Get("contract"), cancel: true, wait: jobs.MaxWait})
+}
+
+// respond serves a request wherever the job's home is and writes the outcome.
+func (e *Entry) respond(w http.ResponseWriter, r *http.Request, id string, rq request) {
+	rp := e.route(r.Context(), id, rq)
+	switch {
+	case !rp.known:
+		writeError(w, &pb.Answer{Job: id, Code: string(jobs.CodeNotFound), Message: "no such job of this contract"})
+	case rp.answer == nil:
+		writeJSON(w, http.StatusAccepted, jobs.Response{ID: id, State: jobs.StateRunning})
+	case rp.answer.Outcome == pb.Outcome_OUTCOME_COMPLETE:
+		writeJSON(w, http.StatusOK, completeResponse(rp.answer))
+	default:
+		writeError(w, rp.answer)
+	}
+}
+
+func completeResponse(a *pb.Answer) jobs.Response {
+	out := jobs.Response{ID: a.Job, State: jobs.StateComplete, Results: make([]jobs.Result, len(a.Results))}
+	for i, r := range a.Results {
+		out.Results[i] = jobs.Result{Task: r.Task, Body: r.Body, RunMillis: r.RunMillis}
+	}
+	return out
+}
+
+func refusal(id string, code jobs.Code, message string) *pb.Answer {
+	return &pb.Answer{Job: id, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Code: string(code), Message: message}
+}
+
+func writeBadBody(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeError(w, refusal("", jobs.CodeTooLarge, "the body is larger than 8 MiB"))
+		return
+	}
+	writeError(w, refusal("", jobs.CodeBadRequest, "the body is not the JSON of a submission: "+err.Error()))
+}
+
+var outcomes = map[pb.Outcome]jobs.Outcome{
+	pb.Outcome_OUTCOME_FAILED:  jobs.OutcomeFailed,
+	pb.Outcome_OUTCOME_NOT_RUN: jobs.OutcomeNotRun,
+	pb.Outcome_OUTCOME_UNKNOWN: jobs.OutcomeUnknown,
+}
+
+var statuses = map[jobs.Code]int{
+	jobs.CodeBadRequest:      http.StatusBadRequest,
+	jobs.CodeUnauthorized:    http.StatusUnauthorized,
+	jobs.CodeNotFound:        http.StatusNotFound,
+	jobs.CodeConflict:        http.StatusConflict,
+	jobs.CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	jobs.CodeUnknownContract: http.StatusForbidden,
+	jobs.CodeRateLimited:     http.StatusTooManyRequests,
+	jobs.CodeQueueFull:       http.StatusTooManyRequests,
+	jobs.CodeOverloaded:      http.StatusServiceUnavailable,
+	jobs.CodeDoesNotFit:      http.StatusUnprocessableEntity,
+	jobs.CodeDeadline:        http.StatusGatewayTimeout,
+	jobs.CodeCancelled:       http.StatusConflict,
+	jobs.CodeTaskFailed:      http.StatusBadGateway,
+	jobs.CodeAgentLost:       http.StatusBadGateway,
+	jobs.CodeHomeLost:        http.StatusBadGateway,
+	jobs.CodeLeaving:         http.StatusServiceUnavailable,
+	jobs.CodeUnavailable:     http.StatusServiceUnavailable,
+}
+
+func writeError(w http.ResponseWriter, a *pb.Answer) {
+	status, ok := statuses[jobs.Code(a.Code)]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	writeJSON(w, status, jobs.Error{
+		ID: a.Job, Code: jobs.Code(a.Code), Outcome: outcomes[a.Outcome], Message: a.Message, RetryAfterMillis: a.RetryAfterMs,
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller has gone: it asks again
+}
+
+// NewIncarnation returns 128 random bits in hex.
+func NewIncarnation() string {
+	var b [job.IncarnationLength / 2]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/node/entry/entry.go
@@ -0,0 +1,255 @@
+// Package entry drives the decisions of dispatch/entry: it serves callers and
+// nodes, keeps the links to agents, and carries out what is decided.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/node/rpc"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("node.entry")
+	// ErrStart is given when an entry can't begin to serve.
+	ErrStart = Errors.NewType("start")
+)
+
+// Options configure an Entry.
+type Options struct {
+	// Hello names the entry; Address is filled in from the listener when empty.
+	Hello *pb.EntryHello
+	// Listen addresses, IP and port. Operators' requests are served by Operators.
+	CallersListen, NodesListen, OperatorsListen string
+	// Contract returns the contract in force; it must not block.
+	Contract func(name string) *pb.Contract
+	// Peers returns the living entries; it must not block.
+	Peers func() []*pb.Peer
+	// Operators is served on the operators' port.
+	Operators http.Handler
+	// NodesTLS is for both directions between our processes; nil: none.
+	NodesTLS *tls.Config
+	// CallersTLS is for the callers' port; nil: none.
+	CallersTLS *tls.Config
+	// DrainTimeout bounds a planned stop.
+	DrainTimeout time.Duration
+	// Core sets the times of the decisions; its Hello, Started and Contract are
+	// filled in here.
+	Core   entry.Options
+	Logger *slog.Logger
+}
+
+// DefaultDrainTimeout bounds a planned stop.
+const DefaultDrainTimeout = 30 * time.Second
+
+// Entry is one entry process.
+type Entry struct {
+	opts    Options
+	log     *slog.Logger
+	callers net.Listener
+	nodes   net.Listener
+	admin   net.Listener
+	ctx     context.Context // of the links; ends when Run does
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex // guards what follows, and serializes the core
+	core    *entry.Entry
+	links   map[string]*agentLink // by agent name
+	waiters map[string][]chan *pb.Answer
+	timer   *rpc.Timer
+}
+
+// New binds the entry's ports, so that its addresses are known before it runs.
+func New(opts Options) (*Entry, error) {
+	if opts.DrainTimeout == 0 {
+		opts.DrainTimeout = DefaultDrainTimeout
+	}
+	e := &Entry{
+		opts: opts, log: opts.Logger,
+		links:   make(map[string]*agentLink),
+		waiters: make(map[string][]chan *pb.Answer),
+	}
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{{&e.callers, opts.CallersListen}, {&e.nodes, opts.NodesListen}, {&e.admin, opts.OperatorsListen}} {
+		if l.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			e.closeListeners()
+			return nil, ErrStart.Wrap(err, "listen on %s", l.address)
+		}
+		*l.to = ln
+	}
+	if opts.Hello.Address == "" {
+		opts.Hello.Address = e.nodes.Addr().String()
+	}
+	e.opts.Core.Hello = opts.Hello
+	e.opts.Core.Started = time.Now()
+	e.opts.Core.Contract = opts.Contract
+	e.core = entry.New(e.opts.Core)
+	e.timer = rpc.NewTimer(e.tick)
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	return e, nil
+}
+
+// CallersAddress is where callers are served.
+func (e *Entry) CallersAddress() string { return e.callers.Addr().String() }
+
+// NodesAddress is where agents and other entries are served.
+func (e *Entry) NodesAddress() string { return e.opts.Hello.Address }
+
+// OperatorsAddress is where operators are served; empty without that port.
+func (e *Entry) OperatorsAddress() string {
+	if e.admin == nil {
+		return ""
+	}
+	return e.admin.Addr().String()
+}
+
+func (e *Entry) closeListeners() {
+	for _, l := range []net.Listener{e.callers, e.nodes, e.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Run serves until the context ends, then drains: no new jobs, and the end comes
+// when every job has its answer or DrainTimeout has passed.
+func (e *Entry) Run(ctx context.Context) error {
+	servers := []*http.Server{
+		rpc.NewServer(e.callersHandler(), e.opts.CallersTLS),
+		rpc.NewServer(e.nodesHandler(), e.opts.NodesTLS),
+	}
+	listeners := []net.Listener{e.callers, e.nodes}
+	if e.admin != nil && e.opts.Operators != nil {
+		servers = append(servers, rpc.NewServer(e.opts.Operators, nil))
+		listeners = append(listeners, e.admin)
+	}
+	failed := make(chan error, len(servers))
+	for i, s := range servers {
+		go func() { failed <- rpc.Serve(s, listeners[i]) }()
+	}
+	e.log.Info("serving", "callers", e.CallersAddress(), "nodes", e.NodesAddress())
+	var err error
+	select {
+	case <-ctx.Done():
+		e.drain()
+	case err = <-failed:
+	}
+	e.stop(servers)
+	if err != nil {
+		return ErrStart.Wrap(err, "serve")
+	}
+	return nil
+}
+
+const (
+	drainPoll  = 20 * time.Millisecond
+	closeGrace = 2 * time.Second
+)
+
+func (e *Entry) drain() {
+	e.log.Info("draining", "limit", e.opts.DrainTimeout)
+	e.decide(e.core.Leave)
+	limit := time.Now().Add(e.opts.DrainTimeout)
+	for time.Now().Before(limit) {
+		e.mu.Lock()
+		drained := e.core.Drained()
+		e.mu.Unlock()
+		if drained {
+			e.log.Info("drained")
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+	e.log.Warn("drain limit reached")
+}
+
+func (e *Entry) stop(servers []*http.Server) {
+	// Callers get the answers that drain has produced before connections close.
+	ctx, cancel := context.WithTimeout(context.Background(), closeGrace)
+	defer cancel()
+	_ = servers[0].Shutdown(ctx)
+	e.cancel()
+	e.mu.Lock()
+	e.timer.Stop()
+	e.mu.Unlock()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	e.log.Info("stopped")
+}
+
+// Kill ends the entry at once, as a crash would: for tests and load tools.
+func (e *Entry) Kill() {
+	e.cancel()
+	e.closeListeners()
+	e.mu.Lock()
+	e.timer.Stop()
+	e.mu.Unlock()
+}
+
+// decide runs one input of the core and carries out what it asks for. The input
+// must not block.
+func (e *Entry) decide(input func(now time.Time)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	input(now)
+	ready := e.core.Ready(now)
+	for _, d := range ready.Dials {
+		e.openLink(d)
+	}
+	for _, o := range ready.Frames {
+		if l := e.links[o.Agent]; l != nil && l.epoch == o.Epoch {
+			l.out.Put(o.Frame)
+		}
+	}
+	for _, a := range ready.Answers {
+		for _, w := range e.waiters[a.Job] {
+			w <- a
+		}
+		delete(e.waiters, a.Job)
+	}
+	e.timer.Set(now, e.core.Next())
+}
+
+func (e *Entry) tick() { e.decide(e.core.Tick) }
+
+// wait registers for a job's answer; call it within decide. The channel has room
+// for the one answer, so that handing it over never blocks.
+func (e *Entry) wait(jobID string) chan *pb.Answer {
+	w := make(chan *pb.Answer, 1)
+	e.waiters[jobID] = append(e.waiters[jobID], w)
+	return w
+}
+
+// unwait gives up a registration.
+func (e *Entry) unwait(jobID string, w chan *pb.Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := e.waiters[jobID]
+	for i, x := range list {
+		if x == w {
+			e.waiters[jobID] = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(e.waiters[jobID]) == 0 {
+		delete(e.waiters, jobID)
+	}
+}
--- /dev/null
+++ b/node/entry/nodes.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/dispatch/entry"
+)
+
+// nodesHandler serves agents and other entries.
+func (e *Entry) nodesHandler() http.Handler {
+	r := chi.NewRouter()
+	path, h := papayahoistv1connect.NewEntryServiceHandler(&nodesService{e: e}, connect.WithReadMaxBytes(2*jobs.MaxBody))
+	r.Mount(path, h)
+	return r
+}
+
+type nodesService struct {
+	papayahoistv1connect.UnimplementedEntryServiceHandler
+	e *Entry
+}
+
+// Announce takes in an agent that wants links.
+func (s *nodesService) Announce(_ context.Context, req *connect.Request[pb.AnnounceRequest]) (*connect.Response[pb.AnnounceResponse], error) {
+	m := req.Msg
+	if m.Agent.GetAgent() == "" || m.Agent.GetIncarnation() == "" || m.Agent.GetAddress() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, ErrStart.New("an agent announces its name, incarnation and address"))
+	}
+	s.e.decide(func(now time.Time) { s.e.core.AgentSeen(now, m.Agent, m.Relink, m.Leaving) })
+	return connect.NewResponse(&pb.AnnounceResponse{Entry: s.e.opts.Hello, Peers: s.e.opts.Peers()}), nil
+}
+
+// Forward serves a job of this home that reached another entry.
+func (s *nodesService) Forward(ctx context.Context, req *connect.Request[pb.ForwardRequest]) (*connect.Response[pb.ForwardResponse], error) {
+	m := req.Msg
+	if m.Home != s.e.opts.Hello.Incarnation {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, ErrStart.New("another incarnation of the entry"))
+	}
+	r := s.e.serveLocal(ctx, request{
+		job: m.Job, contract: m.Contract, fetch: m.Fetch, cancel: m.Cancel,
+		wait: time.Duration(m.WaitMs) * time.Millisecond,
+	})
+	return connect.NewResponse(&pb.ForwardResponse{Answer: r.answer, Known: r.known}), nil
+}
+
+// request is what a caller wants of one job, at whichever entry it arrived.
+type request struct {
+	job           *pb.Job
+	contract      string
+	fetch, cancel bool
+	wait          time.Duration
+}
+
+// reply carries the answer if there is one yet.
+type reply struct {
+	answer *pb.Answer
+	known  bool
+}
+
+// serveLocal serves a request for a job whose home is this entry.
+func (e *Entry) serveLocal(ctx context.Context, rq request) reply {
+	var rp reply
+	var w chan *pb.Answer
+	e.decide(func(now time.Time) {
+		switch {
+		case rq.cancel:
+			rp.answer, rp.known = e.core.Cancel(now, rq.job.Id, rq.contract)
+		case rq.fetch:
+			rp.answer, rp.known = e.core.Fetch(rq.job.Id, rq.contract)
+		default:
+			var admitted entry.Admission
+			admitted, rp.answer = e.core.Submit(now, rq.job)
+			rp.known = true
+			if admitted != entry.Answered {
+				rp.answer = nil
+			}
+		}
+		if rp.known && rp.answer == nil {
+			w = e.wait(rq.job.Id)
+		}
+	})
+	if w != nil {
+		rp.answer = e.await(ctx, rq.job.Id, w, rq.wait)
+	}
+	return rp
+}
+
+func (e *Entry) await(ctx context.Context, jobID string, w chan *pb.Answer, limit time.Duration) *pb.Answer {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case a := <-w:
+		return a
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	e.unwait(jobID, w)
+	select {
+	case a := <-w:
+		return a
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/node/rpc/queue.go
@@ -0,0 +1,67 @@
+package rpc
+
+import (
+	"context"
+	"sync"
+)
+
+// Queue hands frames from the one that decides, who must not block, to the one
+// that writes them to a stream. It has no bound of its own: credits and
+// acknowledgements bound what is in flight, and a silent link ends within
+// seconds. It is safe for concurrent use.
+type Queue[T any] struct {
+	mu     sync.Mutex
+	items  []T
+	closed bool
+	wake   chan struct{}
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any]() *Queue[T] { return &Queue[T]{wake: make(chan struct{}, 1)} }
+
+// Put adds an item; after Close it is dropped.
+func (q *Queue[T]) Put(item T) {
+	q.mu.Lock()
+	if !q.closed {
+		q.items = append(q.items, item)
+	}
+	q.mu.Unlock()
+	q.signal()
+}
+
+// Close ends the queue; Take then returns false, also with items left.
+func (q *Queue[T]) Close() {
+	q.mu.Lock()
+	q.closed = true
+	q.mu.Unlock()
+	q.signal()
+}
+
+func (q *Queue[T]) signal() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Take waits for items and returns all of them; false when the queue was closed
+// or the context has ended. Only one goroutine may call it.
+func (q *Queue[T]) Take(ctx context.Context) ([]T, bool) {
+	for {
+		q.mu.Lock()
+		items, closed := q.items, q.closed
+		q.items = nil
+		q.mu.Unlock()
+		if closed {
+			return nil, false
+		}
+		if len(items) > 0 {
+			return items, true
+		}
+		select {
+		case <-q.wake:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
--- /dev/null
+++ b/node/rpc/rpc.go
@@ -0,0 +1,64 @@
+// Package rpc holds what servers and clients between our processes share: HTTP/2
+// without TLS or with it, and connections that are not shared between links.
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout       = time.Second
+	readHeaderTimeout = 5 * time.Second
+)
+
+// NewServer returns a server that speaks HTTP/1.1 and HTTP/2 on one port.
+func NewServer(h http.Handler, tlsConfig *tls.Config) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: &p, TLSConfig: tlsConfig, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+// NewClient returns a client with connections of its own. A link takes a new one
+// each time: a pool would hand it the connection that has gone silent.
+func NewClient(tlsConfig *tls.Config) *http.Client {
+	var p http.Protocols
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(tlsConfig == nil)
+	d := net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return d.DialContext(ctx, network, addr)
+		},
+		TLSClientConfig: tlsConfig,
+		Protocols:       &p,
+	}}
+}
+
+// URL returns the base URL of a node address.
+func URL(address string, tlsConfig *tls.Config) string {
+	if tlsConfig != nil {
+		return "https://" + address
+	}
+	return "http://" + address
+}
+
+// Serve serves until the server is closed; a closed server is no error.
+func Serve(s *http.Server, l net.Listener) error {
+	var err error
+	if s.TLSConfig != nil {
+		err = s.ServeTLS(l, "", "")
+	} else {
+		err = s.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
