--- /dev/null
+++ b/dispatch/place/pool.go
@@ -0,0 +1,173 @@
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+// Standing says how much work an agent may get; package health decides it.
+type Standing uint8
+
+const (
+	// Open agents get any work.
+	Open Standing = iota
+	// Trial agents get one task at a time.
+	Trial
+	// Suspended agents get none.
+	Suspended
+)
+
+// Agent is what an entry knows of one agent when it places a task. The exported
+// fields are set through [Pool.Update].
+type Agent struct {
+	ID     string
+	Domain string
+	Rack   string
+	// Distance is the time a message takes to the agent and back.
+	Distance time.Duration
+	// Slots is the number of credits the agent could grant at the most.
+	Slots int
+	// Slowness is how long tasks take there compared with other agents; 1 is
+	// usual.
+	Slowness float64
+	Standing Standing
+
+	credits     int
+	outstanding int
+	reservedFor *flow
+	readyPos    int
+	// bound holds the tasks that wait for this very agent, if the picker binds
+	// on arrival.
+	bound      *Queue
+	boundUnits int
+}
+
+// Credits returns the units that may be started at the agent now.
+func (a *Agent) Credits() int { return a.credits }
+
+// Outstanding returns the units started there and not ended.
+func (a *Agent) Outstanding() int { return a.outstanding }
+
+// usable returns how many units may be placed now.
+func (a *Agent) usable() int {
+	switch a.Standing {
+	case Suspended:
+		return 0
+	case Trial:
+		if a.outstanding > 0 {
+			return 0
+		}
+		return min(a.credits, 1)
+	}
+	return a.credits
+}
+
+// load is the used part of the agent, between 0 and above 1 when work is bound
+// to it that it has no slot for.
+func (a *Agent) load() float64 {
+	return float64(a.outstanding+a.boundUnits) / float64(max(a.Slots, 1))
+}
+
+// Pool holds the agents of one entry. Use [NewPool].
+type Pool struct {
+	agents map[string]*Agent
+	all    []*Agent
+	// ready are the agents that can take a task now.
+	ready []*Agent
+	// cursor rotates the point at which a scan of ready starts.
+	cursor  int
+	credits int
+	slots   int
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{agents: make(map[string]*Agent)}
+}
+
+// Agent returns an agent, or nil.
+func (p *Pool) Agent(id string) *Agent { return p.agents[id] }
+
+// Credits returns the credits held at all agents.
+func (p *Pool) Credits() int { return p.credits }
+
+// Slots returns the slots of all agents, also those that serve other entries.
+func (p *Pool) Slots() int { return p.slots }
+
+// Update adds an agent or changes what is known of it; credits stay as they are.
+func (p *Pool) Update(info Agent) *Agent {
+	a := p.agents[info.ID]
+	if a == nil {
+		a = &Agent{ID: info.ID, readyPos: absent}
+		p.agents[info.ID] = a
+		p.all = append(p.all, a)
+	}
+	p.slots += info.Slots - a.Slots
+	a.Domain, a.Rack, a.Distance = info.Domain, info.Rack, info.Distance
+	a.Slots, a.Standing = info.Slots, info.Standing
+	a.Slowness = max(info.Slowness, 0.1)
+	if info.Slowness == 0 {
+		a.Slowness = 1
+	}
+	p.refresh(a)
+	return a
+}
+
+// Drop forgets an agent with its credits.
+func (p *Pool) Drop(id string) {
+	a := p.agents[id]
+	if a == nil {
+		return
+	}
+	p.SetCredits(a, 0)
+	p.slots -= a.Slots
+	delete(p.agents, id)
+	p.all = slices.DeleteFunc(p.all, func(o *Agent) bool { return o == a })
+}
+
+// SetCredits replaces an agent's credits.
+func (p *Pool) SetCredits(a *Agent, credits int) {
+	p.credits += credits - a.credits
+	a.credits = credits
+	p.refresh(a)
+}
+
+// Grant adds credits that an agent gave.
+func (p *Pool) Grant(a *Agent, credits int) { p.SetCredits(a, a.credits+credits) }
+
+// Reclaim takes up to n unused credits away, to be given back to the agent, and
+// returns how many.
+func (p *Pool) Reclaim(a *Agent, n int) int {
+	n = min(n, a.credits)
+	p.SetCredits(a, a.credits-n)
+	return n
+}
+
+// Started counts units as started at an agent, against its credits.
+func (p *Pool) Started(a *Agent, units int) {
+	a.outstanding += units
+	p.SetCredits(a, a.credits-units)
+}
+
+// Ended counts units as ended. The slot does not come back as a credit by
+// itself: the agent grants it anew.
+func (p *Pool) Ended(a *Agent, units int) {
+	a.outstanding = max(a.outstanding-units, 0)
+	p.refresh(a)
+}
+
+// refresh keeps ready in step with what the agent can take.
+func (p *Pool) refresh(a *Agent) {
+	usable := a.usable() > 0
+	switch {
+	case usable && a.readyPos == absent:
+		a.readyPos = len(p.ready)
+		p.ready = append(p.ready, a)
+	case !usable && a.readyPos != absent:
+		last := p.ready[len(p.ready)-1]
+		p.ready[a.readyPos] = last
+		last.readyPos = a.readyPos
+		p.ready = p.ready[:len(p.ready)-1]
+		a.readyPos = absent
+	}
+}
