--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -113,6 +113,10 @@
 // NodesAddress is where entries open links.
 func (a *Agent) NodesAddress() string { return a.opts.Hello.Address }
 
+// ListenAddress is where the nodes port is bound, also when another address
+// is announced.
+func (a *Agent) ListenAddress() string { return a.nodes.Addr().String() }
+
 // OperatorsAddress is where operators are served; empty without that port.
 func (a *Agent) OperatorsAddress() string {
 	if a.admin == nil {
--- /dev/null
+++ b/node/agent/endpoint.go
@@ -0,0 +1,42 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/agent"
+	"github.com/papayahoist/papayahoist/platform/endpoint"
+)
+
+// HTTPEndpoint runs tasks through the platform's service on the worker.
+type HTTPEndpoint struct {
+	Client endpoint.Client
+}
+
+// Run starts a task and waits for its end.
+func (h HTTPEndpoint) Run(ctx context.Context, r agent.Run) *pb.TaskResult {
+	res, err := h.Client.Run(ctx, endpoint.Task{Job: r.Job, Index: r.Task, Contract: r.Contract, Kind: r.Kind, Payload: r.Payload})
+	if err == nil {
+		return &pb.TaskResult{
+			Outcome: pb.Outcome_OUTCOME_COMPLETE, Body: res.Body,
+			RunMillis: uint32(res.RunTime / time.Millisecond), PeakMemoryBytes: res.PeakMemory,
+		}
+	}
+	return &pb.TaskResult{Outcome: outcomeOf(err), Error: err.Error()}
+}
+
+func outcomeOf(err error) pb.Outcome {
+	switch {
+	case endpoint.IsNotStarted(err):
+		return pb.Outcome_OUTCOME_NOT_RUN
+	case endpoint.IsFailed(err):
+		return pb.Outcome_OUTCOME_FAILED
+	}
+	return pb.Outcome_OUTCOME_UNKNOWN
+}
+
+// Stop asks the worker to end a task.
+func (h HTTPEndpoint) Stop(ctx context.Context, ref agent.TaskRef) error {
+	return h.Client.Stop(ctx, ref.Job, ref.Task)
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -111,6 +111,10 @@
 // NodesAddress is where agents and other entries are served.
 func (e *Entry) NodesAddress() string { return e.opts.Hello.Address }
 
+// ListenAddress is where the nodes port is bound, also when another address
+// is announced.
+func (e *Entry) ListenAddress() string { return e.nodes.Addr().String() }
+
 // OperatorsAddress is where operators are served; empty without that port.
 func (e *Entry) OperatorsAddress() string {
 	if e.admin == nil {
