Messages counted at entries and agents; a killed entry closes at once

Cause: the load tool can't say what a task costs in messages. Change: the drivers count frames and calls by kind and direction; Kill no longer waits for callers' requests.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -280,10 +280,7 @@
 		Rack:  fmt.Sprintf("rack-%d", a.index/max(1, s.opts.WorkersPerRack)),
 		Slots: s.opts.Slots, Cores: s.opts.Cores, MemoryBytes: s.opts.MemoryBytes,
 	}
-	client, err := endpoint.New(a.listen.Addr().String(), endpoint.Options{Connections: int(s.opts.Connections)})
-	if err != nil {
-		return ErrSite.Wrap(err, "endpoint of agent %d", a.index)
-	}
+	client := endpoint.New(a.listen.Addr().String(), endpoint.Options{Connections: int(s.opts.Connections)})
 	var join []string
 	for _, e := range s.entries {
 		join = append(join, e.nodes.Address())
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -12,9 +12,12 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/agent"
+	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -51,8 +54,10 @@
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
 	// Core sets the bounds of the decisions; its Hello is filled in here.
-	Core   agent.Options
-	Logger *slog.Logger
+	Core agent.Options
+	// Metrics are the agent's collectors; nil: counted nowhere.
+	Metrics *metrics.Agent
+	Logger  *slog.Logger
 }
 
 // DefaultDrainTimeout bounds a planned stop.
@@ -81,6 +86,9 @@
 	if opts.DrainTimeout == 0 {
 		opts.DrainTimeout = DefaultDrainTimeout
 	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewAgent(prometheus.NewRegistry(), metrics.Options{Role: "agent"})
+	}
 	nodes, err := net.Listen("tcp", opts.NodesListen)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listen on %s", opts.NodesListen)
@@ -215,6 +223,7 @@
 	for _, o := range ready.Frames {
 		if l := a.links[o.Entry]; l != nil && l.epoch == o.Epoch {
 			l.out.Put(o.Frame)
+			a.opts.Metrics.Message(metrics.AgentFrameKind(o.Frame), metrics.Sent, proto.Size(o.Frame))
 		}
 	}
 	for _, entry := range ready.Relink {
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -7,10 +7,12 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -91,6 +93,7 @@
 		if err != nil {
 			return
 		}
+		a.opts.Metrics.Message(metrics.EntryFrameKind(f), metrics.Received, proto.Size(f))
 		a.decide(func(now time.Time) { a.core.Step(now, hello.Incarnation, hello.Epoch, f) })
 	}
 }
@@ -147,8 +150,10 @@
 	defer cancel()
 	client := rpc.NewClient(a.opts.NodesTLS)
 	defer client.CloseIdleConnections()
+	req := &pb.AnnounceRequest{Agent: a.opts.Hello, Relink: relink, Leaving: leaving}
+	a.opts.Metrics.Message(metrics.MessageAnnounce, metrics.Sent, proto.Size(req))
 	resp, err := papayahoistv1connect.NewEntryServiceClient(client, rpc.URL(address, a.opts.NodesTLS)).Announce(ctx,
-		connect.NewRequest(&pb.AnnounceRequest{Agent: a.opts.Hello, Relink: relink, Leaving: leaving}))
+		connect.NewRequest(req))
 	if err != nil {
 		a.log.Debug("announce failed", "entry", address, "err", err)
 		return
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -9,12 +9,16 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -45,8 +49,10 @@
 	DrainTimeout time.Duration
 	// Core sets the times of the decisions; its Hello, Started and Contract are
 	// filled in here.
-	Core   entry.Options
-	Logger *slog.Logger
+	Core entry.Options
+	// Metrics are the entry's collectors; nil: counted nowhere.
+	Metrics *metrics.Entry
+	Logger  *slog.Logger
 }
 
 // DefaultDrainTimeout bounds a planned stop.
@@ -61,6 +67,7 @@
 	admin   net.Listener
 	ctx     context.Context // of the links; ends when Run does
 	cancel  context.CancelFunc
+	killed  atomic.Bool
 
 	mu      sync.Mutex // guards what follows, and serializes the core
 	core    *entry.Entry
@@ -74,6 +81,9 @@
 	if opts.DrainTimeout == 0 {
 		opts.DrainTimeout = DefaultDrainTimeout
 	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewEntry(prometheus.NewRegistry(), metrics.Options{Role: "entry"})
+	}
 	e := &Entry{
 		opts: opts, log: opts.Logger,
 		links:   make(map[string]*agentLink),
@@ -187,7 +197,9 @@
 	// Callers get the answers that drain has produced before connections close.
 	ctx, cancel := context.WithTimeout(context.Background(), closeGrace)
 	defer cancel()
-	_ = servers[0].Shutdown(ctx)
+	if !e.killed.Load() {
+		_ = servers[0].Shutdown(ctx)
+	}
 	e.cancel()
 	e.mu.Lock()
 	e.timer.Stop()
@@ -200,6 +212,7 @@
 
 // Kill ends the entry at once, as a crash would: for tests and load tools.
 func (e *Entry) Kill() {
+	e.killed.Store(true)
 	e.cancel()
 	e.closeListeners()
 	e.mu.Lock()
@@ -221,6 +234,7 @@
 	for _, o := range ready.Frames {
 		if l := e.links[o.Agent]; l != nil && l.epoch == o.Epoch {
 			l.out.Put(o.Frame)
+			e.opts.Metrics.Message(metrics.EntryFrameKind(o.Frame), metrics.Sent, proto.Size(o.Frame))
 		}
 	}
 	for _, a := range ready.Answers {
--- a/node/entry/links.go
+++ b/node/entry/links.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -57,6 +59,7 @@
 		if err != nil {
 			break
 		}
+		e.opts.Metrics.Message(metrics.AgentFrameKind(f), metrics.Received, proto.Size(f))
 		e.decide(func(now time.Time) { e.core.Step(now, d.Agent, l.epoch, f) })
 	}
 	e.decide(func(now time.Time) { e.core.LinkDown(now, d.Agent, l.epoch, false) })
--- a/node/entry/nodes.go
+++ b/node/entry/nodes.go
@@ -7,11 +7,13 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/node/metrics"
 )
 
 // nodesHandler serves agents and other entries.
@@ -34,7 +36,10 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, ErrStart.New("an agent announces its name, incarnation and address"))
 	}
 	s.e.decide(func(now time.Time) { s.e.core.AgentSeen(now, m.Agent, m.Relink, m.Leaving) })
-	return connect.NewResponse(&pb.AnnounceResponse{Entry: s.e.opts.Hello, Peers: s.e.opts.Peers()}), nil
+	resp := &pb.AnnounceResponse{Entry: s.e.opts.Hello, Peers: s.e.opts.Peers()}
+	s.e.opts.Metrics.Message(metrics.MessageAnnounce, metrics.Received, proto.Size(m))
+	s.e.opts.Metrics.Message(metrics.MessageAnnounce, metrics.Sent, proto.Size(resp))
+	return connect.NewResponse(resp), nil
 }
 
 // Forward serves a job of this home that reached another entry.
@@ -47,7 +52,10 @@
 		job: m.Job, contract: m.Contract, fetch: m.Fetch, cancel: m.Cancel,
 		wait: time.Duration(m.WaitMs) * time.Millisecond,
 	})
-	return connect.NewResponse(&pb.ForwardResponse{Answer: r.answer, Known: r.known}), nil
+	resp := &pb.ForwardResponse{Answer: r.answer, Known: r.known}
+	s.e.opts.Metrics.Message(metrics.MessageForward, metrics.Received, proto.Size(m))
+	s.e.opts.Metrics.Message(metrics.MessageForward, metrics.Sent, proto.Size(resp))
+	return connect.NewResponse(resp), nil
 }
 
 // request is what a caller wants of one job, at whichever entry it arrived.
--- a/node/entry/route.go
+++ b/node/entry/route.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
 	"github.com/papayahoist/papayahoist/dispatch/job"
+	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -54,11 +56,14 @@
 	defer cancel()
 	client := rpc.NewClient(e.opts.NodesTLS)
 	defer client.CloseIdleConnections()
+	forward := &pb.ForwardRequest{
+		Home: p.Incarnation, Job: rq.job, Fetch: rq.fetch, Cancel: rq.cancel,
+		Contract: rq.contract, WaitMs: uint32(rq.wait / time.Millisecond),
+	}
+	e.opts.Metrics.Message(metrics.MessageForward, metrics.Sent, proto.Size(forward))
+	e.opts.Metrics.Wasted(metrics.WasteForward, 1)
 	resp, err := papayahoistv1connect.NewEntryServiceClient(client, rpc.URL(p.Address, e.opts.NodesTLS)).Forward(ctx,
-		connect.NewRequest(&pb.ForwardRequest{
-			Home: p.Incarnation, Job: rq.job, Fetch: rq.fetch, Cancel: rq.cancel,
-			Contract: rq.contract, WaitMs: uint32(rq.wait / time.Millisecond),
-		}))
+		connect.NewRequest(forward))
 	if err != nil {
 		return reply{}, false
 	}
