limit: contracts divided between entries, agents' credits, admission

Cause: a contract's limits must hold over all entries and agents while entries come, die or cannot reach each other, and a worker starts what it is given. Change: package dispatch/limit. Shares moves parts of a contract by numbered plans, enlarged only after the others are seen to keep to the same plan; Limiter applies an entry's part to rate, concurrency, memory and waiting tasks and refuses before any message; Credits hands out an agent's slots; Units turns memory into slots. Conclusion: starts stay within the contract without a message on a task's path.

--- /dev/null
+++ b/dispatch/limit/limit_test.go
@@ -0,0 +1,357 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	"github.com/papayahoist/papayahoist/dispatch/place"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func TestUnits(t *testing.T) {
+	const gb = 1 << 30
+	cases := []struct {
+		task, worker uint64
+		slots, want  uint32
+	}{
+		{0, 32 * gb, 8, 1},
+		{4 * gb, 32 * gb, 8, 1},
+		{4*gb + 1, 32 * gb, 8, 2},
+		{32 * gb, 32 * gb, 8, 8},
+		{32*gb + 1, 32 * gb, 8, 9},
+		{1 << 63, 32 * gb, 8, 9},
+		{gb, 0, 8, 1},
+	}
+	for _, c := range cases {
+		if got := Units(c.task, c.worker, c.slots); got != c.want {
+			t.Errorf("Units(%d, %d, %d) = %d, want %d", c.task, c.worker, c.slots, got, c.want)
+		}
+	}
+}
+
+// Entries link, lose their link, ask, start, give back and vanish in any order.
+// If slots were ever promised twice the worker would start more than it holds,
+// and tasks of innocent customers would be killed for memory.
+func TestCreditsNeverExceedSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 16).Draw(t, "slots")
+		c := NewCredits(CreditsOptions{Slots: slots, Damping: 10 * time.Millisecond})
+		entry := rapid.SampledFrom([]string{"a", "b", "c"})
+		now := epoch
+		var running []string
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			e := entry.Draw(t, "entry")
+			switch rapid.IntRange(0, 7).Draw(t, "action") {
+			case 0:
+				c.Link(e, now)
+			case 1:
+				c.Unlink(e)
+			case 2:
+				c.SetWant(e, rapid.IntRange(0, 20).Draw(t, "want"))
+			case 3:
+				if c.Start(e, 1) {
+					running = append(running, e)
+				}
+			case 4:
+				if len(running) > 0 {
+					c.End(running[0], 1)
+					c.Sticky(running[0], 1)
+					running = running[1:]
+				}
+			case 5:
+				c.Returned(e, rapid.IntRange(0, 3).Draw(t, "returned"))
+			case 6:
+				now = now.Add(20 * time.Millisecond)
+			case 7:
+				for _, g := range c.Balance(now, nil) {
+					if g.Recall > c.Granted(g.Entry) {
+						t.Fatalf("recall of %d from %s, which has %d", g.Recall, g.Entry, c.Granted(g.Entry))
+					}
+				}
+			}
+			granted := c.Granted("a") + c.Granted("b") + c.Granted("c")
+			if c.Free() < 0 || c.Free()+granted+len(running) != slots {
+				t.Fatalf("free %d, granted %d, running %d of %d", c.Free(), granted, len(running), slots)
+			}
+		}
+	})
+}
+
+func TestCreditsFollowDemand(t *testing.T) {
+	c := NewCredits(CreditsOptions{Slots: 8, Damping: 10 * time.Millisecond})
+	c.Link("a", epoch)
+	c.Link("b", epoch)
+	want := []Grant{{Entry: "a", Granted: 4}, {Entry: "b", Granted: 4}}
+	if diff := cmp.Diff(want, c.Balance(epoch, nil)); diff != "" {
+		t.Errorf("idle slots: %s", diff)
+	}
+	c.SetWant("a", 3)
+	if got := c.Balance(epoch.Add(time.Millisecond), nil); len(got) != 0 {
+		t.Errorf("before the damping time: %v", got)
+	}
+	c.Start("b", 2)
+	c.Balance(epoch.Add(10*time.Millisecond), nil)
+	got := c.Balance(epoch.Add(20*time.Millisecond), nil)
+	if diff := cmp.Diff([]Grant{{Entry: "b", Recall: 2}}, got); diff != "" {
+		t.Errorf("recall: %s", diff)
+	}
+	c.Returned("b", 2)
+	if diff := cmp.Diff([]Grant{{Entry: "a", Granted: 2}}, c.Balance(epoch.Add(20*time.Millisecond), nil)); diff != "" {
+		t.Errorf("after the return: %s", diff)
+	}
+	c.End("b", 1)
+	if got := c.Sticky("b", 1); got != 1 {
+		t.Errorf("entry b holds less than a, and got %d credits back", got)
+	}
+	c.Link("b", epoch)
+	if c.Start("b", 1) {
+		t.Error("a start on a void credit was let through")
+	}
+}
+
+// net is a set of entries whose messages are lost or late.
+type net struct {
+	shares map[string]*Shares
+	using  map[string]uint32
+	queue  map[[2]string][]ShareState
+	names  []string
+}
+
+func newNet() *net {
+	return &net{shares: map[string]*Shares{}, using: map[string]uint32{}, queue: map[[2]string][]ShareState{}}
+}
+
+// join announces an entry and then lists the others, which hear of it later.
+func (n *net) join(total uint32) {
+	name := fmt.Sprintf("e%d", (len(n.names)*7+3)%10)
+	s := NewShares(name)
+	s.SetContract("c", total)
+	for _, other := range n.names {
+		s.AddMember(other)
+	}
+	n.shares[name] = s
+	n.names = append(n.names, name)
+}
+
+func (n *net) send(from, to string) {
+	state := n.shares[from].State(func(string) uint32 { return n.using[from] })
+	n.queue[[2]string{from, to}] = append(n.queue[[2]string{from, to}], state)
+}
+
+func (n *net) deliver(from, to string) {
+	link := [2]string{from, to}
+	if len(n.queue[link]) > 0 {
+		n.shares[to].Receive(n.queue[link][0])
+		n.queue[link] = n.queue[link][1:]
+	}
+}
+
+func (n *net) sums() (parts, using uint32) {
+	for name, s := range n.shares {
+		slots, _ := s.Part("c")
+		parts += slots
+		using += n.using[name]
+	}
+	return parts, using
+}
+
+// settle lets every message through.
+func (n *net) settle() {
+	for range 20 {
+		for _, a := range n.names {
+			n.shares[a].Tick()
+			for _, b := range n.names {
+				if a != b {
+					n.send(a, b)
+					for len(n.queue[[2]string{a, b}]) > 0 {
+						n.deliver(a, b)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Entries come, make plans at once, and their messages are late or lost. If two
+// of them enlarged on what they last heard, the customer would run more than the
+// contract allows, at the others' expense.
+func TestSharesNeverExceedContract(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := uint32(rapid.IntRange(1, 40).Draw(t, "total"))
+		n := newNet()
+		n.join(total)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			from := rapid.SampledFrom(n.names).Draw(t, "from")
+			to := rapid.SampledFrom(n.names).Draw(t, "to")
+			s := n.shares[from]
+			switch rapid.IntRange(0, 7).Draw(t, "action") {
+			case 0:
+				if len(n.names) < 4 {
+					n.join(total)
+				}
+			case 1:
+				s.SetDemand("c", uint32(rapid.IntRange(0, 50).Draw(t, "demand")))
+			case 2, 3:
+				s.Tick()
+			case 4:
+				n.send(from, to)
+			case 5:
+				n.deliver(from, to)
+			case 6:
+				n.queue[[2]string{from, to}] = nil
+			case 7:
+				if slots, _ := s.Part("c"); n.using[from] < slots {
+					n.using[from]++
+				} else if n.using[from] > 0 {
+					n.using[from]--
+				}
+			}
+			if parts, using := n.sums(); parts > total || using > total {
+				t.Fatalf("parts %d, using %d of %d", parts, using, total)
+			}
+		}
+		for name := range n.using {
+			n.using[name] = 0
+		}
+		n.settle()
+		if parts, _ := n.sums(); parts != total {
+			t.Fatalf("after all messages arrived the parts are %d of %d", parts, total)
+		}
+	})
+}
+
+func TestSharesFollowDemand(t *testing.T) {
+	n := newNet()
+	for range 3 {
+		n.join(90)
+	}
+	n.settle()
+	n.shares[n.names[0]].SetDemand("c", 200)
+	n.settle()
+	if slots, _ := n.shares[n.names[0]].Part("c"); slots < 70 {
+		t.Errorf("the only entry with work has %d of 90", slots)
+	}
+	// One entry leaves and the others take its part over.
+	gone := n.names[0]
+	n.names = n.names[1:]
+	delete(n.shares, gone)
+	for _, s := range n.shares {
+		s.Gone(gone)
+	}
+	n.settle()
+	if parts, _ := n.sums(); parts != 90 {
+		t.Errorf("parts after an entry left: %d of 90", parts)
+	}
+	s := n.shares[n.names[0]]
+	s.SetFenced(true)
+	if slots, _ := s.Part("c"); slots != 0 {
+		t.Errorf("a fenced entry keeps %d slots", slots)
+	}
+}
+
+func newLimiter(c Contract) *Limiter {
+	l := NewLimiter()
+	c.Name = "c"
+	l.SetContract(c, epoch)
+	l.SetPart("c", c.Concurrency, c.Concurrency, epoch)
+	return l
+}
+
+func TestLimiterAllow(t *testing.T) {
+	tasks := make([]place.Task, 10)
+	for i := range tasks {
+		tasks[i].Memory = 100
+	}
+	at := epoch.Add(time.Hour)
+	cases := []struct {
+		name string
+		c    Contract
+		want int
+	}{
+		{"all", Contract{Rate: 10, Burst: 10, Concurrency: 10, MemoryBytes: 1000}, 10},
+		{"burst", Contract{Rate: 10, Burst: 3, Concurrency: 10, MemoryBytes: 1000}, 3},
+		{"concurrency", Contract{Rate: 10, Burst: 10, Concurrency: 4, MemoryBytes: 1000}, 4},
+		{"memory", Contract{Rate: 10, Burst: 10, Concurrency: 10, MemoryBytes: 599}, 5},
+		{"zero means none", Contract{}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLimiter(c.c)
+			if got := l.Allow(at, "c", tasks); got != c.want || int(l.Running("c")) != c.want {
+				t.Errorf("allowed %d, running %d, want %d", got, l.Running("c"), c.want)
+			}
+		})
+	}
+	if NewLimiter().Allow(at, "unknown", tasks) != 0 {
+		t.Error("an unknown contract may start tasks")
+	}
+}
+
+// A part moves from one entry to another after the first has spent its burst.
+// If the second got a full bucket with it, the burst would be had twice.
+func TestLimiterMovedPartBringsNoTokens(t *testing.T) {
+	c := Contract{Name: "c", Rate: 1, Burst: 10, Concurrency: 10, MemoryBytes: 1}
+	l := NewLimiter()
+	l.SetContract(c, epoch)
+	l.SetPart("c", 0, 10, epoch)
+	at := epoch.Add(time.Hour)
+	l.SetPart("c", 10, 10, at)
+	if n := l.Allow(at, "c", make([]place.Task, 10)); n != 0 {
+		t.Errorf("%d starts at once", n)
+	}
+	if at, ok := l.Reopens("c", at); !ok || l.Allow(at, "c", make([]place.Task, 10)) != 1 {
+		t.Error("no start when the rate allows one")
+	}
+}
+
+func TestLimiterAdmit(t *testing.T) {
+	l := newLimiter(Contract{Rate: 10, Burst: 1, Concurrency: 10, MemoryBytes: 1000, Waiting: 100})
+	ok := Request{Contract: "c", Tasks: 1, Left: time.Minute, Run: time.Second}
+	cases := []struct {
+		name   string
+		change func(*Request)
+		want   jobs.Code
+		retry  bool
+	}{
+		{"taken", func(*Request) {}, "", false},
+		{"unknown", func(r *Request) { r.Contract = "x" }, jobs.CodeUnknownContract, false},
+		{"memory", func(r *Request) { r.MemoryBytes = 1001 }, jobs.CodeDoesNotFit, false},
+		{"too short", func(r *Request) { r.MinRun = time.Minute }, jobs.CodeDeadline, false},
+		{"waiting", func(r *Request) { r.Waiting = 100 }, jobs.CodeQueueFull, true},
+		{"rate", func(r *Request) { r.Waiting, r.Left = 90, 5*time.Second }, jobs.CodeRateLimited, true},
+		{"overload", func(r *Request) { r.QueueWait = 2 * time.Minute }, jobs.CodeOverloaded, true},
+		{"no deadline", func(r *Request) { r.QueueWait, r.Left = time.Hour, 0 }, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := ok
+			c.change(&r)
+			refusal := l.Admit(r, epoch)
+			if refusal == nil {
+				refusal = &Refusal{}
+			}
+			if refusal.Code != c.want || (refusal.RetryAfter > 0) != c.retry {
+				t.Errorf("refusal %+v, want %q, retry %v", refusal, c.want, c.retry)
+			}
+		})
+	}
+}
+
+func BenchmarkAllow(b *testing.B) {
+	l := newLimiter(Contract{Rate: 1e9, Burst: 1e9, Concurrency: 1000, MemoryBytes: 1 << 40})
+	tasks := make([]place.Task, 1)
+	at := epoch.Add(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		if l.Allow(at, "c", tasks) != 1 {
+			b.Fatal("not allowed")
+		}
+		l.Ended("c", 0)
+	}
+}
