Client: name the contract when asking for a job; leave a leaving entry

Cause: an entry tells a job's answer only to its contract, and a refusal by an entry that drains hints at a wait which another entry doesn't need. Conclusion: fits the entry's callers' interface.

--- a/api/jobs/jobs.go
+++ b/api/jobs/jobs.go
@@ -1,10 +1,10 @@
 // Package jobs holds the callers' HTTP interface: paths, headers and JSON
 // bodies. Entries serve it and the client package speaks it.
 //
-//	POST   /v1/jobs               submit a job and wait for its answer
-//	GET    /v1/jobs/{id}?wait_ms= wait for the answer of a job submitted before
-//	DELETE /v1/jobs/{id}          cancel a job
-//	GET    /v1/home               learn the home token
+//	POST   /v1/jobs                submit a job and wait for its answer
+//	GET    /v1/jobs/{id}?contract=&wait= wait for the answer of a job submitted before
+//	DELETE /v1/jobs/{id}?contract= cancel a job
+//	GET    /v1/home                learn the home token
 package jobs
 
 import (
@@ -18,9 +18,14 @@
 	PathHome = "/v1/home"
 )
 
-// ParamWait is the query parameter of GET that says how long to wait for the
-// answer, in milliseconds, at most MaxWait.
-const ParamWait = "wait_ms"
+// Query parameters of requests about one job.
+const (
+	// ParamContract names the job's contract.
+	ParamContract = "contract"
+	// ParamWait says how long GET waits for the answer: a duration such as
+	// "2s", at most MaxWait, which is also the default.
+	ParamWait = "wait"
+)
 
 // PathJob returns the path of one job.
 func PathJob(id string) string { return PathJobs + "/" + url.PathEscape(id) }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -136,6 +136,7 @@
 }
 
 var (
+	leaving     = jobs.Error{Code: jobs.CodeLeaving, Outcome: jobs.OutcomeNotRun, RetryAfterMillis: 1000}
 	homeLost    = jobs.Error{Code: jobs.CodeHomeLost, Outcome: jobs.OutcomeNotRun, Message: "home is gone"}
 	rateLimited = jobs.Error{Code: jobs.CodeRateLimited, Outcome: jobs.OutcomeNotRun, Message: "later", RetryAfterMillis: 400}
 )
@@ -232,6 +233,7 @@
 		steps []step
 	}{
 		{"home proven gone", []step{moved(refuse(410, homeLost)), complete(0, 1)}},
+		{"home leaving", []step{refuse(503, leaving), moved(complete(0, 1))}},
 		{"no connection", []step{noConnection, moved(complete(0, 1))}},
 	}
 	for _, test := range tests {
@@ -371,9 +373,9 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				_, err = c.Get(context.Background(), "home-1.x")
+				_, err = c.Get(context.Background(), "desk", "home-1.x")
 				checkType(t, "get", err, test.get)
-				checkType(t, "cancel", c.Cancel(context.Background(), "home-1.x"), test.stop)
+				checkType(t, "cancel", c.Cancel(context.Background(), "desk", "home-1.x"), test.stop)
 			})
 		})
 	}
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -50,15 +50,20 @@
 	}
 	answer, err := c.roundTrip(request)
 	if err != nil {
-		c.next.Add(1)
-		c.home.Store(nil)
-		// Other idle connections of the same path are as likely dead.
-		c.http.CloseIdleConnections()
+		c.leaveEntry()
 		return nil, err
 	}
 	return answer, nil
 }
 
+// leaveEntry makes the next exchange try another entry over a new connection:
+// idle ones of the same path are as likely dead as the one that failed.
+func (c *Client) leaveEntry() {
+	c.next.Add(1)
+	c.home.Store(nil)
+	c.http.CloseIdleConnections()
+}
+
 func (c *Client) roundTrip(request *http.Request) (*reply, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
--- a/client/fetch.go
+++ b/client/fetch.go
@@ -4,18 +4,19 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 )
 
-// Get asks once for the answer of a job submitted before, waiting up to
+// Get asks once for the answer of a job of the contract, waiting up to
 // Options.Wait for it. The answer is nil while the job runs. The caller checks
 // that there is a result for each task it submitted. Errors are of type NotRun,
 // Failed, OutcomeUnknown or NotFound; OutcomeUnknown also when no entry could be
 // asked before ctx ended.
-func (c *Client) Get(ctx context.Context, id string) (*Answer, error) {
+func (c *Client) Get(ctx context.Context, contract, id string) (*Answer, error) {
 	reply, err := c.insist(ctx, id, func(ctx context.Context) (*reply, error) {
-		return c.get(ctx, id)
+		return c.get(ctx, contract, id)
 	})
 	if err != nil {
 		return nil, err
@@ -35,9 +36,10 @@
 // stopped. A nil error means that the entry took the request; what became of
 // the job is its answer's to say. Errors are of type Failed, NotFound or
 // OutcomeUnknown.
-func (c *Client) Cancel(ctx context.Context, id string) error {
+func (c *Client) Cancel(ctx context.Context, contract, id string) error {
+	query := url.Values{jobs.ParamContract: {contract}}
 	reply, err := c.insist(ctx, id, func(ctx context.Context) (*reply, error) {
-		return c.exchange(ctx, http.MethodDelete, jobs.PathJob(id), nil, 0)
+		return c.exchange(ctx, http.MethodDelete, jobs.PathJob(id)+"?"+query.Encode(), nil, 0)
 	})
 	if err != nil {
 		return err
--- a/client/submit.go
+++ b/client/submit.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -30,7 +29,9 @@
 		if err == nil || job.ID != "" || !renewable(err) {
 			return answer, err
 		}
-		if c.pause(ctx, attempt, RetryAfterOf(err)) != nil {
+		// The hint is for those who come back to the entry that gave it.
+		c.leaveEntry()
+		if c.pause(ctx, attempt, 0) != nil {
 			return nil, err
 		}
 	}
@@ -87,16 +88,20 @@
 	if err != nil {
 		return nil, err
 	}
-	s := submission{client: c, id: id, body: body, tasks: len(job.Tasks), kept: job.ID != ""}
+	s := submission{
+		client: c, id: id, contract: job.Contract, body: body,
+		tasks: len(job.Tasks), kept: job.ID != "",
+	}
 	return s.run(ctx)
 }
 
 // submission is one job under one id.
 type submission struct {
-	client *Client
-	id     string
-	body   []byte
-	tasks  int
+	client   *Client
+	id       string
+	contract string
+	body     []byte
+	tasks    int
 	// kept: the id is the caller's and must be tried to the end.
 	kept bool
 
@@ -152,13 +157,13 @@
 
 func (s *submission) send(ctx context.Context) (*reply, error) {
 	if s.accepted {
-		return s.client.get(ctx, s.id)
+		return s.client.get(ctx, s.contract, s.id)
 	}
 	return s.client.exchange(ctx, http.MethodPost, jobs.PathJobs, s.body, s.client.wait)
 }
 
-func (c *Client) get(ctx context.Context, id string) (*reply, error) {
-	query := url.Values{jobs.ParamWait: {strconv.FormatInt(c.wait.Milliseconds(), 10)}}
+func (c *Client) get(ctx context.Context, contract, id string) (*reply, error) {
+	query := url.Values{jobs.ParamContract: {contract}, jobs.ParamWait: {c.wait.String()}}
 	return c.exchange(ctx, http.MethodGet, jobs.PathJob(id)+"?"+query.Encode(), nil, c.wait)
 }
 
