--- a/cmd/internal/bench/profile.go
+++ b/cmd/internal/bench/profile.go
@@ -18,6 +18,8 @@
 	MemoryBytes    uint64
 	Slots          uint32
 	Connections    uint32
+	// Delay is one way between processes, CallerDelay to callers.
+	Delay, CallerDelay time.Duration
 	// Entries are thin instances behind the balancer.
 	Entries int
 	Streams []Stream
@@ -76,6 +78,7 @@
 	return Profile{
 		Name: "cadwaladr", FailureDomains: []string{"frame-hall", "chain-shed", "creep-room"},
 		Workers: 11, WorkersPerRack: 3, Cores: 16, MemoryBytes: 32 << 30, Slots: 8, Connections: 64, Entries: 3,
+		Delay: time.Millisecond, CallerDelay: time.Millisecond,
 		Streams: []Stream{
 			{Contract: contract("break-reports", pb.Class_CLASS_URGENT, 4, 88), Kind: "break-report", Share: 0.3, MaxTasks: 20, MemoryBytes: 600 * mebibyte, Timeout: 20 * time.Second},
 			{Contract: contract("gauge-checks", pb.Class_CLASS_NORMAL, 2, 88), Kind: "gauge-check", Share: 0.5, MaxTasks: 160, MemoryBytes: 400 * mebibyte, Timeout: 30 * time.Second},
@@ -89,6 +92,7 @@
 	return Profile{
 		Name: "hilvana", FailureDomains: []string{"quilicura", "maipu", "la-florida"},
 		Workers: 11, WorkersPerRack: 3, Cores: 64, MemoryBytes: 128 << 30, Slots: 8, Connections: 64, Entries: 3,
+		Delay: 1500 * time.Microsecond, CallerDelay: 3 * time.Millisecond,
 		Streams: []Stream{
 			{Contract: contract("pickups", pb.Class_CLASS_URGENT, 4, 88), Kind: "pickup", Share: 0.35, MaxTasks: 20, MemoryBytes: 400 * mebibyte, Timeout: 20 * time.Second},
 			{Contract: contract("grades", pb.Class_CLASS_NORMAL, 2, 88), Kind: "grade", Share: 0.45, MaxTasks: 160, MemoryBytes: 1500 * mebibyte, Timeout: 30 * time.Second},
--- /dev/null
+++ b/cmd/internal/bench/run.go
@@ -0,0 +1,238 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/client"
+	"github.com/papayahoist/papayahoist/cmd/internal/site"
+	standin "github.com/papayahoist/papayahoist/platform/standin/endpoint"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("bench")
+	// ErrConfig is given for a run that can't be made.
+	ErrConfig = Errors.NewType("config")
+)
+
+// Config fixes a run.
+type Config struct {
+	Profile  Profile
+	Load     float64
+	Duration time.Duration
+	Seed     uint64
+	Policy   string
+	Faults   []Fault
+	// Progress is called about once a second; nil: never.
+	Progress func(done time.Duration)
+	Logger   *slog.Logger
+}
+
+// outcome is what became of one job, as its caller saw it.
+type outcome struct {
+	plan  *JobPlan
+	id    string
+	took  time.Duration
+	err   error
+	whole bool // every result is there and belongs to its task
+}
+
+const (
+	clientCount = 12
+	// joinWait bounds the wait for agents before the load starts.
+	joinWait  = 10 * time.Second
+	idleTime  = 3 * time.Second
+	drainTime = 5 * time.Second
+)
+
+// Run makes one run and scores it.
+func Run(ctx context.Context, c Config) (*Report, error) {
+	if c.Load <= 0 || c.Duration <= 0 {
+		return nil, ErrConfig.New("load and duration must be positive")
+	}
+	s, err := startSite(c)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Stop()
+	r := &run{config: c, site: s, plan: c.Profile.Plan(c.Seed, c.Load, c.Duration)}
+	if err := r.connect(ctx); err != nil {
+		return nil, err
+	}
+	r.idle(ctx)
+	r.load(ctx)
+	return r.report(), nil
+}
+
+func startSite(c Config) (*site.Site, error) {
+	p := c.Profile
+	var contracts []*pb.Contract
+	for _, s := range p.Streams {
+		contracts = append(contracts, s.Contract)
+	}
+	o := site.Options{
+		Entries: p.Entries, Workers: p.Workers, WorkersPerRack: p.WorkersPerRack, FailureDomains: p.FailureDomains,
+		Slots: p.Slots, Cores: p.Cores, Connections: p.Connections, MemoryBytes: p.MemoryBytes,
+		Delay: p.Delay, CallerDelay: p.CallerDelay, Contracts: contracts, DrainTimeout: drainTime, Logger: c.Logger,
+	}
+	if err := applyPolicy(c, &o); err != nil {
+		return nil, err
+	}
+	s, err := site.Start(o)
+	if err != nil {
+		return nil, ErrConfig.Wrap(err, "start the site")
+	}
+	return s, nil
+}
+
+// applyPolicy sets how entries choose agents.
+func applyPolicy(c Config, _ *site.Options) error {
+	if c.Policy != "" && c.Policy != PolicyCredits {
+		return ErrConfig.New("policy %q: known are: %s", c.Policy, PolicyCredits)
+	}
+	return nil
+}
+
+// PolicyCredits binds tasks to agents that have granted a free slot.
+const PolicyCredits = "credits"
+
+// run is one run in progress.
+type run struct {
+	config  Config
+	site    *site.Site
+	plan    []JobPlan
+	clients []*client.Client
+
+	before, after         site.Messages // around the load
+	idleBefore, idleAfter site.Messages
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+// connect makes the clients, each with another entry first as a balancer would,
+// and waits until the site serves at every slot.
+func (r *run) connect(ctx context.Context) error {
+	urls := r.site.CallerURLs()
+	for i := range clientCount {
+		first := i % len(urls)
+		c, err := client.New(client.Options{Addresses: append(append([]string{}, urls[first:]...), urls[:first]...)})
+		if err != nil {
+			return ErrConfig.Wrap(err, "client")
+		}
+		r.clients = append(r.clients, c)
+	}
+	limit := time.Now().Add(joinWait)
+	for !r.site.Linked() {
+		if time.Now().After(limit) {
+			return ErrConfig.New("not every agent is linked to every entry after %s", joinWait)
+		}
+		if err := sleep(ctx, 20*time.Millisecond); err != nil {
+			return ErrConfig.Wrap(err, "interrupted")
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *run) idle(ctx context.Context) {
+	r.idleBefore = r.site.Messages()
+	_ = sleep(ctx, idleTime)
+	r.idleAfter = r.site.Messages()
+}
+
+// load submits every job at its time and waits for the last answer.
+func (r *run) load(ctx context.Context) {
+	r.before = r.site.Messages()
+	var wg sync.WaitGroup
+	start := time.Now()
+	stopFaults := r.startFaults(ctx, start)
+	for i := range r.plan {
+		j := &r.plan[i]
+		if sleep(ctx, time.Until(start.Add(j.At))) != nil {
+			break
+		}
+		c := r.clients[i%len(r.clients)]
+		wg.Go(func() { r.submit(ctx, c, i, j) })
+		r.progress(i, j.At)
+	}
+	wg.Wait()
+	stopFaults()
+	r.after = r.site.Messages()
+}
+
+func (r *run) progress(i int, at time.Duration) {
+	if r.config.Progress == nil {
+		return
+	}
+	if i == 0 || at/time.Second != r.plan[i-1].At/time.Second {
+		r.config.Progress(at)
+	}
+}
+
+func (r *run) submit(ctx context.Context, c *client.Client, number int, j *JobPlan) {
+	stream := r.config.Profile.Streams[j.Stream]
+	job := client.Job{Contract: stream.Contract.Name, Kind: stream.Kind, Timeout: stream.Timeout}
+	for i, t := range j.Tasks {
+		job.Tasks = append(job.Tasks, taskOf(t, echo(number, i)))
+	}
+	start := time.Now()
+	answer, err := c.Submit(ctx, job)
+	o := outcome{plan: j, took: time.Since(start), err: err}
+	if err == nil {
+		o.id = answer.ID
+		o.whole = isWhole(answer, number, len(j.Tasks))
+	} else {
+		o.id = client.JobOf(err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, o)
+}
+
+// echo is what a task's result must be: another job's or task's result differs.
+func echo(job, task int) string { return fmt.Sprintf("%d/%d", job, task) }
+
+func taskOf(t TaskPlan, echo string) jobs.Task {
+	payload, err := json.Marshal(standin.Payload{
+		RunMillis: uint32(t.Run / time.Millisecond), MemoryBytes: t.MemoryBytes, CPUMillis: t.CPUMillis, Echo: echo,
+	})
+	if err != nil {
+		panic(err) // the type has no value that can't be encoded
+	}
+	return jobs.Task{
+		Payload: payload, MemoryBytes: t.DeclaredMemory, CPUMillis: t.DeclaredCPUMilli,
+		RunMillis: uint32(t.DeclaredRun / time.Millisecond),
+	}
+}
+
+func isWhole(a *client.Answer, number, tasks int) bool {
+	if len(a.Results) != tasks {
+		return false
+	}
+	for i, res := range a.Results {
+		if string(res.Body) != echo(number, i) {
+			return false
+		}
+	}
+	return true
+}
--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -10,12 +10,14 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	coreagent "github.com/papayahoist/papayahoist/dispatch/agent"
 	coreentry "github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/node/agent"
 	"github.com/papayahoist/papayahoist/node/entry"
+	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/platform/endpoint"
 	standin "github.com/papayahoist/papayahoist/platform/standin/endpoint"
 )
@@ -36,10 +38,11 @@
 	Slots, Cores   uint32
 	Connections    uint32
 	MemoryBytes    uint64
-	// Delay is one way between any two processes.
-	Delay        time.Duration
-	Contracts    []*pb.Contract
-	DrainTimeout time.Duration
+	// Delay is one way between any two processes, CallerDelay between a caller
+	// and an entry.
+	Delay, CallerDelay time.Duration
+	Contracts          []*pb.Contract
+	DrainTimeout       time.Duration
 	// EntryCore and AgentCore set what the decisions leave open.
 	EntryCore coreentry.Options
 	AgentCore coreagent.Options
@@ -54,6 +57,18 @@
 	entries   []*Entry
 	agents    []*Agent
 	wg        sync.WaitGroup
+
+	mu         sync.Mutex
+	registries []*prometheus.Registry // of every incarnation so far
+}
+
+// registry is for the metrics of one more process.
+func (s *Site) registry() *prometheus.Registry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := prometheus.NewRegistry()
+	s.registries = append(s.registries, r)
+	return r
 }
 
 // Start brings up the site. It ends with Stop.
@@ -113,6 +128,19 @@
 // Agents lists the agents.
 func (s *Site) Agents() []*Agent { return s.agents }
 
+// Linked reports whether every agent has a link to every entry.
+func (s *Site) Linked() bool {
+	for _, e := range s.entries {
+		e.stateMu.Lock()
+		n := e.current.Links()
+		e.stateMu.Unlock()
+		if n < len(s.agents) {
+			return false
+		}
+	}
+	return true
+}
+
 // CallerURLs lists where callers reach the entries.
 func (s *Site) CallerURLs() []string {
 	var out []string
@@ -194,7 +222,7 @@
 func (s *Site) newEntry(i int) (*Entry, error) {
 	e := &Entry{site: s, index: i}
 	var err error
-	if e.callers, err = NewRelay(s.opts.Delay); err != nil {
+	if e.callers, err = NewRelay(s.opts.CallerDelay); err != nil {
 		return nil, err
 	}
 	if e.nodes, err = NewRelay(s.opts.Delay); err != nil {
@@ -214,7 +242,8 @@
 		Hello: hello, CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0",
 		Contract: func(name string) *pb.Contract { return s.contracts[name] },
 		Peers:    s.peers, DrainTimeout: s.opts.DrainTimeout, Core: s.opts.EntryCore,
-		Logger: s.opts.Logger.With("process", hello.Entry),
+		Metrics: metrics.NewEntry(s.registry(), metrics.Options{Role: "entry"}),
+		Logger:  s.opts.Logger.With("process", hello.Entry),
 	})
 	if err != nil {
 		return ErrSite.Wrap(err, "entry %d", e.index)
@@ -287,7 +316,9 @@
 	}
 	n, err := agent.New(agent.Options{
 		Hello: hello, NodesListen: "127.0.0.1:0", Join: join, Endpoint: agent.HTTPEndpoint{Client: client},
-		DrainTimeout: s.opts.DrainTimeout, Core: s.opts.AgentCore, Logger: s.opts.Logger.With("process", hello.Agent),
+		DrainTimeout: s.opts.DrainTimeout, Core: s.opts.AgentCore,
+		Metrics: metrics.NewAgent(s.registry(), metrics.Options{Role: "agent"}),
+		Logger:  s.opts.Logger.With("process", hello.Agent),
 	})
 	if err != nil {
 		return ErrSite.Wrap(err, "agent %d", a.index)
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -120,6 +120,17 @@
 	}
 }
 
+// Links is the number of agents with an open link.
+func (e *Entry) Links() int {
+	n := 0
+	for _, a := range e.agents {
+		if a.session.IsUp() {
+			n++
+		}
+	}
+	return n
+}
+
 // Drained reports whether every job has its answer.
 func (e *Entry) Drained() bool {
 	return len(e.deadlines) == 0 && len(e.recoveries) == 0
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -133,6 +133,13 @@
 	return e.admin.Addr().String()
 }
 
+// Links is the number of agents with an open link.
+func (e *Entry) Links() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Links()
+}
+
 func (e *Entry) closeListeners() {
 	for _, l := range []net.Listener{e.callers, e.nodes, e.admin} {
 		if l != nil {
