--- /dev/null
+++ b/cmd/internal/timeline/text.go
@@ -0,0 +1,125 @@
+package timeline
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/event"
+)
+
+// clockLayout shows wall time to the clock's resolution.
+const clockLayout = "15:04:05.000"
+
+// WriteJSON writes the time line as one JSON object.
+func WriteJSON(w io.Writer, t *Timeline) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", " ")
+	return encoder.Encode(t)
+}
+
+// WriteText writes the time line for a terminal, one event a line.
+func WriteText(w io.Writer, t *Timeline) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, note := range notes(t) {
+		_, _ = fmt.Fprintln(table, note) // Flush returns the first error
+	}
+	for i, e := range t.Events {
+		if i == 0 || e.Time.YearDay() != t.Events[i-1].Time.YearDay() {
+			_, _ = fmt.Fprintf(table, "%s UTC\n", e.Time.Format(time.DateOnly))
+		}
+		_, _ = fmt.Fprintf(table, "%s\t+%s\t%s\t%s\t%s\t%s\n", e.Time.Format(clockLayout),
+			e.Time.Sub(t.Events[0].Time), e.Process, e.Kind, subject(e), remarks(e))
+	}
+	return table.Flush()
+}
+
+// notes says what the time line lacks, before anyone reads it.
+func notes(t *Timeline) []string {
+	var lines []string
+	for _, m := range t.Missing {
+		lines = append(lines, fmt.Sprintf("MISSING  %s: %s", m.title(), m.Reason))
+	}
+	if t.Dropped > 0 {
+		lines = append(lines, fmt.Sprintf("CUT      %d older events left out for the limit", t.Dropped))
+	}
+	for _, s := range t.Sources {
+		if s.Limited {
+			lines = append(lines, fmt.Sprintf("CUT      %s left out older events for its limit", s.Process))
+		}
+		if s.Overwritten > 0 && !s.Since.Before(t.Filter.From) {
+			lines = append(lines, fmt.Sprintf("BEGINS   %s remembers nothing before %s (%d events overwritten)",
+				s.Process, s.Since.Format(clockLayout), s.Overwritten))
+		}
+	}
+	if len(t.Events) == 0 {
+		lines = append(lines, fmt.Sprintf("no events match; %d processes answered", len(t.Sources)))
+	}
+	return lines
+}
+
+// title names a missing process for people.
+func (m Missing) title() string {
+	if m.Worker != "" && m.Worker != m.Process {
+		return m.Process + " (worker " + m.Worker + ")"
+	}
+	return m.Process
+}
+
+// subject names the job or task that an event is about.
+func subject(e Event) string {
+	if e.Task != nil {
+		return fmt.Sprintf("%s#%d", e.Job, *e.Task)
+	}
+	return e.Job
+}
+
+// remarks is the rest of an event in words.
+func remarks(e Event) string {
+	var words []string
+	if e.Contract != "" {
+		words = append(words, "contract "+e.Contract)
+	}
+	if e.Peer != "" {
+		words = append(words, preposition(e.Kind)+" "+e.Peer)
+	}
+	if value := valueText(e); value != "" {
+		words = append(words, value)
+	}
+	if e.Detail != "" {
+		words = append(words, e.Detail)
+	}
+	return strings.Join(words, ", ")
+}
+
+// preposition says which way an event goes, as far as its kind tells.
+func preposition(kind string) string {
+	switch k, _ := event.ParseKind(kind); k {
+	case event.TaskDispatched, event.TaskResent, event.JobForwarded:
+		return "to"
+	}
+	return "with"
+}
+
+func valueText(e Event) string {
+	if e.Value == 0 {
+		return ""
+	}
+	switch k, _ := event.ParseKind(e.Kind); k {
+	case event.JobAccepted:
+		if e.Value == 1 {
+			return "1 task"
+		}
+		return fmt.Sprintf("%d tasks", e.Value)
+	case event.JobAnswered, event.TaskResult:
+		return fmt.Sprintf("%d ms", e.Value)
+	case event.ConfigInForce, event.ConfigStale:
+		return fmt.Sprintf("revision %d", e.Value)
+	case event.LinkUp, event.LinkDown:
+		return fmt.Sprintf("epoch %d", e.Value)
+	}
+	return fmt.Sprint(e.Value)
+}
