Command lines: frame, exit codes, check, job submit|get|cancel

Cause: both binaries need one way to parse, report and exit that scripts can rely on. Change: cmd/internal/cli runs kingpin commands on given streams and maps errors to documented exit codes; papayahoistd check; papayahoist job. Conclusion: further subcommands are one file and one line in main.go each.

--- /dev/null
+++ b/cmd/papayahoist/job.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"encoding/base64"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	"github.com/papayahoist/papayahoist/client"
+	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+)
+
+// jobCommand holds the flags of "job" and its subcommands.
+type jobCommand struct {
+	env *cli.Env
+
+	entries   []string
+	tokenFile string
+	json      bool
+
+	contract, kind, id string
+	timeout            time.Duration
+	payloads, files    []string
+	repeat             int
+	memory             uint64
+	cpu, run           uint32
+	wait               bool
+}
+
+func registerJob(app *kingpin.Application, env *cli.Env) {
+	c := &jobCommand{env: env}
+	job := app.Command("job", "Submit jobs, fetch their answers, cancel them.")
+	job.Flag("entry", "Base URL of an entry or of the balancer; may be repeated.").
+		Default("http://127.0.0.1:7400").Envar("PAPAYAHOIST_ENTRY").StringsVar(&c.entries)
+	job.Flag("token-file", "File that holds the contract's bearer token.").
+		Envar("PAPAYAHOIST_TOKEN_FILE").StringVar(&c.tokenFile)
+	job.Flag("contract", "Contract that the job is accounted to.").Required().StringVar(&c.contract)
+	job.Flag("json", "Print the answer as JSON.").BoolVar(&c.json)
+
+	submit := job.Command("submit", "Submit a job and wait for its whole answer.")
+	submit.Flag("kind", "Kind of the tasks; sizes are learned per kind.").Required().StringVar(&c.kind)
+	submit.Flag("payload", "Payload of one task; may be repeated.").StringsVar(&c.payloads)
+	submit.Flag("payload-file", "File with the payload of one task; may be repeated.").StringsVar(&c.files)
+	submit.Flag("repeat", "How often to take each payload, as a task of its own.").Default("1").IntVar(&c.repeat)
+	submit.Flag("timeout", "Ends the job when it passes; 0 takes the contract's default.").Default("0s").DurationVar(&c.timeout)
+	submit.Flag("memory-bytes", "Memory a task is thought to need.").Uint64Var(&c.memory)
+	submit.Flag("cpu-millis", "Thousandths of a core a task is thought to need.").Uint32Var(&c.cpu)
+	submit.Flag("run-ms", "Time a task is thought to run.").Uint32Var(&c.run)
+	submit.Flag("id", "Job id from an earlier submission, to send that job again.").StringVar(&c.id)
+	submit.Action(cli.Action(c.submit))
+
+	get := job.Command("get", "Fetch the answer of a job submitted before.")
+	get.Arg("id", "The job's id.").Required().StringVar(&c.id)
+	get.Flag("wait", "Wait until the job has its answer.").BoolVar(&c.wait)
+	get.Action(cli.Action(c.get))
+
+	cancel := job.Command("cancel", "Cancel a job.")
+	cancel.Arg("id", "The job's id.").Required().StringVar(&c.id)
+	cancel.Action(cli.Action(c.cancel))
+}
+
+func (c *jobCommand) client() (*client.Client, error) {
+	var token string
+	if c.tokenFile != "" {
+		text, err := os.ReadFile(c.tokenFile)
+		if err != nil {
+			return nil, cli.Fail(cli.CodeUsage, err)
+		}
+		token = strings.TrimSpace(string(text))
+	}
+	made, err := client.New(client.Options{Addresses: c.entries, Token: token})
+	return made, cli.Fail(cli.CodeUsage, err)
+}
+
+func (c *jobCommand) submit() error {
+	tasks, err := c.tasks()
+	if err != nil {
+		return cli.Fail(cli.CodeUsage, err)
+	}
+	entries, err := c.client()
+	if err != nil {
+		return err
+	}
+	answer, err := entries.Submit(c.env.Context, client.Job{
+		ID: c.id, Contract: c.contract, Kind: c.kind, Timeout: c.timeout, Tasks: tasks,
+	})
+	if err != nil {
+		return c.fail(err)
+	}
+	return c.print(answer)
+}
+
+func (c *jobCommand) tasks() ([]jobs.Task, error) {
+	payloads := make([][]byte, 0, len(c.payloads)+len(c.files))
+	for _, payload := range c.payloads {
+		payloads = append(payloads, []byte(payload))
+	}
+	for _, file := range c.files {
+		payload, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		payloads = append(payloads, payload)
+	}
+	if len(payloads) == 0 {
+		payloads = append(payloads, nil)
+	}
+	var tasks []jobs.Task
+	for _, payload := range payloads {
+		for range c.repeat {
+			tasks = append(tasks, jobs.Task{Payload: payload, MemoryBytes: c.memory, CPUMillis: c.cpu, RunMillis: c.run})
+		}
+	}
+	return tasks, nil
+}
+
+func (c *jobCommand) get() error {
+	entries, err := c.client()
+	if err != nil {
+		return err
+	}
+	for {
+		answer, err := entries.Get(c.env.Context, c.contract, c.id)
+		switch {
+		case err != nil:
+			return c.fail(err)
+		case answer != nil:
+			return c.print(answer)
+		case !c.wait:
+			return c.printRunning()
+		}
+	}
+}
+
+func (c *jobCommand) cancel() error {
+	entries, err := c.client()
+	if err != nil {
+		return err
+	}
+	if err := entries.Cancel(c.env.Context, c.contract, c.id); err != nil {
+		return c.fail(err)
+	}
+	c.env.Progress("cancelled %s", c.id)
+	return nil
+}
+
+// fail gives a client's error the exit code of its outcome. With --json scripts
+// get the same on the output as they would from an entry.
+func (c *jobCommand) fail(err error) error {
+	code, outcome := codeOf(err)
+	if c.json {
+		body := jobs.Error{
+			ID: client.JobOf(err), Code: client.CodeOf(err), Outcome: outcome, Message: err.Error(),
+			RetryAfterMillis: uint32(client.RetryAfterOf(err).Milliseconds()),
+		}
+		if jsonErr := c.env.JSON(body); jsonErr != nil {
+			return jsonErr
+		}
+	}
+	return cli.Fail(code, fmt.Errorf("job %s: %w", client.JobOf(err), err))
+}
+
+func codeOf(err error) (cli.Code, jobs.Outcome) {
+	switch {
+	case errorx.IsOfType(err, client.Misuse):
+		return cli.CodeUsage, jobs.OutcomeNotRun
+	case errorx.IsOfType(err, client.NotRun):
+		return cli.CodeNotRun, jobs.OutcomeNotRun
+	case errorx.IsOfType(err, client.Failed):
+		return cli.CodeFailed, jobs.OutcomeFailed
+	case errorx.IsOfType(err, client.NotFound):
+		return cli.CodeNotFound, ""
+	default:
+		return cli.CodeUnknown, jobs.OutcomeUnknown
+	}
+}
+
+func (c *jobCommand) printRunning() error {
+	if c.json {
+		return c.env.JSON(jobs.Response{ID: c.id, State: jobs.StateRunning})
+	}
+	_, err := fmt.Fprintf(c.env.Out, "job %s is running\n", c.id)
+	return err
+}
+
+func (c *jobCommand) print(answer *client.Answer) error {
+	if c.json {
+		return c.env.JSON(jobs.Response{ID: answer.ID, State: jobs.StateComplete, Results: answer.Results})
+	}
+	rows := [][]string{{"TASK", "RUN", "RESULT"}}
+	for _, result := range answer.Results {
+		run := time.Duration(result.RunMillis) * time.Millisecond
+		rows = append(rows, []string{strconv.FormatUint(uint64(result.Task), 10), run.String(), show(result.Body)})
+	}
+	if _, err := fmt.Fprintf(c.env.Out, "job %s is complete\n", answer.ID); err != nil {
+		return err
+	}
+	return c.env.Table(rows)
+}
+
+// show prints a result's body on one line: as text where it is text.
+func show(body []byte) string {
+	const most = 60
+	text := string(body)
+	if !utf8.Valid(body) {
+		text = "base64:" + base64.StdEncoding.EncodeToString(body)
+	}
+	text = strings.Map(func(r rune) rune {
+		if r < ' ' {
+			return ' '
+		}
+		return r
+	}, text)
+	if runes := []rune(text); len(runes) > most {
+		return string(runes[:most]) + "..."
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/papayahoistd/main.go
@@ -0,0 +1,39 @@
+// Command papayahoistd runs one process of the system: an entry, or the agent
+// beside an endpoint.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+	"github.com/papayahoist/papayahoist/node/settings"
+)
+
+const help = "Run one process of papayahoist: an entry or an agent.\n\nSIGTERM drains the process: it takes no new work, ends what it has, and exits 0."
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
+	code := cli.Run(ctx, "papayahoistd", help, os.Args[1:], os.Stdout, os.Stderr, registerCheck)
+	stop()
+	os.Exit(int(code))
+}
+
+func registerCheck(app *kingpin.Application, env *cli.Env) {
+	check := app.Command("check", "Check a settings file of either role, and the TLS files that it names.")
+	file := check.Arg("file", "The settings file.").Required().String()
+	check.Action(cli.Action(func() error {
+		role, err := settings.Check(*file)
+		if err != nil {
+			return cli.Fail(cli.CodeUsage, err)
+		}
+		_, err = fmt.Fprintf(env.Out, "%s: good settings of an %s\n", *file, role)
+		return err
+	}))
+}
