--- a/cmd/internal/bench/profile.go
+++ b/cmd/internal/bench/profile.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
@@ -64,6 +65,9 @@
 	burstFactor = 2.5
 )
 
+// noisyFactor is how much more than its share a noisy contract offers.
+const noisyFactor = 10
+
 const mebibyte = 1 << 20
 
 func contract(name string, class pb.Class, weight uint32, concurrency uint32) *pb.Contract {
@@ -111,6 +115,10 @@
 	return Profile{}, false
 }
 
+func (p Profile) has(contract string) bool {
+	return slices.ContainsFunc(p.Streams, func(s Stream) bool { return s.Contract.Name == contract })
+}
+
 // Capacity is the task time that the site can serve per second.
 func (p Profile) Capacity() float64 { return float64(p.Workers) * float64(p.Slots) }
 
@@ -132,12 +140,16 @@
 }
 
 // Plan draws the arrivals of a run: load is the offered task time over the
-// site's capacity.
-func (p Profile) Plan(seed uint64, load float64, length time.Duration) []JobPlan {
+// site's capacity. The noisy contract, if any, offers noisyFactor times its
+// share; the others' arrivals are the same with and without it.
+func (p Profile) Plan(seed uint64, load float64, length time.Duration, noisy string) []JobPlan {
 	var plan []JobPlan
 	for i, s := range p.Streams {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)+1))
 		perSecond := load * p.Capacity() * s.Share / (meanTasks(s.MaxTasks) * meanTaskSeconds())
+		if s.Contract.Name == noisy {
+			perSecond *= noisyFactor
+		}
 		// Bursts add to the mean; the base rate makes up for it.
 		base := perSecond / (1 + (burstFactor-1)*burstLength.Seconds()/burstEvery.Seconds())
 		for at := time.Duration(0); ; {
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -22,6 +22,8 @@
 	Errors = errorx.NewNamespace("bench")
 	// ErrConfig is given for a run that can't be made.
 	ErrConfig = Errors.NewType("config")
+	// ErrPromise is given when a run has seen what must never happen.
+	ErrPromise = Errors.NewType("promise")
 )
 
 // Config fixes a run.
@@ -32,6 +34,8 @@
 	Seed     uint64
 	Policy   string
 	Faults   []Fault
+	// Noisy is a contract that offers noisyFactor times its share; empty: none.
+	Noisy string
 	// Progress is called about once a second; nil: never.
 	Progress func(done time.Duration)
 	Logger   *slog.Logger
@@ -56,6 +60,9 @@
 
 // Run makes one run and scores it.
 func Run(ctx context.Context, c Config) (*Report, error) {
+	if c.Noisy != "" && !c.Profile.has(c.Noisy) {
+		return nil, ErrConfig.New("noisy: profile %s has no contract %q", c.Profile.Name, c.Noisy)
+	}
 	if c.Load <= 0 || c.Duration <= 0 {
 		return nil, ErrConfig.New("load and duration must be positive")
 	}
@@ -64,7 +71,7 @@
 		return nil, err
 	}
 	defer s.Stop()
-	r := &run{config: c, site: s, plan: c.Profile.Plan(c.Seed, c.Load, c.Duration)}
+	r := &run{config: c, site: s, plan: c.Profile.Plan(c.Seed, c.Load, c.Duration, c.Noisy)}
 	if err := r.connect(ctx); err != nil {
 		return nil, err
 	}
