--- /dev/null
+++ b/cmd/internal/demo/demo.go
@@ -0,0 +1,161 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/cmd/internal/bench"
+	"github.com/papayahoist/papayahoist/cmd/internal/site"
+)
+
+var namespace = errorx.NewNamespace("demo")
+
+// Types of this package's errors.
+var (
+	// Start means that the site could not be started or did not get ready.
+	Start = namespace.NewType("start")
+	// Broken means that a promise was broken.
+	Broken = namespace.NewType("promise_broken")
+)
+
+// Defaults of Options.
+const (
+	DefaultLength = 8 * time.Second
+	DefaultLoad   = 0.5
+	DefaultSeed   = 1
+)
+
+const (
+	drainTimeout = 5 * time.Second
+	readyTimeout = 10 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
+// Options of a run.
+type Options struct {
+	// Length is how long jobs arrive, Load the offered task time over what the
+	// slots can serve, Seed fixes the arrivals.
+	Length time.Duration
+	Load   float64
+	Seed   uint64
+	// Faults kills an entry and an agent halfway, and starts them again.
+	Faults bool
+	// Progress gets a line per stage of the run.
+	Progress func(format string, args ...any)
+	// Log gets the processes' log lines.
+	Log io.Writer
+}
+
+// Demo is a running site.
+type Demo struct {
+	options Options
+	profile bench.Profile
+	site    *site.Site
+}
+
+// New starts the site: 3 entries and 11 agents with stand-in endpoints, over 3
+// failure domains. It ends with Stop.
+func New(ctx context.Context, options Options) (*Demo, error) {
+	profile := mixed()
+	running, err := site.Start(site.Options{
+		Entries: profile.Entries, Workers: profile.Workers, WorkersPerRack: profile.WorkersPerRack,
+		FailureDomains: profile.FailureDomains, Slots: profile.Slots, Cores: profile.Cores,
+		Connections: profile.Connections, MemoryBytes: profile.MemoryBytes,
+		Contracts: contracts(profile), DrainTimeout: drainTimeout,
+		Logger: slog.New(slog.NewTextHandler(options.Log, &slog.HandlerOptions{Level: slog.LevelWarn})),
+	})
+	if err != nil {
+		return nil, Start.Wrap(err, "site")
+	}
+	d := &Demo{options: options, profile: profile, site: running}
+	if err := d.awaitReady(ctx); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+// mixed is one site with both users' work.
+func mixed() bench.Profile {
+	profile := bench.Cadwaladr()
+	profile.Name = "demo"
+	profile.Streams = append(profile.Streams, bench.Hilvana().Streams...)
+	for i := range profile.Streams {
+		profile.Streams[i].Share /= 2
+	}
+	return profile
+}
+
+func contracts(profile bench.Profile) []*pb.Contract {
+	var all []*pb.Contract
+	for _, stream := range profile.Streams {
+		all = append(all, stream.Contract)
+	}
+	return all
+}
+
+// Callers lists the entries' base URLs for callers.
+func (d *Demo) Callers() []string { return d.site.CallerURLs() }
+
+// Stop drains the site.
+func (d *Demo) Stop() { d.site.Stop() }
+
+// Run sends the load and returns what came of it.
+func (d *Demo) Run(ctx context.Context) (*Report, error) {
+	plan := d.profile.Plan(d.options.Seed, d.options.Load, d.options.Length)
+	d.options.Progress("%d jobs arrive over %s at %.0f%% load", len(plan), d.options.Length, 100*d.options.Load)
+	callers, err := newCallers(d.Callers())
+	if err != nil {
+		return nil, err
+	}
+	faults := make(chan struct{})
+	go func() {
+		defer close(faults)
+		d.injectFaults(ctx)
+	}()
+	start := time.Now()
+	records := callers.run(ctx, d.profile, plan)
+	<-faults
+	strangers := callers.refused(ctx)
+	d.options.Progress("all answered after %s", time.Since(start).Round(time.Millisecond))
+	return newReport(d.profile, outcome{
+		records: records, strangers: strangers, starts: d.starts(), faults: d.options.Faults,
+	}), nil
+}
+
+// injectFaults kills an entry and an agent while jobs are in flight.
+func (d *Demo) injectFaults(ctx context.Context) {
+	if !d.options.Faults {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(d.options.Length / 2):
+	}
+	entry, agent := d.site.Entries()[1], d.site.Agents()[4]
+	entry.Kill()
+	agent.Kill()
+	d.options.Progress("killed one entry and one agent; starting them again")
+	for _, start := range []func() error{entry.Start, agent.Start} {
+		if err := start(); err != nil {
+			d.options.Progress("restart: %s", err)
+		}
+	}
+}
+
+// starts counts the starts of each task over all endpoints.
+func (d *Demo) starts() map[task]int {
+	total := make(map[task]int)
+	for _, agent := range d.site.Agents() {
+		for key, count := range agent.Worker().Starts() {
+			total[task{job: key.Job, index: key.Index}] += count
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/cmd/papayahoist/demo.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+	"github.com/papayahoist/papayahoist/cmd/internal/demo"
+)
+
+type demoCommand struct {
+	env     *cli.Env
+	options demo.Options
+	keep    bool
+	json    bool
+}
+
+func registerDemo(app *kingpin.Application, env *cli.Env) {
+	c := &demoCommand{env: env}
+	command := app.Command("demo", "Run a small site in this process, send it both users' work, and check the promises.")
+	command.Flag("duration", "How long jobs arrive.").Default(demo.DefaultLength.String()).DurationVar(&c.options.Length)
+	command.Flag("load", "Offered task time over what the slots can serve.").Default(fmt.Sprint(demo.DefaultLoad)).Float64Var(&c.options.Load)
+	command.Flag("seed", "Fixes the arrivals.").Default(fmt.Sprint(demo.DefaultSeed)).Uint64Var(&c.options.Seed)
+	command.Flag("faults", "Kill an entry and an agent halfway, and start them again.").BoolVar(&c.options.Faults)
+	command.Flag("keep", "Leave the site serving until interrupted.").BoolVar(&c.keep)
+	command.Flag("json", "Print the report as JSON.").BoolVar(&c.json)
+	command.Action(cli.Action(c.run))
+}
+
+func (c *demoCommand) run() error {
+	c.options.Progress = c.env.Progress
+	c.options.Log = c.env.Err
+	start := time.Now()
+	c.env.Progress("starting 3 entries, and 11 endpoints with their agents in 3 failure domains")
+	running, err := demo.New(c.env.Context, c.options)
+	if err != nil {
+		return err
+	}
+	defer running.Stop()
+	report, err := running.Run(c.env.Context)
+	if err != nil {
+		return err
+	}
+	if err := c.print(report); err != nil {
+		return err
+	}
+	c.env.Progress("demo took %s", time.Since(start).Round(time.Millisecond))
+	if err := report.Err(); err != nil {
+		return err
+	}
+	if c.keep {
+		c.env.Progress("serving callers at %q until interrupted", running.Callers())
+		<-c.env.Context.Done()
+	}
+	return nil
+}
+
+func (c *demoCommand) print(report *demo.Report) error {
+	if c.json {
+		return c.env.JSON(report)
+	}
+	if err := c.env.Table(report.Rows()); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.env.Out)
+	return c.env.Table(report.PromiseRows())
+}
--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -25,4 +25,5 @@
 // help.
 var commands = []cli.Register{
 	registerJob,
+	registerDemo,
 }
