--- /dev/null
+++ b/dispatch/estimate/estimate_test.go
@@ -0,0 +1,109 @@
+package estimate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1000, 0)
+
+const mb = 1 << 20
+
+func within(t *testing.T, what string, got, low, high float64) {
+	t.Helper()
+	if got < low || got > high {
+		t.Errorf("%s = %v, want %v to %v", what, got, low, high)
+	}
+}
+
+func TestEstimateUnknownKind(t *testing.T) {
+	e := New(Options{})
+	got := e.Estimate("c", "k", Declared{}, epoch)
+	if got != (Estimate{Memory: DefaultMemory, Run: DefaultRun}) {
+		t.Errorf("nothing declared: %+v", got)
+	}
+	got = e.Estimate("c", "k", Declared{Memory: 5 * mb, Run: time.Second}, epoch)
+	if got != (Estimate{Memory: 5 * mb, Run: time.Second}) {
+		t.Errorf("declared: %+v", got)
+	}
+}
+
+// Callers declare a tenth or ten times of what their tasks take. Too low, and a
+// worker is given more than it holds; too high, and slots stay empty.
+func TestEstimateWrongDeclarationFades(t *testing.T) {
+	for _, declared := range []uint64{10 * mb, 1000 * mb} {
+		t.Run(fmt.Sprint(declared/mb), func(t *testing.T) {
+			e := New(Options{})
+			d := Declared{Memory: declared, Run: 5 * time.Second}
+			e.Report("c", "k", Usage{Memory: 100 * mb, Run: 100 * time.Millisecond}, epoch)
+			if first := e.Estimate("c", "k", d, epoch); first.Memory < 100*mb || first.Fresh {
+				t.Errorf("after one report: %+v", first)
+			}
+			for range 199 {
+				e.Report("c", "k", Usage{Memory: 100 * mb, Run: 100 * time.Millisecond}, epoch)
+			}
+			got := e.Estimate("c", "k", d, epoch)
+			within(t, "memory", float64(got.Memory)/mb, 100, 150)
+			within(t, "run", got.Run.Seconds(), 0.09, 0.25)
+			within(t, "least run", got.MinRun.Seconds(), 0.08, 0.1)
+		})
+	}
+}
+
+func TestEstimateFollowsChange(t *testing.T) {
+	e := New(Options{})
+	for _, memory := range []uint64{1000, 100} {
+		for range 3 * window {
+			e.Report("c", "k", Usage{Memory: memory * mb, Run: time.Second}, epoch)
+		}
+	}
+	got := e.Estimate("c", "k", Declared{}, epoch)
+	within(t, "memory", float64(got.Memory)/mb, 100, 140)
+}
+
+// A kind's tasks became shorter, but its jobs are refused for the run time
+// learned before, so no report can say so. Callers would be refused for good.
+func TestEstimateOldReportsRefuseNothing(t *testing.T) {
+	e := New(Options{})
+	for range 100 {
+		e.Report("c", "k", Usage{Memory: 100 * mb, Run: time.Second}, epoch)
+	}
+	if got := e.Estimate("c", "k", Declared{}, epoch.Add(DefaultFresh)); !got.Fresh || got.MinRun == 0 {
+		t.Errorf("fresh: %+v", got)
+	}
+	if got := e.Estimate("c", "k", Declared{}, epoch.Add(DefaultFresh+1)); got.Fresh || got.MinRun != 0 {
+		t.Errorf("old: %+v", got)
+	}
+}
+
+func TestEstimateBounded(t *testing.T) {
+	e := New(Options{MaxKinds: 3})
+	for i := range 10 {
+		e.Report("c", fmt.Sprint(i), Usage{Memory: 7 * mb, Run: time.Second}, epoch)
+		e.Estimate("c", "0", Declared{}, epoch)
+	}
+	if e.Kinds() != 3 {
+		t.Errorf("%d kinds", e.Kinds())
+	}
+	if got := e.Estimate("c", "0", Declared{Memory: mb}, epoch); got.Memory <= mb {
+		t.Errorf("the kind in use was forgotten: %+v", got)
+	}
+}
+
+func BenchmarkEstimate(b *testing.B) {
+	e := New(Options{})
+	e.Report("c", "k", Usage{Memory: mb, Run: time.Second}, epoch)
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Estimate("c", "k", Declared{}, epoch)
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	e := New(Options{})
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Report("c", "k", Usage{Memory: 100 * mb, Run: time.Second}, epoch)
+	}
+}
