papayahoist timeline and status on the command line

Cause: the collectors had no command. Change: two subcommands with the flags to find and ask the processes. Conclusion: without a live process they say who did not answer.

--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -25,4 +25,6 @@
 // help.
 var commands = []cli.Register{
 	registerJob,
+	registerStatus,
+	registerTimeline,
 }
--- /dev/null
+++ b/cmd/papayahoist/status.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+	"github.com/papayahoist/papayahoist/cmd/internal/status"
+)
+
+// statusCommand holds the flags of "status".
+type statusCommand struct {
+	env      *cli.Env
+	fleet    fleetFlags
+	interval time.Duration
+	format   string
+}
+
+func registerStatus(app *kingpin.Application, env *cli.Env) {
+	c := &statusCommand{env: env}
+	command := app.Command("status", "Show on one screen what is wrong, who is alive, and the contracts against their limits.")
+	c.fleet.register(command)
+	command.Flag("interval", "Time between the two readings behind the rates; 0 reads once.").
+		Default("1s").DurationVar(&c.interval)
+	command.Flag("format", "text or json.").Default(formatText).EnumVar(&c.format, formatText, formatJSON)
+	command.Action(cli.Action(c.run))
+}
+
+func (c *statusCommand) run() error {
+	options, err := c.fleet.options()
+	if err != nil {
+		return err
+	}
+	report, err := status.Collect(c.env.Context, options, c.interval)
+	if err != nil {
+		return err
+	}
+	if c.format == formatJSON {
+		return status.WriteJSON(c.env.Out, report)
+	}
+	return status.WriteText(c.env.Out, report)
+}
--- /dev/null
+++ b/cmd/papayahoist/timeline.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+	"github.com/papayahoist/papayahoist/cmd/internal/fleet"
+	"github.com/papayahoist/papayahoist/cmd/internal/timeline"
+)
+
+// Output formats.
+const (
+	formatText = "text"
+	formatJSON = "json"
+	formatHTML = "html"
+)
+
+// timelineCommand holds the flags of "timeline".
+type timelineCommand struct {
+	env    *cli.Env
+	fleet  fleetFlags
+	filter timeline.Filter
+	// from and until are times, or durations before now.
+	from, until string
+	format      string
+	output      string
+}
+
+func registerTimeline(app *kingpin.Application, env *cli.Env) {
+	c := &timelineCommand{env: env}
+	command := app.Command("timeline", "Show what all processes did, in the order of cause and effect.")
+	c.fleet.register(command)
+	command.Flag("job", "Only this job's events.").StringVar(&c.filter.Job)
+	command.Flag("contract", "Only this contract's events.").StringVar(&c.filter.Contract)
+	command.Flag("worker", "Only events of this worker, or about it.").StringVar(&c.filter.Worker)
+	command.Flag("from", `Only events from this time on: "2026-03-01T03:12:00Z", or "5m" for five minutes ago.`).StringVar(&c.from)
+	command.Flag("until", "Only events before this time, in the same forms.").StringVar(&c.until)
+	command.Flag("limit", "The most events to show; the newest are kept.").
+		Default(strconv.Itoa(timeline.DefaultLimit)).IntVar(&c.filter.Limit)
+	command.Flag("around", "With --job: also what happened meanwhile to the processes that the job met.").
+		Default("true").BoolVar(&c.filter.Around)
+	command.Flag("format", "text, json, or html: one self-contained page.").Default(formatText).
+		EnumVar(&c.format, formatText, formatJSON, formatHTML)
+	command.Flag("output", "File to write to instead of the output.").Short('o').StringVar(&c.output)
+	command.Action(cli.Action(c.run))
+}
+
+func (c *timelineCommand) run() error {
+	now := time.Now()
+	var err error
+	if c.filter.From, err = parseTime(c.from, now); err != nil {
+		return cli.Fail(cli.CodeUsage, err)
+	}
+	if c.filter.Until, err = parseTime(c.until, now); err != nil {
+		return cli.Fail(cli.CodeUsage, err)
+	}
+	options, err := c.fleet.options()
+	if err != nil {
+		return err
+	}
+	found, err := fleet.Discover(c.env.Context, options)
+	if err != nil {
+		return err
+	}
+	collected := timeline.Collect(c.env.Context, found, c.filter)
+	if c.output == "" {
+		return c.write(c.env.Out, collected)
+	}
+	file, err := os.Create(c.output)
+	if err != nil {
+		return err
+	}
+	if err := c.write(file, collected); err != nil {
+		_ = file.Close() // the first error tells more
+		return err
+	}
+	c.env.Progress("%d events of %d processes, %d missing, in %s",
+		len(collected.Events), len(collected.Sources), len(collected.Missing), c.output)
+	return file.Close()
+}
+
+func (c *timelineCommand) write(w io.Writer, t *timeline.Timeline) error {
+	switch c.format {
+	case formatJSON:
+		return timeline.WriteJSON(w, t)
+	case formatHTML:
+		return timeline.WritePage(w, t)
+	}
+	return timeline.WriteText(w, t)
+}
+
+// parseTime reads a time, or a duration before now. Empty: the zero time.
+func parseTime(text string, now time.Time) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if ago, err := time.ParseDuration(text); err == nil {
+		return now.Add(-ago), nil
+	}
+	return time.Parse(time.RFC3339, text)
+}
