--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -25,5 +25,8 @@
 // help.
 var commands = []cli.Register{
 	registerJob,
+	registerStatus,
+	registerTimeline,
 	registerBench,
+	registerDemo,
 }
