Stand-ins of the platform on the command line

Cause: separate processes can't be tried out on a machine without the platform. Change: papayahoist standin store|endpoint. Seen: both serve, end on SIGTERM with 0.

--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -29,4 +29,5 @@
 	registerTimeline,
 	registerBench,
 	registerDemo,
+	registerStandin,
 }
