papayahoist contract; TLS files serve ports and clients

Cause: operators drive the system by contracts and had no command to change them; a client needs no certificate where a port asks for none. Conclusion: contracts can be run from the command line.

--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -24,6 +24,7 @@
 // commands are the subcommands, each in a file of its own, in the order of the
 // help.
 var commands = []cli.Register{
+	registerContract,
 	registerJob,
 	registerStatus,
 	registerTimeline,
--- a/node/settings/tls.go
+++ b/node/settings/tls.go
@@ -19,37 +19,46 @@
 // Enabled says whether the port speaks TLS.
 func (f TLSFiles) Enabled() bool { return f != TLSFiles{} }
 
-// Server returns the port's configuration, nil when TLS is off. Errors are of
-// type Unreadable or Malformed.
+// Server returns the port's configuration, nil when TLS is off. It serves to
+// dial peers with the same files too. Errors are of type Unreadable or Malformed.
 func (f TLSFiles) Server() (*tls.Config, error) {
-	return f.load(func(c *tls.Config, pool *x509.CertPool) {
-		c.ClientCAs = pool
-		if pool != nil {
-			c.ClientAuth = tls.RequireAndVerifyClientCert
-		}
-	})
+	if !f.Enabled() {
+		return nil, nil
+	}
+	config, err := f.Client()
+	if err != nil {
+		return nil, err
+	}
+	if len(config.Certificates) == 0 {
+		return nil, Malformed.New("a port needs a certificate; only CA %q is given", f.CA)
+	}
+	config.ClientCAs = config.RootCAs
+	if config.ClientCAs != nil {
+		config.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return config, nil
 }
 
-// Client returns the configuration to dial ports that use the same files' CA,
-// nil when TLS is off. Errors are of type Unreadable or Malformed.
+// Client returns the configuration to dial a port, nil when TLS is off. The
+// certificate may be left out for ports that ask for none. Errors are of type
+// Unreadable or Malformed.
 func (f TLSFiles) Client() (*tls.Config, error) {
-	return f.load(func(c *tls.Config, pool *x509.CertPool) { c.RootCAs = pool })
-}
-
-func (f TLSFiles) load(setPool func(*tls.Config, *x509.CertPool)) (*tls.Config, error) {
 	if !f.Enabled() {
 		return nil, nil
 	}
-	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
-	if err != nil {
-		return nil, Unreadable.Wrap(err, "certificate %q with key %q", f.Cert, f.Key)
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	if f.Cert != "" || f.Key != "" {
+		pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+		if err != nil {
+			return nil, Unreadable.Wrap(err, "certificate %q with key %q", f.Cert, f.Key)
+		}
+		config.Certificates = []tls.Certificate{pair}
 	}
-	config := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair}}
 	pool, err := loadPool(f.CA)
 	if err != nil {
 		return nil, err
 	}
-	setPool(config, pool)
+	config.RootCAs = pool
 	return config, nil
 }
 
