place: order by when answers are due; credits by memory per agent

Cause: with equal deadlines a job of 160 tasks keeps one of a single task waiting; agents may differ in size; a start sent again on a new link precedes the credits of that link. Change: Due orders a contract's jobs by 1.5 times their ideal response time; units are computed per agent; Credits.Start falls back on free slots.

--- a/dispatch/limit/credits.go
+++ b/dispatch/limit/credits.go
@@ -93,19 +93,21 @@
 	}
 }
 
-// Start uses an entry's credits for a task. It returns false, and the task must
-// not start, if the entry holds too few: a start sent before its credits became
-// void would otherwise take a slot promised to another.
+// Start uses an entry's credits for a task, and free slots for what they lack: a
+// start sent again on a new link comes before the credits of that link. It returns
+// false, and the task must not start, if there are too few of both, since it would
+// take a slot promised to another entry.
 func (c *Credits) Start(entry string, units int) bool {
 	h := c.entries[entry]
-	if h == nil || h.granted < units {
+	if h == nil || h.granted+c.Free() < units {
 		return false
 	}
-	h.granted -= units
+	used := min(h.granted, units)
+	h.granted -= used
 	h.running += units
 	h.low = min(h.low, h.granted)
 	h.recalled = min(h.recalled, h.granted)
-	c.granted -= units
+	c.granted -= used
 	c.running += units
 	return true
 }
--- a/dispatch/place/bound.go
+++ b/dispatch/place/bound.go
@@ -16,20 +16,20 @@
 	agents := make([]*Agent, len(j.Tasks))
 	for i := range j.Tasks {
 		t := &j.Tasks[i]
-		agents[i] = s.picker.Bind(s.Pool, Need{Units: units(t), Tasks: len(j.Tasks), Run: t.Run})
+		agents[i] = s.picker.Bind(s.Pool, Need{Memory: t.Memory, Run: t.Run, Tasks: len(j.Tasks)})
 		if agents[i] == nil {
 			return false
 		}
 	}
 	var added []*Job
 	for i, a := range agents {
-		a.boundUnits += units(&j.Tasks[i])
+		a.boundUnits += a.units(j.Tasks[i].Memory)
 		pos := slices.IndexFunc(added, func(part *Job) bool { return part.agent == a })
 		if pos < 0 {
 			pos = len(added)
 			added = append(added, &Job{
 				ID: j.ID, Contract: j.Contract, Kind: j.Kind,
-				Deadline: j.Deadline, MinRun: j.MinRun, whole: j, agent: a,
+				Due: j.Due, Deadline: j.Deadline, MinRun: j.MinRun, whole: j, agent: a,
 			})
 		}
 		added[pos].Tasks = append(added[pos].Tasks, j.Tasks[i])
@@ -60,7 +60,7 @@
 			continue
 		}
 		for j := a.bound.Next(); j != nil; j = a.bound.Next() {
-			if a.usable() < needOf(j).Units {
+			if a.usable() < a.units(j.Tasks[0].Memory) {
 				break
 			}
 			if p, ok := s.take(now, a.bound, j, a); ok {
--- a/dispatch/place/doc.go
+++ b/dispatch/place/doc.go
@@ -2,7 +2,7 @@
 //
 // [Queue] keeps the waiting tasks of one entry, grouped by job, and says which
 // job goes next: by class, then by weighted fair share between the contracts of
-// the class, then by deadline. A [Picker] chooses an agent for it among those
+// the class, then by the time at which its answer is due. A [Picker] chooses an agent for it among those
 // that hold credits. [Scheduler] joins the two.
 //
 // The package does no I/O, reads no clock and starts no goroutine. Nothing in it
--- a/dispatch/place/picker.go
+++ b/dispatch/place/picker.go
@@ -7,11 +7,11 @@
 
 // Need describes the tasks to place.
 type Need struct {
-	// Units is what the first task takes, and Tasks how many wait behind it in
-	// the same job.
-	Units int
-	Tasks int
-	Run   time.Duration
+	// Memory and Run are the first task's, Tasks counts it and those that wait
+	// behind it in the same job.
+	Memory uint64
+	Run    time.Duration
+	Tasks  int
 }
 
 // Picker chooses agents. Implementations may keep state and are called from one
@@ -60,7 +60,7 @@
 		if pos++; pos == n {
 			pos = 0
 		}
-		if a.reservedFor != nil || a.usable() < need.Units {
+		if a.reservedFor != nil || a.usable() < a.units(need.Memory) {
 			continue
 		}
 		if score := c.score(a, need); best == nil || score < bestScore {
@@ -75,7 +75,7 @@
 func (c *Credits) score(a *Agent, need Need) float64 {
 	score := float64(a.Distance) + float64(need.Run)*(a.Slowness-1)
 	score += float64(c.SpreadCost) * float64(a.outstanding) / float64(max(a.Slots, 1))
-	together := min(a.usable(), need.Tasks*need.Units)
+	together := min(a.usable(), need.Tasks)
 	return score + float64(c.MessageCost)/float64(max(together, 1))
 }
 
@@ -115,7 +115,7 @@
 func (LeastLoaded) Bind(p *Pool, need Need) *Agent {
 	var best *Agent
 	for _, a := range p.all {
-		if a.Slots < need.Units || a.Standing == Suspended {
+		if a.units(need.Memory) > a.Slots || a.Standing == Suspended {
 			continue
 		}
 		if best == nil || a.load() < best.load() {
@@ -135,7 +135,7 @@
 	var a *Agent
 	for range drawTries {
 		a = p.all[r.IntN(len(p.all))]
-		if a.Slots >= need.Units && a.Standing != Suspended {
+		if a.units(need.Memory) <= a.Slots && a.Standing != Suspended {
 			break
 		}
 	}
--- a/dispatch/place/pool.go
+++ b/dispatch/place/pool.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -25,13 +26,16 @@
 	Rack   string
 	// Distance is the time a message takes to the agent and back.
 	Distance time.Duration
-	// Slots is the number of credits the agent could grant at the most.
-	Slots int
+	// Slots is the number of credits the agent could grant at the most, Memory
+	// the worker's in bytes.
+	Slots  int
+	Memory uint64
 	// Slowness is how long tasks take there compared with other agents; 1 is
 	// usual.
 	Slowness float64
 	Standing Standing
 
+	slotMemory  uint64
 	credits     int
 	outstanding int
 	reservedFor *flow
@@ -62,6 +66,23 @@
 	return a.credits
 }
 
+// units returns how many credits a task takes there.
+func (a *Agent) units(memory uint64) int {
+	if memory <= a.slotMemory {
+		return 1
+	}
+	return Units(memory, a.Memory, a.Slots)
+}
+
+// sumUnits returns how many credits tasks take there.
+func (a *Agent) sumUnits(tasks []Task) int {
+	sum := 0
+	for i := range tasks {
+		sum += a.units(tasks[i].Memory)
+	}
+	return sum
+}
+
 // load is the used part of the agent, between 0 and above 1 when work is bound
 // to it that it has no slot for.
 func (a *Agent) load() float64 {
@@ -75,9 +96,11 @@
 	// ready are the agents that can take a task now.
 	ready []*Agent
 	// cursor rotates the point at which a scan of ready starts.
-	cursor  int
-	credits int
-	slots   int
+	cursor      int
+	credits     int
+	outstanding int
+	slots       int
+	largest     *Agent
 }
 
 // NewPool returns an empty pool.
@@ -91,6 +114,27 @@
 // Credits returns the credits held at all agents.
 func (p *Pool) Credits() int { return p.credits }
 
+// Outstanding returns the units started at all agents and not ended.
+func (p *Pool) Outstanding() int { return p.outstanding }
+
+// Largest returns the slots and memory of the agent with most memory, zero if
+// there is none.
+func (p *Pool) Largest() (slots int, memory uint64) {
+	if p.largest == nil {
+		return 0, 0
+	}
+	return p.largest.Slots, p.largest.Memory
+}
+
+func (p *Pool) findLargest() {
+	p.largest = nil
+	for _, a := range p.all {
+		if p.largest == nil || a.Memory > p.largest.Memory {
+			p.largest = a
+		}
+	}
+}
+
 // Slots returns the slots of all agents, also those that serve other entries.
 func (p *Pool) Slots() int { return p.slots }
 
@@ -103,8 +147,16 @@
 		p.all = append(p.all, a)
 	}
 	p.slots += info.Slots - a.Slots
+	resized := p.largest == nil || a.Memory != info.Memory
 	a.Domain, a.Rack, a.Distance = info.Domain, info.Rack, info.Distance
-	a.Slots, a.Standing = info.Slots, info.Standing
+	a.Slots, a.Memory, a.Standing = info.Slots, info.Memory, info.Standing
+	a.slotMemory = math.MaxUint64
+	if a.Memory > 0 {
+		a.slotMemory = a.Memory / uint64(max(a.Slots, 1))
+	}
+	if resized {
+		p.findLargest()
+	}
 	a.Slowness = max(info.Slowness, 0.1)
 	if info.Slowness == 0 {
 		a.Slowness = 1
@@ -121,8 +173,10 @@
 	}
 	p.SetCredits(a, 0)
 	p.slots -= a.Slots
+	p.outstanding -= a.outstanding
 	delete(p.agents, id)
 	p.all = slices.DeleteFunc(p.all, func(o *Agent) bool { return o == a })
+	p.findLargest()
 }
 
 // SetCredits replaces an agent's credits.
@@ -146,13 +200,16 @@
 // Started counts units as started at an agent, against its credits.
 func (p *Pool) Started(a *Agent, units int) {
 	a.outstanding += units
+	p.outstanding += units
 	p.SetCredits(a, a.credits-units)
 }
 
 // Ended counts units as ended. The slot does not come back as a credit by
 // itself: the agent grants it anew.
 func (p *Pool) Ended(a *Agent, units int) {
-	a.outstanding = max(a.outstanding-units, 0)
+	units = min(units, a.outstanding)
+	a.outstanding -= units
+	p.outstanding -= units
 	p.refresh(a)
 }
 
--- a/dispatch/place/queue.go
+++ b/dispatch/place/queue.go
@@ -33,12 +33,13 @@
 type Task struct {
 	// Number is the task's position in its job.
 	Number uint32
-	// Units is how many credits its start takes; see package limit.
-	Units uint32
 	// Run is the expected run time.
 	Run time.Duration
 	// Memory is what to reserve for it, in bytes.
 	Memory uint64
+
+	// weight is the slots that it takes on an agent of the largest size.
+	weight int
 }
 
 // Job is the waiting part of a job. The fields are set before Push; from then
@@ -47,6 +48,8 @@
 	ID       string
 	Contract string
 	Kind     string
+	// Due orders the jobs of a contract; see [Due].
+	Due time.Time
 	// Deadline is when the answer is worthless; zero means never.
 	Deadline time.Time
 	// MinRun is the run time that each task needs at the least, zero if unknown.
@@ -75,9 +78,31 @@
 	slices.SortStableFunc(tasks, func(a, b Task) int { return int(b.Run - a.Run) })
 }
 
+// stretch is the response time, as a multiple of the ideal, that jobs are ordered
+// by: the job that reaches it first goes first.
+const stretch = 1.5
+
+// Due returns when a job that arrives now should have its answer: a short job
+// soon, a long one later, and none after its deadline. Ordering by it keeps short
+// jobs from waiting behind long ones, and since it is a point in time, every job
+// comes to be the first in the end.
+func Due(now, deadline time.Time, tasks []Task, slots int) time.Time {
+	var longest, sum time.Duration
+	for i := range tasks {
+		longest = max(longest, tasks[i].Run)
+		sum += tasks[i].Run
+	}
+	ideal := max(longest, sum/time.Duration(max(slots, 1)))
+	due := now.Add(time.Duration(stretch * float64(ideal)))
+	if !deadline.IsZero() && deadline.Before(due) {
+		return deadline
+	}
+	return due
+}
+
 func (j *Job) before(o *Job) bool {
-	if !j.Deadline.Equal(o.Deadline) {
-		return j.Deadline.Before(o.Deadline)
+	if !j.Due.Equal(o.Due) {
+		return j.Due.Before(o.Due)
 	}
 	return j.seq < o.seq
 }
@@ -93,7 +118,7 @@
 }
 
 func (t *Task) cost() time.Duration {
-	return max(t.Run, minCost) * time.Duration(max(t.Units, 1))
+	return max(t.Run, minCost) * time.Duration(max(t.weight, 1))
 }
 
 // shedJob orders the same jobs the other way round: the one with most time left
@@ -443,8 +468,8 @@
 }
 
 // Expired returns a job whose deadline no longer leaves room for MinRun, or nil.
-// It looks at the front of each contract, where deadlines are earliest. The
-// caller removes the job and asks again.
+// It looks at the front of each contract, which is where a job would be started.
+// The caller removes the job and asks again.
 func (q *Queue) Expired(now time.Time) *Job {
 	var first *Job
 	for _, f := range q.flows {
--- a/dispatch/place/scheduler.go
+++ b/dispatch/place/scheduler.go
@@ -93,6 +93,10 @@
 
 // Push adds a job.
 func (s *Scheduler) Push(j *Job) {
+	slots, memory := s.Pool.Largest()
+	for i := range j.Tasks {
+		j.Tasks[i].weight = Units(j.Tasks[i].Memory, memory, slots)
+	}
 	if s.pushBound(j) {
 		return
 	}
@@ -118,7 +122,7 @@
 	var tasks []Task
 	for _, part := range j.parts {
 		left := part.queue.Remove(part)
-		part.agent.boundUnits -= sumUnits(left)
+		part.agent.boundUnits -= part.agent.sumUnits(left)
 		tasks = append(tasks, left...)
 	}
 	j.parts = nil
@@ -149,7 +153,7 @@
 		s.queue.setBlocked(f, reserving, false)
 	}
 	s.unplaced = s.unplaced[:0]
-	if s.queue.Len() > 0 && len(s.Pool.all) > 0 && s.picker.Bind(s.Pool, Need{Units: 1, Tasks: 1}) != nil {
+	if s.queue.Len() > 0 && len(s.Pool.all) > 0 && s.picker.Bind(s.Pool, Need{Tasks: 1}) != nil {
 		s.rebind(s.queue)
 	}
 }
@@ -171,7 +175,7 @@
 		need := needOf(j)
 		a := s.picker.Pick(s.Pool, need)
 		if a == nil {
-			if need.Units > 1 {
+			if s.large(need) {
 				s.reserve(j.flow, need)
 				continue
 			}
@@ -183,19 +187,15 @@
 	}
 }
 
-func needOf(j *Job) Need {
-	t := &j.Tasks[0]
-	return Need{Units: units(t), Tasks: len(j.Tasks), Run: t.Run}
+// large reports whether a task takes several credits even on the largest agent.
+func (s *Scheduler) large(need Need) bool {
+	slots, memory := s.Pool.Largest()
+	return Units(need.Memory, memory, slots) > 1
 }
 
-func units(t *Task) int { return int(max(t.Units, 1)) }
-
-func sumUnits(tasks []Task) int {
-	sum := 0
-	for i := range tasks {
-		sum += units(&tasks[i])
-	}
-	return sum
+func needOf(j *Job) Need {
+	t := &j.Tasks[0]
+	return Need{Memory: t.Memory, Run: t.Run, Tasks: len(j.Tasks)}
 }
 
 // take places as many tasks of a job as fit an agent's credits and the
@@ -203,7 +203,7 @@
 func (s *Scheduler) take(now time.Time, q *Queue, j *Job, a *Agent) (Placement, bool) {
 	fit, left := 0, a.usable()
 	for i := range j.Tasks {
-		left -= units(&j.Tasks[i])
+		left -= a.units(j.Tasks[i].Memory)
 		if left < 0 {
 			break
 		}
@@ -215,7 +215,7 @@
 		return Placement{}, false
 	}
 	tasks := q.Take(j, n)
-	used := sumUnits(tasks)
+	used := a.sumUnits(tasks)
 	s.Pool.Started(a, used)
 	if j.whole != nil {
 		a.boundUnits -= used
@@ -233,7 +233,7 @@
 			continue
 		}
 		j := r.flow.jobs.items[0]
-		if r.agent.usable() < needOf(j).Units {
+		if r.agent.usable() < r.agent.units(j.Tasks[0].Memory) {
 			continue
 		}
 		s.release(i)
@@ -250,7 +250,7 @@
 	var best *Agent
 	if len(s.reserved)*reservedShare < len(s.Pool.all) {
 		for _, a := range s.Pool.all {
-			if a.reservedFor != nil || a.Standing != Open || a.Slots < need.Units {
+			if a.reservedFor != nil || a.Standing != Open || a.units(need.Memory) > a.Slots {
 				continue
 			}
 			if best == nil || a.credits > best.credits {
@@ -283,7 +283,7 @@
 	case a.Standing == Suspended:
 		return 0
 	case f != nil && f.jobs.len() > 0:
-		want = needOf(f.jobs.items[0]).Units
+		want = a.units(f.jobs.items[0].Tasks[0].Memory)
 	case a.bound == nil && s.queue.Ready():
 		agents := len(s.Pool.all)
 		want = (s.queue.Len() + agents - 1) / agents
