entry, agent: placement, limits, estimates and health wired in

Cause: entry and agent decided by FIFO queues and even credits. The whole-path test's contract had zero limits, which the interface defines as not allowed; it now has limits.

--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -5,7 +5,9 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/job"
+	"github.com/papayahoist/papayahoist/dispatch/limit"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
 // Options configure an Agent.
@@ -21,6 +23,9 @@
 	FenceTTL time.Duration
 	// MaxFences bounds the fences held at once.
 	MaxFences int
+	// Damping is how long an entry's credits must lie unused before they are
+	// recalled for another that waits.
+	Damping time.Duration
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
 }
@@ -32,6 +37,7 @@
 	DefaultFenceTTL       = 30 * time.Minute
 	DefaultMaxFences      = 50_000
 	DefaultLoadEvery      = time.Second
+	DefaultDamping        = 10 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -48,6 +54,9 @@
 	if o.MaxFences == 0 {
 		o.MaxFences = DefaultMaxFences
 	}
+	if o.Damping == 0 {
+		o.Damping = DefaultDamping
+	}
 	if o.LoadEvery == 0 {
 		o.LoadEvery = DefaultLoadEvery
 	}
@@ -96,6 +105,7 @@
 	tasks       int // tasks in all records
 	resultBytes int
 
+	slots    *limit.Credits
 	running  int
 	reserved uint64
 	loads    map[string]*pb.ContractLoad
@@ -112,10 +122,6 @@
 type peer struct {
 	hello   *pb.EntryHello
 	session link.Session
-	// credits granted and not used; want is what the entry could use beyond them.
-	credits, want int
-	recalled      bool
-	leaving       bool
 
 	out        pb.AgentFrame // content of the next frame
 	dirty      bool
@@ -143,6 +149,7 @@
 	rec      *record
 	index    uint32
 	memory   uint64
+	units    int            // slots that it takes
 	result   *pb.TaskResult // nil while running
 	acked    bool
 	stopping bool
@@ -150,8 +157,10 @@
 
 // New returns an Agent without links.
 func New(opts Options) *Agent {
+	opts = opts.withDefaults()
 	return &Agent{
-		opts:    opts.withDefaults(),
+		opts:    opts,
+		slots:   limit.NewCredits(limit.CreditsOptions{Slots: int(opts.Hello.Slots), Damping: opts.Damping}),
 		jobs:    make(map[string]*record),
 		loads:   make(map[string]*pb.ContractLoad),
 		fences:  make(map[string]time.Time),
@@ -177,13 +186,13 @@
 	}
 	p.hello = hello
 	p.session.Up(now, hello.Epoch, a.opts.Link)
-	p.credits, p.want, p.recalled = 0, 0, false
+	a.slots.Link(hello.Incarnation, now)
 	p.unacked = nil
 	p.out = pb.AgentFrame{Hello: a.opts.Hello, Leaving: a.leaving}
 	p.loadSentAt = time.Time{}
 	p.dirty = true
 	a.requeueResults(p)
-	a.balance()
+	a.balance(now)
 	return ""
 }
 
@@ -207,12 +216,12 @@
 		return
 	}
 	a.drop(p)
-	a.balance()
+	a.balance(now)
 }
 
 func (a *Agent) drop(p *peer) {
 	p.session.Down()
-	p.credits, p.want = 0, 0
+	a.slots.Unlink(p.hello.Incarnation)
 	p.out = pb.AgentFrame{}
 	p.dirty = false
 }
@@ -227,9 +236,10 @@
 		return
 	}
 	a.acknowledged(p)
-	p.leaving = f.Leaving
-	p.want = int(f.Want)
-	a.takeBack(p, int(f.Returned))
+	a.slots.SetWant(entry, int(f.Want))
+	if f.Returned > 0 || f.Recalled {
+		a.slots.Returned(entry, int(f.Returned))
+	}
 	for _, b := range f.Starts {
 		a.start(now, p, b)
 	}
@@ -242,7 +252,7 @@
 	for _, id := range f.Finished {
 		a.finished(id)
 	}
-	a.balance()
+	a.balance(now)
 }
 
 // HasContent reports whether a frame must be acknowledged.
@@ -251,14 +261,6 @@
 		f.Returned > 0 || len(f.Contracts) > 0
 }
 
-func (a *Agent) takeBack(p *peer, n int) {
-	if n == 0 {
-		return
-	}
-	p.recalled = false
-	p.credits = max(0, p.credits-n)
-}
-
 func (a *Agent) acknowledged(p *peer) {
 	acked := p.session.Acked()
 	n := 0
@@ -282,25 +284,33 @@
 // start accepts or refuses each task of a batch.
 func (a *Agent) start(now time.Time, p *peer, b *pb.StartBatch) {
 	for _, ts := range b.Tasks {
-		if p.credits > 0 {
-			p.credits--
-		}
+		units := a.units(ts.MemoryBytes)
 		if rec := a.jobs[b.Job]; rec != nil {
 			if t := rec.tasks[ts.Task]; t != nil {
 				// A start sent again on a new link after the first arrived: running it
 				// twice is what this record prevents. The result, if any, was put on the
 				// new link when it came up.
+				a.slots.Unused(p.hello.Incarnation, units)
 				continue
 			}
 		}
-		if why := a.refuse(p, b, ts); why != "" {
+		why := a.refuse(p, b, ts)
+		if why == "" && !a.slots.Start(p.hello.Incarnation, units) {
+			why = job.RefusedNoSlot
+		}
+		if why != "" {
+			a.slots.Unused(p.hello.Incarnation, units)
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
 		}
-		a.run(now, p, b, ts)
+		a.run(now, p, b, ts, units)
 	}
 }
 
+func (a *Agent) units(memory uint64) int {
+	return place.Units(memory, a.opts.Hello.MemoryBytes, int(a.opts.Hello.Slots))
+}
+
 func refusal(index uint32, why string) *pb.TaskResult {
 	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Error: why}
 }
@@ -314,8 +324,6 @@
 		return job.RefusedFenced
 	case a.leaving:
 		return job.RefusedLeaving
-	case a.free() <= 0:
-		return job.RefusedNoSlot
 	case a.opts.Hello.MemoryBytes > 0 && a.reserved+ts.MemoryBytes > a.opts.Hello.MemoryBytes:
 		return job.RefusedMemory
 	case a.full():
@@ -324,15 +332,6 @@
 	return ""
 }
 
-// free is the slots neither running a task nor granted.
-func (a *Agent) free() int {
-	n := int(a.opts.Hello.Slots) - a.running
-	for _, p := range a.peers {
-		n -= p.credits
-	}
-	return n
-}
-
 // full reports whether the agent would have to forget something that an entry
 // has not acknowledged in order to take one more task.
 func (a *Agent) full() bool {
@@ -340,13 +339,13 @@
 	return a.tasks >= a.opts.MaxRecords || a.resultBytes >= a.opts.MaxResultBytes
 }
 
-func (a *Agent) run(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart) {
+func (a *Agent) run(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart, units int) {
 	rec := a.jobs[b.Job]
 	if rec == nil {
 		rec = &record{job: b.Job, home: p.hello.Incarnation, contract: b.Contract, tasks: make(map[uint32]*task)}
 		a.jobs[b.Job] = rec
 	}
-	rec.tasks[ts.Task] = &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes}
+	rec.tasks[ts.Task] = &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes, units: units}
 	rec.open++
 	a.tasks++
 	a.running++
@@ -389,6 +388,7 @@
 	res.Task = ref.Task
 	t.result = res
 	a.running--
+	a.slots.End(rec.home, t.units)
 	a.resultBytes += len(res.Body)
 	a.reserve(rec.contract, -1, -int64(t.memory))
 	if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
@@ -399,6 +399,7 @@
 	if home := a.homeOf(rec); home != nil {
 		if home.session.IsUp() {
 			a.addNews(home, rec.job, res)
+			a.regrant(home, t.units)
 		}
 	}
 	for _, w := range rec.watchers {
@@ -406,7 +407,7 @@
 			a.addNews(p, rec.job, res)
 		}
 	}
-	a.balance()
+	a.balance(now)
 }
 
 // dropTask forgets one task that has not run.
@@ -505,24 +506,20 @@
 
 // Tick takes in the passing of time; call it no later than Next says.
 func (a *Agent) Tick(now time.Time) {
-	changed := false
 	for _, p := range a.peers {
 		if p.session.Silent(now) {
 			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
 			a.drop(p)
-			changed = true
 		} else if p.session.Due(now) {
 			p.dirty = true
 		}
 	}
-	if changed {
-		a.balance()
-	}
+	a.balance(now)
 }
 
 // Next is when Tick is due; zero: not before the next input.
 func (a *Agent) Next() time.Time {
-	var next time.Time
+	next := a.slots.RecallAt()
 	for _, p := range a.peers {
 		next = link.Earlier(next, p.session.Next())
 	}
@@ -533,7 +530,7 @@
 func (a *Agent) Leave(now time.Time) {
 	a.leaving = true
 	for _, p := range a.peers {
-		p.credits = 0
+		a.slots.Unlink(p.hello.Incarnation)
 		p.dirty = p.session.IsUp()
 	}
 }
@@ -602,7 +599,7 @@
 func (a *Agent) load() *pb.AgentLoad {
 	l := &pb.AgentLoad{
 		Running:             uint32(a.running),
-		FreeSlots:           uint32(max(0, a.free())),
+		FreeSlots:           uint32(a.slots.Free()),
 		ReservedMemoryBytes: a.reserved,
 	}
 	for _, c := range sortedKeys(a.loads) {
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -19,7 +19,6 @@
 	downAt  time.Time // when the last link was lost
 	gone    bool      // given up; back when it announces itself
 
-	credits  int
 	leaving  bool
 	load     *pb.AgentLoad
 	revision uint64
@@ -56,6 +55,7 @@
 		slices.SortFunc(e.agents, func(x, y *agent) int { return strings.Compare(x.hello.Agent, y.hello.Agent) })
 	}
 	a.leaving = leaving
+	e.policy.health.Add(hello.Agent)
 	if a.gone {
 		a.gone = false
 		a.downAt = now
@@ -68,6 +68,7 @@
 }
 
 func (e *Entry) remove(a *agent) {
+	e.policy.health.Remove(a.hello.Agent)
 	delete(e.byName, a.hello.Agent)
 	e.agents = slices.DeleteFunc(e.agents, func(x *agent) bool { return x == a })
 }
@@ -96,7 +97,8 @@
 	}
 	a.dialing = false
 	a.session.Up(now, epoch, e.opts.Link)
-	a.credits, a.wanted = 0, 0
+	a.wanted = 0
+	known := e.updateAgent(now, a)
 	a.out = pb.EntryFrame{}
 	a.dirty = false
 	again := a.unacked
@@ -110,6 +112,8 @@
 		if t.phase == sent && !a.isRevoked(t) {
 			a.placed = append(a.placed, t)
 			a.dirty = true
+			// The agent takes the slot from what it grants on this link.
+			e.policy.sched.Pool.Grant(known, -known.Units(t.start.MemoryBytes))
 		}
 	}
 	for i := range a.revoked {
@@ -146,11 +150,15 @@
 	}
 	a.session.Down()
 	a.dialing = false
-	a.credits = 0
+	if known := e.policy.sched.Pool.Agent(a.hello.Agent); known != nil {
+		e.policy.sched.Pool.SetCredits(known, 0)
+		e.updateAgent(now, a)
+	}
 	// Starts that were placed and never framed have not left this process.
 	for _, t := range a.placed {
 		if t.seq == 0 {
 			a.untrack(t)
+			e.release(a, t)
 			e.requeue(t)
 		} else {
 			a.unacked = append(a.unacked, t)
@@ -198,7 +206,9 @@
 	e.down(now, a)
 	tasks := a.tasks
 	a.tasks, a.unacked, a.revoked = nil, nil, nil
+	e.policy.sched.Drop(a.hello.Agent)
 	for _, t := range tasks {
+		e.release(a, t)
 		if t.phase == ended {
 			continue
 		}
@@ -226,7 +236,8 @@
 		a.load = f.Load
 	}
 	a.revision = max(a.revision, f.ConfigRevision)
-	a.credits += int(f.Granted)
+	known := e.updateAgent(now, a)
+	e.policy.sched.Pool.Grant(known, int(f.Granted))
 	for _, n := range f.News {
 		e.news(now, a, n)
 	}
@@ -235,7 +246,8 @@
 	}
 	a.leaving = f.Leaving
 	if a.leaving {
-		a.credits = 0
+		e.policy.sched.Pool.SetCredits(known, 0)
+		e.updateAgent(now, a)
 	}
 	if f.Recall > 0 {
 		e.giveBack(a, int(f.Recall))
@@ -249,9 +261,9 @@
 // giveBack returns credits that no waiting task needs; it answers even with
 // none, so that the agent may ask again.
 func (e *Entry) giveBack(a *agent, n int) {
-	n = min(n, a.credits)
-	a.credits -= n
-	a.out.Returned += uint32(n)
+	known := e.policy.sched.Pool.Agent(a.hello.Agent)
+	a.out.Returned += uint32(e.policy.sched.Pool.Reclaim(known, n))
+	a.out.Recalled = true
 	a.dirty = true
 }
 
@@ -287,6 +299,8 @@
 			continue
 		}
 		a.untrack(t)
+		e.release(a, t)
+		e.learn(now, a, t, res)
 		if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
 			e.refused(now, t, res)
 			continue
@@ -299,7 +313,7 @@
 func (e *Entry) flush(now time.Time, a *agent) {
 	f := &pb.EntryFrame{
 		Revokes: a.out.Revokes, Fences: a.out.Fences, Finished: a.out.Finished,
-		Returned: a.out.Returned, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
+		Returned: a.out.Returned, Recalled: a.out.Recalled, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
 	}
 	a.out = pb.EntryFrame{}
 	a.dirty = false
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -6,6 +6,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
 // Options configure an Entry.
@@ -28,6 +29,13 @@
 	AgentLostAfter time.Duration
 	// RedialAfter is the least time between two attempts to reach an agent.
 	RedialAfter time.Duration
+	// Picker chooses agents for tasks; nil: late binding by credits.
+	Picker place.Picker
+	// DomainRoundTrip is the round trip to an agent in another failure domain,
+	// beyond the one to an agent in the entry's own.
+	DomainRoundTrip time.Duration
+	// MaxWaiting bounds the tasks that wait.
+	MaxWaiting int
 	// MaxJobs bounds the jobs held, ended ones included.
 	MaxJobs int
 }
@@ -39,6 +47,10 @@
 	DefaultAgentLostAfter = 10 * time.Second
 	DefaultRedialAfter    = 250 * time.Millisecond
 	DefaultMaxJobs        = 200_000
+	DefaultMaxWaiting     = 100_000
+	// DefaultMessageCost and DefaultSpreadCost are the default picker's.
+	DefaultMessageCost = time.Millisecond
+	DefaultSpreadCost  = 2 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -52,6 +64,12 @@
 	set(&o.TokenTTL, DefaultTokenTTL)
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
 	set(&o.RedialAfter, DefaultRedialAfter)
+	if o.Picker == nil {
+		o.Picker = &place.Credits{MessageCost: DefaultMessageCost, SpreadCost: DefaultSpreadCost}
+	}
+	if o.MaxWaiting == 0 {
+		o.MaxWaiting = DefaultMaxWaiting
+	}
 	if o.MaxJobs == 0 {
 		o.MaxJobs = DefaultMaxJobs
 	}
@@ -90,7 +108,8 @@
 	jobs       map[string]*jobState
 	deadlines  deadlineHeap
 	ended      []*jobState // answered jobs, oldest first
-	queue      queue
+	policy     *policy
+	others     map[string]bool // incarnations of the other entries
 	recoveries map[string]*recovery
 
 	leaving bool
@@ -99,8 +118,10 @@
 
 // New returns an Entry without agents.
 func New(opts Options) *Entry {
+	opts = opts.withDefaults()
 	return &Entry{
-		opts:       opts.withDefaults(),
+		opts:       opts,
+		policy:     newPolicy(opts),
 		byName:     make(map[string]*agent),
 		jobs:       make(map[string]*jobState),
 		recoveries: make(map[string]*recovery),
@@ -134,6 +155,7 @@
 	for _, a := range e.agents {
 		e.tickAgent(now, a)
 	}
+	e.check(now)
 	e.forgetOld(now)
 }
 
@@ -143,6 +165,7 @@
 	if len(e.deadlines) > 0 {
 		next = e.deadlines[0].deadline
 	}
+	next = link.Earlier(next, e.nextCheck())
 	for _, r := range e.recoveries {
 		next = link.Earlier(next, r.deadline)
 	}
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -10,6 +10,7 @@
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/job"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
 // phase is how far a task has come.
@@ -33,8 +34,9 @@
 	deadline time.Time
 	heapPos  int
 	tasks    []taskState
-	open     int  // tasks that have not ended
-	touched  bool // some task may have started
+	queued   *place.Job // the tasks that wait
+	open     int        // tasks that have not ended
+	touched  bool       // some task may have started
 	answer   *pb.Answer
 	answered time.Time
 	issued   time.Duration // uptime when the id's token was handed out
@@ -48,6 +50,7 @@
 	pos    int // in agent.tasks
 	seq    uint64
 	start  *pb.TaskStart
+	run    time.Duration // as estimated
 	result *pb.TaskResult
 }
 
@@ -72,10 +75,15 @@
 	if js := e.jobs[j.Id]; js != nil {
 		return e.resubmit(js, j, digest)
 	}
-	if answer := e.admit(now, j); answer != nil {
+	c, answer := e.admit(now, j)
+	if answer != nil {
 		return Answered, answer
 	}
-	e.accept(now, j, digest)
+	queued, request := e.plan(now, j, c)
+	if answer := e.refusal(now, j, request); answer != nil {
+		return Answered, answer
+	}
+	e.accept(now, j, digest, queued)
 	return Accepted, nil
 }
 
@@ -98,50 +106,52 @@
 	return Joined, nil
 }
 
-// admit returns the refusal of a new job, nil when it may run.
-func (e *Entry) admit(now time.Time, j *pb.Job) *pb.Answer {
+// admit returns a new job's contract, or why the job must not run.
+func (e *Entry) admit(now time.Time, j *pb.Job) (*pb.Contract, *pb.Answer) {
 	id, err := job.Parse(j.Id)
 	if err != nil || !id.HasHome() || id.Home.Incarnation != e.opts.Hello.Incarnation {
-		return refuse(j.Id, jobs.CodeBadRequest, "the id does not name this entry", 0)
+		return nil, refuse(j.Id, jobs.CodeBadRequest, "the id does not name this entry", 0)
 	}
 	if now.Sub(e.opts.Started)-id.Home.IssuedAt() > e.opts.TokenTTL {
 		// The entry may have run this id and forgotten it since. Starting it again
 		// would be the second start that the caller can't see.
-		return unknown(j.Id, jobs.CodeNotFound, "the id's home token has expired")
+		return nil, unknown(j.Id, jobs.CodeNotFound, "the id's home token has expired")
 	}
-	c := e.opts.Contract(j.Contract)
+	c := e.contract(now, j.Contract)
 	switch {
 	case e.leaving:
-		return refuse(j.Id, jobs.CodeLeaving, "the entry is shutting down", time.Second)
+		return nil, refuse(j.Id, jobs.CodeLeaving, "the entry is shutting down", time.Second)
 	case c == nil || c.Deleted:
-		return refuse(j.Id, jobs.CodeUnknownContract, "no such contract", 0)
+		return nil, refuse(j.Id, jobs.CodeUnknownContract, "no such contract", 0)
 	case len(j.Tasks) == 0 || len(j.Tasks) > jobs.MaxTasks:
-		return refuse(j.Id, jobs.CodeBadRequest, "a job has 1 to 160 tasks", 0)
-	case e.queue.waiting(j.Contract)+len(j.Tasks) > int(c.Waiting):
-		return refuse(j.Id, jobs.CodeQueueFull, "the contract's waiting limit is reached", time.Second)
+		return nil, refuse(j.Id, jobs.CodeBadRequest, "a job has 1 to 160 tasks", 0)
 	case len(e.jobs) >= e.opts.MaxJobs:
-		return refuse(j.Id, jobs.CodeOverloaded, "the entry holds as many jobs as it can", time.Second)
+		return nil, refuse(j.Id, jobs.CodeOverloaded, "the entry holds as many jobs as it can", time.Second)
 	}
 	if j.TimeoutMs == 0 {
 		j.TimeoutMs = c.DefaultTimeoutMs
 	}
-	return nil
+	return c, nil
 }
 
-func (e *Entry) accept(now time.Time, j *pb.Job, digest uint64) {
+func (e *Entry) accept(now time.Time, j *pb.Job, digest uint64, queued *place.Job) {
 	id, _ := job.Parse(j.Id)
 	js := &jobState{
 		job: j, digest: digest, open: len(j.Tasks), issued: id.Home.IssuedAt(),
 		deadline: now.Add(time.Duration(j.TimeoutMs) * time.Millisecond),
-		tasks:    make([]taskState, len(j.Tasks)),
+		tasks:    make([]taskState, len(j.Tasks)), queued: queued,
 	}
 	starts := make([]pb.TaskStart, len(j.Tasks))
 	for i, t := range j.Tasks {
 		s := &starts[i]
-		s.Task, s.Payload, s.MemoryBytes, s.CpuMillis = uint32(i), t.Payload, t.MemoryBytes, t.CpuMillis
+		s.Task, s.Payload, s.CpuMillis = uint32(i), t.Payload, t.CpuMillis
 		js.tasks[i] = taskState{job: js, index: uint32(i), start: s}
-		e.queue.push(e.opts.Contract(j.Contract), &js.tasks[i])
 	}
+	for _, w := range queued.Tasks {
+		starts[w.Number].MemoryBytes = w.Memory
+		js.tasks[w.Number].run = w.Run
+	}
+	e.policy.sched.Push(queued)
 	e.jobs[j.Id] = js
 	heap.Push(&e.deadlines, js)
 }
@@ -185,12 +195,9 @@
 
 // revokeAll withdraws what has not ended, with one message per agent.
 func (e *Entry) revokeAll(js *jobState) {
+	e.drop(js)
 	for i := range js.tasks {
-		t := &js.tasks[i]
-		switch t.phase {
-		case waiting:
-			e.queue.remove(t)
-		case sent, received:
+		if t := &js.tasks[i]; t.phase == sent || t.phase == received {
 			t.agent.revoke(t)
 		}
 	}
@@ -245,7 +252,7 @@
 		t.job.open--
 		return
 	}
-	e.queue.push(e.opts.Contract(t.job.job.Contract), t)
+	e.policy.sched.PutBack(t.job.queued, place.Task{Number: t.index, Run: t.run, Memory: t.start.MemoryBytes})
 }
 
 // forgetAt is when an ended job may be dropped: its answer has been kept long
--- /dev/null
+++ b/dispatch/entry/policy.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"math"
+	"time"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/estimate"
+	"github.com/papayahoist/papayahoist/dispatch/health"
+	"github.com/papayahoist/papayahoist/dispatch/limit"
+	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/place"
+)
+
+// policy is what the entry decides by: the order of waiting tasks and the agents
+// for them, the contracts' limits, the sizes of tasks, and the agents' standing.
+type policy struct {
+	sched     *place.Scheduler
+	limits    *limit.Limiter
+	shares    *limit.Shares
+	sizes     *estimate.Estimator
+	health    *health.Judge
+	contracts map[string]*pb.Contract // as last applied
+	checked   time.Time               // when waiting jobs were last looked through
+	opensAt   time.Time               // when a rate lets a contract go on
+}
+
+// checkEvery is how often waiting jobs are checked for deadlines that can't be
+// met any more, and contracts for changes.
+const checkEvery = 50 * time.Millisecond
+
+func newPolicy(o Options) *policy {
+	limits := limit.NewLimiter()
+	return &policy{
+		sched:     place.NewScheduler(o.Picker, limits),
+		limits:    limits,
+		shares:    limit.NewShares(o.Hello.Incarnation),
+		sizes:     estimate.New(estimate.Options{}),
+		health:    health.New(health.Options{}),
+		contracts: make(map[string]*pb.Contract),
+	}
+}
+
+// contract returns the contract in force, and applies it if it has changed.
+func (e *Entry) contract(now time.Time, name string) *pb.Contract {
+	c := e.opts.Contract(name)
+	p := e.policy
+	if c == p.contracts[name] {
+		return c
+	}
+	p.contracts[name] = c
+	applied := limit.Contract{Name: name}
+	if c != nil && !c.Deleted {
+		applied = limit.Contract{
+			Name: name, Rate: c.Rate, Burst: c.Burst, Concurrency: c.Concurrency,
+			MemoryBytes: c.MemoryBytes, Waiting: c.Waiting,
+		}
+		p.sched.SetContract(name, classOf(c), c.Weight)
+	}
+	p.limits.SetContract(applied, now)
+	p.shares.SetContract(name, applied.Concurrency)
+	p.shares.Tick()
+	e.applyShares(now)
+	return c
+}
+
+func classOf(c *pb.Contract) place.Class {
+	switch c.Class {
+	case pb.Class_CLASS_URGENT:
+		return place.Urgent
+	case pb.Class_CLASS_BULK:
+		return place.Bulk
+	}
+	return place.Normal
+}
+
+// applyShares puts this entry's parts of the contracts in force.
+func (e *Entry) applyShares(now time.Time) {
+	p := e.policy
+	for name := range p.contracts {
+		slots, total := p.shares.Part(name)
+		if p.limits.SetPart(name, slots, total, now) {
+			p.sched.Unblock(name)
+		}
+	}
+}
+
+// plan estimates a job's tasks.
+func (e *Entry) plan(now time.Time, j *pb.Job, c *pb.Contract) (*place.Job, limit.Request) {
+	_, largest := e.policy.sched.Pool.Largest()
+	if largest == 0 {
+		largest = math.MaxUint64
+	}
+	left := time.Duration(j.TimeoutMs) * time.Millisecond
+	r := limit.Request{Contract: j.Contract, Tasks: len(j.Tasks), Left: left, LargestMemory: largest}
+	w := &place.Job{
+		ID: j.Id, Contract: j.Contract, Kind: j.Kind, Deadline: now.Add(left),
+		Tasks: make([]place.Task, len(j.Tasks)),
+	}
+	for i, t := range j.Tasks {
+		declared := estimate.Declared{Memory: t.MemoryBytes, Run: time.Duration(t.RunMillis) * time.Millisecond}
+		s := e.policy.sizes.Estimate(j.Contract, j.Kind, declared, now)
+		if !s.Certain {
+			// A guess must not keep a job from running at all.
+			s.Memory = min(s.Memory, largest, c.MemoryBytes)
+		}
+		w.Tasks[i] = place.Task{Number: uint32(i), Run: s.Run, Memory: s.Memory}
+		w.MinRun = s.LikelyRun
+		r.MemoryBytes = max(r.MemoryBytes, s.Memory)
+		r.Run = max(r.Run, s.Run)
+		r.MinRun, r.LikelyRun = s.MinRun, s.LikelyRun
+	}
+	place.LongestFirst(w.Tasks)
+	w.Due = place.Due(now, w.Deadline, w.Tasks, e.policy.sched.Pool.Slots())
+	return w, r
+}
+
+// refusal returns why a new job is not taken, nil when it may run. Nothing of it
+// has been sent to any agent, so "not run" is true.
+func (e *Entry) refusal(now time.Time, j *pb.Job, r limit.Request) *pb.Answer {
+	p := e.policy
+	r.Waiting = p.sched.WaitingOf(j.Contract)
+	r.QueueWait = p.sched.Queue().Wait(j.Contract, p.sched.Pool.Credits()+p.sched.Pool.Outstanding())
+	if refused := p.limits.Admit(r, now); refused != nil {
+		return refuse(j.Id, refused.Code, refused.Message, refused.RetryAfter)
+	}
+	if !e.makeRoom(now, j) {
+		return refuse(j.Id, jobs.CodeOverloaded, "too many tasks wait at the entry", time.Second)
+	}
+	return nil
+}
+
+// makeRoom sheds waiting jobs of lower classes when too many tasks wait. None of
+// their tasks has been sent.
+func (e *Entry) makeRoom(now time.Time, j *pb.Job) bool {
+	p := e.policy
+	for p.sched.Waiting()+len(j.Tasks) > e.opts.MaxWaiting {
+		victim := p.sched.Queue().Victim(classOf(p.contracts[j.Contract]))
+		if victim == nil {
+			return false
+		}
+		e.endEarly(now, e.jobs[victim.ID], jobs.CodeOverloaded, "shed for more urgent work")
+	}
+	return true
+}
+
+// drop takes a job's waiting tasks out of the order.
+func (e *Entry) drop(js *jobState) {
+	for _, w := range e.policy.sched.Remove(js.queued) {
+		js.tasks[w.Number].phase = ended
+		js.open--
+	}
+}
+
+// release gives back what a task took at an agent and of its contract.
+func (e *Entry) release(a *agent, t *taskState) {
+	p := e.policy
+	if known := p.sched.Pool.Agent(a.hello.Agent); known != nil {
+		p.sched.Pool.Ended(known, known.Units(t.start.MemoryBytes))
+	}
+	contract := t.job.job.Contract
+	if p.limits.Ended(contract, t.start.MemoryBytes) {
+		p.sched.Unblock(contract)
+	}
+}
+
+// learn takes in a result for the estimates and the agent's standing.
+func (e *Entry) learn(now time.Time, a *agent, t *taskState, res *pb.TaskResult) {
+	complete := res.Outcome == pb.Outcome_OUTCOME_COMPLETE
+	failed := res.Outcome == pb.Outcome_OUTCOME_FAILED
+	if !complete && !failed || (failed && t.job.answer != nil) {
+		// Not run, or stopped because nobody waits for it any more.
+		return
+	}
+	j := t.job.job
+	run := time.Duration(res.RunMillis) * time.Millisecond
+	if complete {
+		e.policy.sizes.Report(j.Contract, j.Kind, estimate.Usage{Memory: res.PeakMemoryBytes, Run: run}, now)
+	}
+	e.policy.health.Report(a.hello.Agent, health.Result{Contract: j.Contract, Kind: j.Kind, Failed: failed, Run: run}, now)
+	e.updateAgent(now, a)
+}
+
+// updateAgent tells the scheduler what is known of an agent.
+func (e *Entry) updateAgent(now time.Time, a *agent) *place.Agent {
+	name := a.hello.Agent
+	standing := e.policy.health.Standing(name, now)
+	if !a.session.IsUp() || a.leaving {
+		standing = place.Suspended
+	}
+	return e.policy.sched.Pool.Update(place.Agent{
+		ID: name, Domain: a.hello.FailureDomain, Rack: a.hello.Rack, Distance: e.distance(a),
+		Slots: int(a.hello.Slots), Memory: a.hello.MemoryBytes,
+		Slowness: e.policy.health.Slowness(name), Standing: standing,
+	})
+}
+
+func (e *Entry) distance(a *agent) time.Duration {
+	if a.hello.FailureDomain == e.opts.Hello.FailureDomain {
+		return 0
+	}
+	return e.opts.DomainRoundTrip
+}
+
+// check looks through waiting jobs and agents for what time alone has changed.
+func (e *Entry) check(now time.Time) {
+	p := e.policy
+	p.limits.Open(now, p.sched.Unblock)
+	if now.Sub(p.checked) < checkEvery {
+		return
+	}
+	p.checked = now
+	for name := range p.contracts {
+		e.contract(now, name)
+	}
+	p.sched.Retry()
+	for _, a := range e.agents {
+		if a.session.IsUp() {
+			e.updateAgent(now, a)
+		}
+	}
+	for j := p.sched.Queue().Expired(now); j != nil; j = p.sched.Queue().Expired(now) {
+		e.endEarly(now, e.jobs[j.ID], jobs.CodeDeadline, "the deadline can't be met any more")
+	}
+}
+
+// nextCheck is when check is due, zero while nothing waits.
+func (e *Entry) nextCheck() time.Time {
+	if e.policy.sched.Waiting() == 0 {
+		return time.Time{}
+	}
+	return link.Earlier(e.policy.checked.Add(checkEvery), e.policy.opensAt)
+}
--- /dev/null
+++ b/dispatch/entry/shares.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/limit"
+)
+
+// PeersSeen names the incarnations of the other entries that may start tasks.
+// The driver must keep naming one until it is proven to start nothing any more:
+// it said goodbye and ended, or its lease has lapsed at the store and nobody has
+// heard it since. All contracts in force are given, so that they are divided
+// before the first job of each.
+func (e *Entry) PeersSeen(now time.Time, others []string, contracts []string) {
+	for _, name := range contracts {
+		e.contract(now, name)
+	}
+	shares := e.policy.shares
+	for _, name := range others {
+		shares.AddMember(name)
+	}
+	for name := range e.others {
+		if !slices.Contains(others, name) {
+			shares.Gone(name)
+		}
+	}
+	e.others = make(map[string]bool, len(others))
+	for _, name := range others {
+		e.others[name] = true
+	}
+	e.demand()
+	shares.Tick()
+	e.applyShares(now)
+}
+
+// demand tells the shares what this entry could use of each contract.
+func (e *Entry) demand() {
+	for name := range e.policy.contracts {
+		waiting := e.policy.sched.WaitingOf(name)
+		e.policy.shares.SetDemand(name, e.policy.limits.Running(name)+uint32(waiting))
+	}
+}
+
+// ShareState is what to tell the other entries.
+func (e *Entry) ShareState() *pb.ShareState {
+	e.demand()
+	s := e.policy.shares.State(e.policy.limits.Running)
+	return &pb.ShareState{
+		Entry: s.Entry, Plan: planToProto(s.Plan), Held: partsToProto(s.Held), Demand: partsToProto(s.Demand),
+	}
+}
+
+// SharesSeen takes in what another entry tells. States of one entry must come in
+// the order in which it made them.
+func (e *Entry) SharesSeen(now time.Time, m *pb.ShareState) {
+	if !e.others[m.GetEntry()] {
+		// Of an entry that is gone, or not announced yet: its state would make it a
+		// member that nobody takes out again.
+		return
+	}
+	for _, d := range m.Demand {
+		e.contract(now, d.Contract)
+	}
+	plan := planFromProto(m.Plan)
+	e.policy.shares.Receive(limit.ShareState{
+		Entry: m.Entry, Adopted: plan.ID, Held: partsFromProto(m.Held), Demand: partsFromProto(m.Demand), Plan: plan,
+	})
+	e.policy.shares.Tick()
+	e.applyShares(now)
+}
+
+func partsToProto(p limit.Parts) []*pb.SharePart {
+	out := make([]*pb.SharePart, 0, len(p))
+	for _, contract := range slices.Sorted(maps.Keys(p)) {
+		out = append(out, &pb.SharePart{Contract: contract, Slots: p[contract]})
+	}
+	return out
+}
+
+func partsFromProto(parts []*pb.SharePart) limit.Parts {
+	out := make(limit.Parts, len(parts))
+	for _, p := range parts {
+		out[p.Contract] = p.Slots
+	}
+	return out
+}
+
+func planToProto(p *limit.Plan) *pb.SharePlan {
+	out := &pb.SharePlan{Number: p.ID.Number, Allocator: p.ID.Allocator, Totals: partsToProto(p.Total)}
+	for _, entry := range slices.Sorted(maps.Keys(p.Entries)) {
+		out.Entries = append(out.Entries, &pb.EntryShares{Entry: entry, Parts: partsToProto(p.Entries[entry])})
+	}
+	return out
+}
+
+func planFromProto(m *pb.SharePlan) *limit.Plan {
+	p := &limit.Plan{
+		ID:      limit.PlanID{Number: m.GetNumber(), Allocator: m.GetAllocator()},
+		Total:   partsFromProto(m.GetTotals()),
+		Entries: make(map[string]limit.Parts, len(m.GetEntries())),
+	}
+	for _, e := range m.GetEntries() {
+		p.Entries[e.Entry] = partsFromProto(e.Parts)
+	}
+	return p
+}
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -73,13 +73,16 @@
 	Memory uint64
 	// Run is the expected run time.
 	Run time.Duration
-	// MinRun is the run time below which hardly any task of the kind ended;
-	// zero if that is not known well enough to refuse a job by it.
-	MinRun time.Duration
-	// Fresh tells that Memory rests on enough recent reports to refuse a job
-	// by it. Otherwise refusals would keep away the very reports that could
-	// correct the estimate.
-	Fresh bool
+	// MinRun is the run time below which hardly any task of the kind ended, and
+	// LikelyRun the one that half of them took; zero if that is not known well
+	// enough to refuse a job by it.
+	MinRun    time.Duration
+	LikelyRun time.Duration
+	// Certain tells that a job may be refused by Memory: it is what the caller
+	// declares of a kind that is not known, or rests on enough recent reports.
+	// Old reports are no reason, since refusals keep away the very reports
+	// that could correct them.
+	Certain bool
 }
 
 type kindKey struct{ contract, kind string }
@@ -123,7 +126,8 @@
 
 // Estimate returns what to expect of a task.
 func (e *Estimator) Estimate(contract, kindName string, declared Declared, now time.Time) Estimate {
-	if declared.Memory == 0 {
+	declares := declared.Memory > 0
+	if !declares {
 		declared.Memory = e.options.DefaultMemory
 	}
 	if declared.Run == 0 {
@@ -131,7 +135,7 @@
 	}
 	element := e.kinds[kindKey{contract, kindName}]
 	if element == nil {
-		return Estimate{Memory: declared.Memory, Run: declared.Run}
+		return Estimate{Memory: declared.Memory, Run: declared.Run, Certain: declares}
 	}
 	e.recent.MoveToFront(element)
 	k := element.Value.(*kind)
@@ -142,9 +146,9 @@
 	// What was seen to happen may happen again, however few reports there are.
 	estimate.Memory = max(estimate.Memory, k.memory.max()*memoryUnit)
 	if now.Sub(k.lastReport) <= e.options.Fresh {
-		estimate.Fresh = k.memory.count() >= minReports
+		estimate.Certain = k.memory.count() >= minReports
 		if k.run.count() >= minReports {
-			estimate.MinRun = k.minRun
+			estimate.MinRun, estimate.LikelyRun = k.minRun, k.typicalRun
 		}
 	}
 	return estimate
--- a/dispatch/estimate/estimate_test.go
+++ b/dispatch/estimate/estimate_test.go
@@ -24,7 +24,7 @@
 		t.Errorf("nothing declared: %+v", got)
 	}
 	got = e.Estimate("c", "k", Declared{Memory: 5 * mb, Run: time.Second}, epoch)
-	if got != (Estimate{Memory: 5 * mb, Run: time.Second}) {
+	if got != (Estimate{Memory: 5 * mb, Run: time.Second, Certain: true}) {
 		t.Errorf("declared: %+v", got)
 	}
 }
@@ -37,7 +37,7 @@
 			e := New(Options{})
 			d := Declared{Memory: declared, Run: 5 * time.Second}
 			e.Report("c", "k", Usage{Memory: 100 * mb, Run: 100 * time.Millisecond}, epoch)
-			if first := e.Estimate("c", "k", d, epoch); first.Memory < 100*mb || first.Fresh {
+			if first := e.Estimate("c", "k", d, epoch); first.Memory < 100*mb || first.Certain {
 				t.Errorf("after one report: %+v", first)
 			}
 			for range 199 {
@@ -69,10 +69,10 @@
 	for range 100 {
 		e.Report("c", "k", Usage{Memory: 100 * mb, Run: time.Second}, epoch)
 	}
-	if got := e.Estimate("c", "k", Declared{}, epoch.Add(DefaultFresh)); !got.Fresh || got.MinRun == 0 {
+	if got := e.Estimate("c", "k", Declared{}, epoch.Add(DefaultFresh)); !got.Certain || got.MinRun == 0 {
 		t.Errorf("fresh: %+v", got)
 	}
-	if got := e.Estimate("c", "k", Declared{}, epoch.Add(DefaultFresh+1)); got.Fresh || got.MinRun != 0 {
+	if got := e.Estimate("c", "k", Declared{}, epoch.Add(DefaultFresh+1)); got.Certain || got.MinRun != 0 {
 		t.Errorf("old: %+v", got)
 	}
 }
--- a/dispatch/limit/credits.go
+++ b/dispatch/limit/credits.go
@@ -134,6 +134,18 @@
 	c.granted -= n
 }
 
+// Unused takes back the credits of a start that used none: it was refused, or a
+// repetition.
+func (c *Credits) Unused(entry string, units int) {
+	if h := c.entries[entry]; h != nil {
+		units = min(units, h.granted)
+		h.granted -= units
+		h.low = min(h.low, h.granted)
+		h.recalled = min(h.recalled, h.granted)
+		c.granted -= units
+	}
+}
+
 // Free returns the slots that neither run a task nor are granted.
 func (c *Credits) Free() int { return c.slots - c.running - c.granted }
 
@@ -250,6 +262,26 @@
 	return changes
 }
 
+// RecallAt returns when Balance may have something to recall, zero if nobody
+// waits for it.
+func (c *Credits) RecallAt() time.Time {
+	wanted := 0
+	for _, h := range c.order {
+		wanted += h.want - h.recalled
+	}
+	var at time.Time
+	if wanted <= 0 {
+		return at
+	}
+	for _, h := range c.order {
+		next := h.since.Add(c.options.Damping)
+		if h.want == 0 && h.granted > h.recalled && (at.IsZero() || next.Before(at)) {
+			at = next
+		}
+	}
+	return at
+}
+
 func addGrant(changes []Grant, entry string, n int) []Grant {
 	for i := range changes {
 		if changes[i].Entry == entry {
--- a/dispatch/limit/limit_test.go
+++ b/dispatch/limit/limit_test.go
@@ -293,7 +293,7 @@
 
 func TestLimiterAdmit(t *testing.T) {
 	l := newLimiter(Contract{Rate: 10, Burst: 1, Concurrency: 10, MemoryBytes: 1000, Waiting: 100})
-	ok := Request{Contract: "c", Tasks: 1, Left: time.Minute, Run: time.Second}
+	ok := Request{Contract: "c", Tasks: 1, Left: time.Minute, Run: time.Second, LargestMemory: 2000}
 	cases := []struct {
 		name   string
 		change func(*Request)
@@ -303,6 +303,7 @@
 		{"taken", func(*Request) {}, "", false},
 		{"unknown", func(r *Request) { r.Contract = "x" }, jobs.CodeUnknownContract, false},
 		{"memory", func(r *Request) { r.MemoryBytes = 1001 }, jobs.CodeDoesNotFit, false},
+		{"no worker", func(r *Request) { r.LargestMemory, r.MemoryBytes = 500, 600 }, jobs.CodeDoesNotFit, false},
 		{"too short", func(r *Request) { r.MinRun = time.Minute }, jobs.CodeDeadline, false},
 		{"waiting", func(r *Request) { r.Waiting = 100 }, jobs.CodeQueueFull, true},
 		{"rate", func(r *Request) { r.Waiting, r.Left = 90, 5*time.Second }, jobs.CodeRateLimited, true},
--- a/dispatch/limit/limiter.go
+++ b/dispatch/limit/limiter.go
@@ -44,6 +44,8 @@
 	total    uint32
 	running  uint32
 	memory   uint64
+	// blocked tells that Allow has let nothing through since the last change.
+	blocked bool
 }
 
 // Limiter holds the contracts at one entry, each within the entry's part. It
@@ -73,14 +75,16 @@
 // Remove forgets a contract. Its running tasks are no longer counted.
 func (l *Limiter) Remove(contract string) { delete(l.contracts, contract) }
 
-// SetPart sets the entry's part of a contract: slots out of total.
-func (l *Limiter) SetPart(contract string, slots, total uint32, now time.Time) {
+// SetPart sets the entry's part of a contract: slots out of total. It returns
+// whether the part has changed.
+func (l *Limiter) SetPart(contract string, slots, total uint32, now time.Time) bool {
 	u := l.contracts[contract]
 	if u == nil || (u.slots == slots && u.total == total) {
-		return
+		return false
 	}
 	u.slots, u.total = slots, total
 	u.apply(now)
+	return true
 }
 
 func (u *usage) apply(now time.Time) {
@@ -125,6 +129,7 @@
 		memory += tasks[i].Memory
 	}
 	if n <= 0 || !u.bucket.AllowN(now, n) {
+		u.blocked = true
 		return 0
 	}
 	u.running += uint32(n)
@@ -132,14 +137,33 @@
 	return n
 }
 
-// Ended counts a task as ended, with the memory that was reserved for it.
-func (l *Limiter) Ended(contract string, memory uint64) {
+// Ended counts a task as ended, with the memory that was reserved for it. It
+// returns whether the contract was held back and may go on.
+func (l *Limiter) Ended(contract string, memory uint64) bool {
 	u := l.contracts[contract]
 	if u == nil {
-		return
+		return false
 	}
 	u.running -= min(u.running, 1)
 	u.memory -= min(u.memory, memory)
+	return u.reopen()
+}
+
+func (u *usage) reopen() bool {
+	was := u.blocked
+	u.blocked = false
+	return was
+}
+
+// Open calls f with each contract that was held back and may go on because time
+// has passed.
+func (l *Limiter) Open(now time.Time, f func(contract string)) {
+	for name, u := range l.contracts {
+		if u.blocked && u.running < u.concurrency() && u.bucket.TokensAt(now) >= 1 {
+			u.reopen()
+			f(name)
+		}
+	}
 }
 
 // Running returns a contract's tasks started here and not ended.
@@ -150,6 +174,21 @@
 	return 0
 }
 
+// OpensAt returns when time alone lets a contract go on that was held back, zero
+// if there is none.
+func (l *Limiter) OpensAt(now time.Time) time.Time {
+	var at time.Time
+	for name, u := range l.contracts {
+		if !u.blocked {
+			continue
+		}
+		if opens, ok := l.Reopens(name, now); ok && (at.IsZero() || opens.Before(at)) {
+			at = opens
+		}
+	}
+	return at
+}
+
 // Reopens returns when the rate lets the next task of a contract through, or
 // false if time alone does not help.
 func (l *Limiter) Reopens(contract string, now time.Time) (time.Time, bool) {
@@ -165,10 +204,13 @@
 type Request struct {
 	Contract string
 	Tasks    int
-	// MemoryBytes is what its largest task needs.
-	MemoryBytes uint64
-	// Left is what remains to the deadline, MinRun the least run time.
-	Left, MinRun time.Duration
+	// MemoryBytes is what its largest task needs, LargestMemory what the largest
+	// worker has.
+	MemoryBytes, LargestMemory uint64
+	// Left is what remains to the deadline.
+	Left time.Duration
+	// MinRun is the least run time, LikelyRun the usual one; zero if unknown.
+	MinRun, LikelyRun time.Duration
 	// Run is the expected run time of a task.
 	Run time.Duration
 	// Waiting are the contract's tasks that wait here, QueueWait how long the
@@ -190,6 +232,9 @@
 	if c.MemoryBytes < r.MemoryBytes {
 		return &Refusal{Code: jobs.CodeDoesNotFit, Message: "a task needs more memory than the contract has"}
 	}
+	if r.LargestMemory < r.MemoryBytes {
+		return &Refusal{Code: jobs.CodeDoesNotFit, Message: "a task needs more memory than any worker has"}
+	}
 	if c.Rate <= 0 || c.Concurrency == 0 {
 		return &Refusal{Code: jobs.CodeRateLimited, Message: "the contract allows no tasks"}
 	}
@@ -197,16 +242,16 @@
 		return &Refusal{Code: jobs.CodeDeadline, Message: fmt.Sprintf("the deadline is shorter than the least run time, %v", r.MinRun)}
 	}
 	limitWait := u.wait(r, now)
-	if float64(r.Waiting+r.Tasks) > math.Ceil(float64(c.Waiting)*u.fraction()) {
+	if r.Waiting+r.Tasks > int(c.Waiting) {
 		return &Refusal{Code: jobs.CodeQueueFull, RetryAfter: max(limitWait, r.QueueWait, minRetryAfter), Message: "too many tasks of the contract wait"}
 	}
 	if r.Left <= 0 {
 		return nil
 	}
-	if late := limitWait + r.MinRun - r.Left; late >= 0 {
+	if late := limitWait + r.LikelyRun - r.Left; limitWait > 0 && late >= 0 {
 		return &Refusal{Code: jobs.CodeRateLimited, RetryAfter: max(late, minRetryAfter), Message: "at the contract's limits the deadline can't be met"}
 	}
-	if late := r.QueueWait + r.MinRun - r.Left; late >= 0 {
+	if late := r.QueueWait + r.LikelyRun - r.Left; r.QueueWait > 0 && late >= 0 {
 		return &Refusal{Code: jobs.CodeOverloaded, RetryAfter: max(late, minRetryAfter), Message: "the deadline can't be met at the present load"}
 	}
 	return nil
--- a/dispatch/place/pool.go
+++ b/dispatch/place/pool.go
@@ -66,7 +66,9 @@
 	return a.credits
 }
 
-// units returns how many credits a task takes there.
+// Units returns how many credits a task of so much memory takes there.
+func (a *Agent) Units(memory uint64) int { return a.units(memory) }
+
 func (a *Agent) units(memory uint64) int {
 	if memory <= a.slotMemory {
 		return 1
@@ -192,7 +194,7 @@
 // Reclaim takes up to n unused credits away, to be given back to the agent, and
 // returns how many.
 func (p *Pool) Reclaim(a *Agent, n int) int {
-	n = min(n, a.credits)
+	n = max(min(n, a.credits), 0)
 	p.SetCredits(a, a.credits-n)
 	return n
 }
--- a/dispatch/place/scheduler.go
+++ b/dispatch/place/scheduler.go
@@ -82,6 +82,13 @@
 	return n
 }
 
+// WaitingOf returns the number of waiting tasks of a contract.
+func (s *Scheduler) WaitingOf(contract string) int {
+	n := 0
+	s.eachQueue(func(q *Queue) { n += q.Waiting(contract) })
+	return n
+}
+
 func (s *Scheduler) eachQueue(f func(*Queue)) {
 	f(s.queue)
 	for _, a := range s.Pool.all {
--- a/node/entry/path_test.go
+++ b/node/entry/path_test.go
@@ -39,7 +39,10 @@
 	var wg sync.WaitGroup
 	t.Cleanup(func() { cancel(); wg.Wait() })
 
-	contract := &pb.Contract{Name: "desk", Waiting: 1000, DefaultTimeoutMs: 20_000, Class: pb.Class_CLASS_NORMAL}
+	contract := &pb.Contract{
+		Name: "desk", Waiting: 1000, DefaultTimeoutMs: 20_000, Class: pb.Class_CLASS_NORMAL, Weight: 1,
+		Rate: 10_000, Burst: 100, Concurrency: 8, MemoryBytes: 64 << 30,
+	}
 	e, err := entry.New(entry.Options{
 		Hello:         &pb.EntryHello{Entry: "e1", Incarnation: entry.NewIncarnation(), FailureDomain: "a"},
 		CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0",
