--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -27,4 +27,6 @@
 	registerJob,
 	registerStatus,
 	registerTimeline,
+	registerBench,
+	registerDemo,
 }
