--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -28,5 +28,6 @@
 	registerJob,
 	registerStatus,
 	registerTimeline,
+	registerBench,
 	registerDemo,
 }
--- a/dispatch/limit/credits.go
+++ b/dispatch/limit/credits.go
@@ -93,19 +93,21 @@
 	}
 }
 
-// Start uses an entry's credits for a task. It returns false, and the task must
-// not start, if the entry holds too few: a start sent before its credits became
-// void would otherwise take a slot promised to another.
+// Start uses an entry's credits for a task, and free slots for what they lack: a
+// start sent again on a new link comes before the credits of that link. It returns
+// false, and the task must not start, if there are too few of both, since it would
+// take a slot promised to another entry.
 func (c *Credits) Start(entry string, units int) bool {
 	h := c.entries[entry]
-	if h == nil || h.granted < units {
+	if h == nil || h.granted+c.Free() < units {
 		return false
 	}
-	h.granted -= units
+	used := min(h.granted, units)
+	h.granted -= used
 	h.running += units
 	h.low = min(h.low, h.granted)
 	h.recalled = min(h.recalled, h.granted)
-	c.granted -= units
+	c.granted -= used
 	c.running += units
 	return true
 }
@@ -132,6 +134,18 @@
 	c.granted -= n
 }
 
+// Unused takes back the credits of a start that used none: it was refused, or a
+// repetition.
+func (c *Credits) Unused(entry string, units int) {
+	if h := c.entries[entry]; h != nil {
+		units = min(units, h.granted)
+		h.granted -= units
+		h.low = min(h.low, h.granted)
+		h.recalled = min(h.recalled, h.granted)
+		c.granted -= units
+	}
+}
+
 // Free returns the slots that neither run a task nor are granted.
 func (c *Credits) Free() int { return c.slots - c.running - c.granted }
 
@@ -248,6 +262,26 @@
 	return changes
 }
 
+// RecallAt returns when Balance may have something to recall, zero if nobody
+// waits for it.
+func (c *Credits) RecallAt() time.Time {
+	wanted := 0
+	for _, h := range c.order {
+		wanted += h.want - h.recalled
+	}
+	var at time.Time
+	if wanted <= 0 {
+		return at
+	}
+	for _, h := range c.order {
+		next := h.since.Add(c.options.Damping)
+		if h.want == 0 && h.granted > h.recalled && (at.IsZero() || next.Before(at)) {
+			at = next
+		}
+	}
+	return at
+}
+
 func addGrant(changes []Grant, entry string, n int) []Grant {
 	for i := range changes {
 		if changes[i].Entry == entry {
