--- a/client/client_test.go
+++ b/client/client_test.go
@@ -266,6 +266,7 @@
 		code  jobs.Code
 	}{
 		{"refused", []step{refuse(422, jobs.Error{Code: jobs.CodeDoesNotFit, Outcome: jobs.OutcomeNotRun})}, NotRun, jobs.CodeDoesNotFit},
+		{"id of another job", []step{refuse(409, jobs.Error{Code: jobs.CodeConflict, Outcome: jobs.OutcomeNotRun})}, OutcomeUnknown, jobs.CodeConflict},
 		{"failed", []step{refuse(500, failed)}, Failed, jobs.CodeTaskFailed},
 		{"home died", []step{refuse(410, jobs.Error{Code: jobs.CodeHomeLost, Outcome: jobs.OutcomeUnknown})}, OutcomeUnknown, jobs.CodeHomeLost},
 		{"error without an outcome", []step{refuse(500, jobs.Error{Code: jobs.CodeUnavailable})}, OutcomeUnknown, jobs.CodeUnavailable},
--- a/client/errors.go
+++ b/client/errors.go
@@ -71,9 +71,13 @@
 		WithProperty(propertyRetryAfter, time.Duration(e.RetryAfterMillis)*time.Millisecond)
 }
 
-// typeOf takes the entry's word for the outcome, and no word for unknown.
+// typeOf takes the entry's word for the outcome, and no word for unknown. A
+// conflict's word is about the body that was sent; another job has the id, and
+// may have run.
 func typeOf(e jobs.Error) *errorx.Type {
 	switch {
+	case e.Code == jobs.CodeConflict:
+		return OutcomeUnknown
 	case e.Outcome == jobs.OutcomeNotRun:
 		return NotRun
 	case e.Outcome == jobs.OutcomeFailed:
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -102,6 +103,17 @@
 // Callers lists the entries' base URLs for callers.
 func (d *Demo) Callers() []string { return d.site.CallerURLs() }
 
+// Publish makes the first entry's callers' port reachable at a fixed address
+// until the returned function is called.
+func (d *Demo) Publish(address string) (end func(), err error) {
+	relay, err := site.NewRelayAt(address, 0)
+	if err != nil {
+		return nil, Start.Wrap(err, "address for callers")
+	}
+	relay.SetBackend(strings.TrimPrefix(d.Callers()[0], "http://"))
+	return relay.Close, nil
+}
+
 // Stop drains the site.
 func (d *Demo) Stop() { d.site.Stop() }
 
--- a/cmd/internal/site/relay.go
+++ b/cmd/internal/site/relay.go
@@ -29,7 +29,12 @@
 
 // NewRelay listens on a free loopback port; each direction is delayed.
 func NewRelay(delay time.Duration) (*Relay, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewRelayAt("127.0.0.1:0", delay)
+}
+
+// NewRelayAt listens on the given IP and port; each direction is delayed.
+func NewRelayAt(address string, delay time.Duration) (*Relay, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, ErrSite.Wrap(err, "relay")
 	}
--- a/cmd/papayahoist/contract.go
+++ b/cmd/papayahoist/contract.go
@@ -29,7 +29,7 @@
 	c := &contractCommand{env: env}
 	command := app.Command("contract", "Read and change customers' contracts in the platform's key-value service.")
 	command.Flag("store", `Base URL of the key-value service, "http://ip:port".`).
-		Default("http://127.0.0.1:7500").Envar("PAPAYAHOIST_STORE").StringVar(&c.store)
+		Default("http://127.0.0.1:7900").Envar("PAPAYAHOIST_STORE").StringVar(&c.store)
 	command.Flag("json", "Print JSON.").BoolVar(&c.json)
 	c.registerReading(command)
 	c.registerChanging(command)
--- a/cmd/papayahoist/demo.go
+++ b/cmd/papayahoist/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -14,6 +15,7 @@
 	env     *cli.Env
 	options demo.Options
 	keep    bool
+	listen  string
 	json    bool
 }
 
@@ -25,6 +27,7 @@
 	command.Flag("seed", "Fixes the arrivals.").Default(fmt.Sprint(demo.DefaultSeed)).Uint64Var(&c.options.Seed)
 	command.Flag("faults", "Kill an entry and an agent halfway, and start them again.").BoolVar(&c.options.Faults)
 	command.Flag("keep", "Leave the site serving until interrupted.").BoolVar(&c.keep)
+	command.Flag("listen", "With --keep: where the first entry serves callers.").Default("127.0.0.1:7400").StringVar(&c.listen)
 	command.Flag("json", "Print the report as JSON.").BoolVar(&c.json)
 	command.Action(cli.Action(c.run))
 }
@@ -51,12 +54,24 @@
 		return err
 	}
 	if c.keep {
-		c.env.Progress("serving callers at %q until interrupted", running.Callers())
-		<-c.env.Context.Done()
+		return c.serve(running)
 	}
 	return nil
 }
 
+// serve leaves the site running until the command is ended by a signal.
+func (c *demoCommand) serve(running *demo.Demo) error {
+	end, err := running.Publish(c.listen)
+	if err != nil {
+		return err
+	}
+	defer end()
+	c.env.Progress("serving callers at http://%s until interrupted; all entries: %s",
+		c.listen, strings.Join(running.Callers(), " "))
+	<-c.env.Context.Done()
+	return nil
+}
+
 func (c *demoCommand) print(report *demo.Report) error {
 	if c.json {
 		return c.env.JSON(report)
--- a/cmd/papayahoist/job.go
+++ b/cmd/papayahoist/job.go
@@ -157,14 +157,17 @@
 	code, outcome := codeOf(err)
 	if c.json {
 		body := jobs.Error{
-			ID: client.JobOf(err), Code: client.CodeOf(err), Outcome: outcome, Message: err.Error(),
+			ID: client.JobOf(err), Code: client.CodeOf(err), Outcome: outcome, Message: cli.Message(err),
 			RetryAfterMillis: uint32(client.RetryAfterOf(err).Milliseconds()),
 		}
 		if jsonErr := c.env.JSON(body); jsonErr != nil {
 			return jsonErr
 		}
 	}
-	return cli.Fail(code, fmt.Errorf("job %s: %w", client.JobOf(err), err))
+	if id := client.JobOf(err); id != "" {
+		c.env.Progress("job %s", id)
+	}
+	return cli.Fail(code, err)
 }
 
 func codeOf(err error) (cli.Code, jobs.Outcome) {
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -24,9 +24,21 @@
 	r.Post(jobs.PathJobs, e.handleSubmit)
 	r.Get(jobs.PathJobs+"/{id}", e.handleFetch)
 	r.Delete(jobs.PathJobs+"/{id}", e.handleCancel)
+	r.NotFound(handleNoPath)
+	r.MethodNotAllowed(handleNoMethod)
 	return r
 }
 
+func handleNoPath(w http.ResponseWriter, _ *http.Request) {
+	writeError(w, refusal("", jobs.CodeNotFound, "no such path; see the documentation of the callers' interface"))
+}
+
+func handleNoMethod(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusMethodNotAllowed, jobs.Error{
+		Code: jobs.CodeBadRequest, Outcome: jobs.OutcomeNotRun, Message: "the path does not take this method",
+	})
+}
+
 func (e *Entry) token() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
