--- a/cmd/internal/status/status.go
+++ b/cmd/internal/status/status.go
@@ -73,6 +73,8 @@
 	// Jobs since the entries' starts.
 	Offered uint64 `json:"offered"`
 	Served  uint64 `json:"served"`
+	// Started tasks since the entries' starts.
+	Started uint64 `json:"started"`
 	// Refused by code since the entries' starts, and per second now.
 	Refused    map[string]uint64  `json:"refused,omitempty"`
 	RefusedNow map[string]float64 `json:"refused_per_second,omitempty"`
@@ -225,7 +227,7 @@
 	if c.Limits == nil || s.Contract.GetRevision() > c.Revision {
 		c.setLimits(s.Contract)
 	}
-	c.Starts += s.StartsPerSecond
+	c.Started += s.Started
 	c.Running += s.Running
 	c.Waiting += s.Waiting
 	c.MemoryBytes += s.MemoryBytes
@@ -261,6 +263,9 @@
 // rates compares with an earlier reading. A counter that went down belongs to
 // an entry that restarted in between; there is no rate then.
 func (c *Contract) rates(old *Contract, interval time.Duration) {
+	if c.Started > old.Started {
+		c.Starts = float64(c.Started-old.Started) / interval.Seconds()
+	}
 	c.RefusedNow = map[string]float64{}
 	for code, count := range c.Refused {
 		if count > old.Refused[code] {
--- a/cmd/internal/status/status_test.go
+++ b/cmd/internal/status/status_test.go
@@ -15,14 +15,14 @@
 
 var at = time.Date(2026, 3, 1, 3, 12, 9, 0, time.UTC)
 
-func entryStatus(name string, revision, refused uint64, agents ...*pb.AgentStatus) *pb.StatusResponse {
+func entryStatus(name string, revision, refused, started uint64, agents ...*pb.AgentStatus) *pb.StatusResponse {
 	return &pb.StatusResponse{
 		Process: name, Role: fleet.RoleEntry, FailureDomain: "frame-hall", Version: "v1", ConfigRevision: revision,
 		StartedUnixMs: at.Add(-time.Hour).UnixMilli(), Agents: agents,
 		Contracts: []*pb.ContractStatus{{
 			Contract: &pb.Contract{Name: "stamps", Revision: revision, Class: pb.Class_CLASS_NORMAL, Rate: 100,
 				Concurrency: 8, Waiting: 1000, MemoryBytes: 8 << 30},
-			Waiting: 10, Running: 4, Offered: 100, Served: 80, StartsPerSecond: 20, MemoryBytes: 1 << 30,
+			Waiting: 10, Running: 4, Offered: 100, Served: 80, Started: started, MemoryBytes: 1 << 30,
 			Refused: []*pb.RefusedCount{{Code: "rate_limited", Count: refused}},
 		}},
 	}
@@ -37,12 +37,12 @@
 	// At night an entry and an agent die, another entry is cut off from the
 	// store and so behind with the configuration, a worker fails its tasks, and a
 	// customer is over its rate. Whoever is called sees each of them at the top.
-	before := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 2), entryStatus("entry-2", 7, 1)}}
-	behind := entryStatus("entry-2", 6, 1, agentStatus("agent-1", false, ""), agentStatus("agent-2", true, ""))
+	before := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 2, 100), entryStatus("entry-2", 7, 1, 100)}}
+	behind := entryStatus("entry-2", 6, 1, 140, agentStatus("agent-1", false, ""), agentStatus("agent-2", true, ""))
 	behind.StoreError = "deadline exceeded"
 	now := &fleet.Fleet{
 		Statuses: []*pb.StatusResponse{
-			entryStatus("entry-1", 7, 12, agentStatus("agent-1", true, ""), agentStatus("agent-2", true, "tasks fail fast")),
+			entryStatus("entry-1", 7, 12, 140, agentStatus("agent-1", true, ""), agentStatus("agent-2", true, "tasks fail fast")),
 			behind,
 		},
 		Failures: []fleet.Failure{{Process: fleet.Process{Name: "entry-3"}, Err: errors.New("connection refused")}},
@@ -81,7 +81,7 @@
 func TestScreenStaysOneScreen(t *testing.T) {
 	// A failure domain with 800 agents is lost. The screen must still show the
 	// contracts, instead of 800 lines above them.
-	now := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 0)}}
+	now := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 0, 0)}}
 	var gone []fleet.Failure
 	for range 800 {
 		gone = append(gone, fleet.Failure{Process: fleet.Process{Name: "agent-1"}, Err: errors.New("no route")})
@@ -99,8 +99,8 @@
 func TestRatesSurviveRestarts(t *testing.T) {
 	// An entry restarts between the two readings, and its counters begin anew.
 	// Taken as unsigned numbers, their difference would be astronomical.
-	before := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 500)}}
-	now := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 3)}}
+	before := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 500, 900)}}
+	now := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 3, 2)}}
 	r := newReport(now, nil, before, time.Second, at)
 	if got := sum(r.Contracts[0].RefusedNow); got != 0 {
 		t.Errorf("%v refused a second, want none", got)
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 )
@@ -23,6 +24,8 @@
 	MaxFences int
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
+	// Events takes what happens, for the time line, and stamps messages; nil: none.
+	Events *event.Ring
 }
 
 // Defaults of Options.
@@ -104,6 +107,9 @@
 	fenceOrder []string
 	evicted    map[string]bool // homes with dropped records
 
+	// dropped counts the records evicted since the last Ready
+	dropped int
+
 	leaving bool
 	ready   Ready
 }
@@ -177,6 +183,7 @@
 	}
 	p.hello = hello
 	p.session.Up(now, hello.Epoch, a.opts.Link)
+	a.recordPeer(now, event.LinkUp, p, "", hello.Epoch)
 	p.credits, p.want, p.recalled = 0, 0, false
 	p.unacked = nil
 	p.out = pb.AgentFrame{Hello: a.opts.Hello, Leaving: a.leaving}
@@ -206,6 +213,7 @@
 	if p == nil || p.session.Epoch() != epoch || !p.session.IsUp() {
 		return
 	}
+	a.recordPeer(now, event.LinkDown, p, "the connection ended", epoch)
 	a.drop(p)
 	a.balance()
 }
@@ -226,6 +234,10 @@
 	if !p.session.Received(now, f.Seq, f.Ack, HasContent(f)) {
 		return
 	}
+	if !a.opts.Events.Observe(f.Clock, now) && f.Seq == 1 {
+		a.recordPeer(now, event.ClockRejected, p, "its clock is too far ahead", 0)
+	}
+	a.recordReceived(now, p, f)
 	a.acknowledged(p)
 	p.leaving = f.Leaving
 	p.want = int(f.Want)
@@ -234,7 +246,7 @@
 		a.start(now, p, b)
 	}
 	for _, r := range f.Revokes {
-		a.revoke(p, r)
+		a.revoke(now, p, r)
 	}
 	for _, fe := range f.Fences {
 		a.fence(now, p, fe)
@@ -290,13 +302,16 @@
 				// A start sent again on a new link after the first arrived: running it
 				// twice is what this record prevents. The result, if any, was put on the
 				// new link when it came up.
+				a.recordTask(now, event.TaskDuplicate, p, TaskRef{b.Job, ts.Task}, b.Contract, "started before")
 				continue
 			}
 		}
 		if why := a.refuse(p, b, ts); why != "" {
+			a.recordTask(now, event.TaskRefused, p, TaskRef{b.Job, ts.Task}, b.Contract, why)
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
 		}
+		a.recordTask(now, event.TaskStarted, p, TaskRef{b.Job, ts.Task}, b.Contract, "")
 		a.run(now, p, b, ts)
 	}
 }
@@ -388,6 +403,7 @@
 	}
 	res.Task = ref.Task
 	t.result = res
+	a.recordEnd(now, rec, res)
 	a.running--
 	a.resultBytes += len(res.Body)
 	a.reserve(rec.contract, -1, -int64(t.memory))
@@ -422,7 +438,7 @@
 
 func (a *Agent) homeOf(rec *record) *peer { return a.peer(rec.home) }
 
-func (a *Agent) revoke(p *peer, r *pb.Revoke) {
+func (a *Agent) revoke(now time.Time, p *peer, r *pb.Revoke) {
 	rec := a.jobs[r.Job]
 	for _, index := range r.Tasks {
 		var t *task
@@ -433,9 +449,11 @@
 		case t == nil:
 			// The link is in order and older links are dropped: a start for this task
 			// can no longer arrive before the entry has seen this refusal.
+			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, "", "before it came")
 			a.addNews(p, r.Job, refusal(index, job.RefusedRevoked))
 		case t.result == nil && !t.stopping:
 			t.stopping = true
+			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, rec.contract, "while it runs")
 			a.ready.Stop = append(a.ready.Stop, TaskRef{Job: r.Job, Task: index})
 		}
 	}
@@ -467,6 +485,7 @@
 		}
 		rec.watch(p.hello.Incarnation)
 	}
+	a.recordFence(now, p, report)
 	p.out.Fenced = append(p.out.Fenced, report)
 	p.dirty = true
 }
@@ -508,6 +527,7 @@
 	changed := false
 	for _, p := range a.peers {
 		if p.session.Silent(now) {
+			a.recordPeer(now, event.PeerSuspected, p, "the link has gone silent", p.session.Epoch())
 			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
 			a.drop(p)
 			changed = true
@@ -532,6 +552,7 @@
 // Leave stops the agent from taking new work and tells every entry.
 func (a *Agent) Leave(now time.Time) {
 	a.leaving = true
+	a.opts.Events.Record(now, event.Event{Kind: event.DrainBegun, Detail: "no new tasks", Value: uint64(a.running)})
 	for _, p := range a.peers {
 		p.credits = 0
 		p.dirty = p.session.IsUp()
@@ -558,6 +579,10 @@
 			a.flush(now, p)
 		}
 	}
+	if a.dropped > 0 {
+		a.opts.Events.Record(now, event.Event{Kind: event.RecordsEvicted, Value: uint64(a.dropped)})
+		a.dropped = 0
+	}
 	r := a.ready
 	a.ready = Ready{}
 	return r
@@ -576,6 +601,8 @@
 	}
 	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
 	f.Seq, f.Ack = p.session.Send(now, content)
+	a.recordSent(now, p, f)
+	f.Clock = a.opts.Events.Stamp(now)
 	if tasks := a.tasksOf(f.News); len(tasks) > 0 {
 		p.unacked = append(p.unacked, sentNews{seq: f.Seq, tasks: tasks})
 	}
--- a/dispatch/agent/records.go
+++ b/dispatch/agent/records.go
@@ -29,6 +29,7 @@
 			continue
 		}
 		a.evicted[rec.home] = true
+		a.dropped++
 		a.forget(rec)
 	}
 }
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 )
 
@@ -57,10 +58,12 @@
 	}
 	a.leaving = leaving
 	if a.gone {
+		e.recordPeer(now, event.PeerBack, a, "", 0)
 		a.gone = false
 		a.downAt = now
 	}
 	if relink && a.session.IsUp() {
+		e.recordPeer(now, event.PeerSuspected, a, "the agent asks for a new link", 0)
 		e.down(now, a)
 		a.dialAt = now
 	}
@@ -81,7 +84,7 @@
 	a.dialAt = now.Add(e.opts.RedialAfter)
 	h := &pb.EntryHello{
 		Entry: e.opts.Hello.Entry, Incarnation: e.opts.Hello.Incarnation, Address: e.opts.Hello.Address,
-		FailureDomain: e.opts.Hello.FailureDomain, AgentIncarnation: a.hello.Incarnation, Epoch: a.epoch,
+		FailureDomain: e.opts.Hello.FailureDomain, AgentIncarnation: a.hello.Incarnation, Epoch: a.epoch, OperatorAddress: e.opts.Hello.OperatorAddress,
 	}
 	e.ready.Dials = append(e.ready.Dials, Dial{Agent: a.hello.Agent, Address: a.hello.Address, Hello: h})
 }
@@ -96,6 +99,7 @@
 	}
 	a.dialing = false
 	a.session.Up(now, epoch, e.opts.Link)
+	e.recordPeer(now, event.LinkUp, a, "", epoch)
 	a.credits, a.wanted = 0, 0
 	a.out = pb.EntryFrame{}
 	a.dirty = false
@@ -143,6 +147,10 @@
 func (e *Entry) down(now time.Time, a *agent) {
 	if a.session.IsUp() {
 		a.downAt = now
+		e.recordPeer(now, event.LinkDown, a, "", a.session.Epoch())
+	}
+	if a.credits > 0 {
+		e.recordPeer(now, event.CreditsLost, a, "", uint64(a.credits))
 	}
 	a.session.Down()
 	a.dialing = false
@@ -161,6 +169,7 @@
 
 func (e *Entry) tickAgent(now time.Time, a *agent) {
 	if a.session.Silent(now) {
+		e.recordPeer(now, event.PeerSuspected, a, "the link has gone silent", a.session.Epoch())
 		e.down(now, a)
 		a.dialAt = now
 	}
@@ -195,6 +204,7 @@
 // lose gives up on what was sent to an agent process: each such task may have
 // started there, and nobody else may start it.
 func (e *Entry) lose(now time.Time, a *agent, why string) {
+	e.recordPeer(now, event.PeerGone, a, why, uint64(len(a.tasks)))
 	e.down(now, a)
 	tasks := a.tasks
 	a.tasks, a.unacked, a.revoked = nil, nil, nil
@@ -202,6 +212,7 @@
 		if t.phase == ended {
 			continue
 		}
+		e.recordTask(now, event.TaskUnknown, t, a, why)
 		e.taskEnded(now, t, &pb.TaskResult{Task: t.index, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: why})
 	}
 	for _, id := range e.recoveryIDs() {
@@ -218,6 +229,10 @@
 	if !a.session.Received(now, f.Seq, f.Ack, hasContent(f)) {
 		return
 	}
+	if !e.opts.Events.Observe(f.Clock, now) && f.Hello != nil {
+		e.recordPeer(now, event.ClockRejected, a, "its clock is too far ahead", 0)
+	}
+	e.recordReceived(now, a, f)
 	a.acknowledged()
 	if f.Hello != nil {
 		a.hello = f.Hello
@@ -308,6 +323,8 @@
 	}
 	content := len(f.Starts) > 0 || len(f.Revokes) > 0 || len(f.Fences) > 0 || f.Returned > 0 || len(f.Contracts) > 0
 	f.Seq, f.Ack = a.session.Send(now, content)
+	e.recordSent(now, a, f)
+	f.Clock = e.opts.Events.Stamp(now)
 	for _, t := range a.placed {
 		t.seq = f.Seq
 		a.unacked = append(a.unacked, t)
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 )
@@ -30,6 +31,8 @@
 	RedialAfter time.Duration
 	// MaxJobs bounds the jobs held, ended ones included.
 	MaxJobs int
+	// Events takes what happens, for the time line, and stamps messages; nil: none.
+	Events *event.Ring
 }
 
 // Defaults of Options.
@@ -115,6 +118,7 @@
 // Leave stops the entry from taking new jobs; those it has go on.
 func (e *Entry) Leave(now time.Time) {
 	e.leaving = true
+	e.record(now, event.DrainBegun, "", "", "no new jobs", len(e.deadlines))
 	for _, a := range e.agents {
 		a.dirty = a.session.IsUp()
 	}
@@ -165,5 +169,6 @@
 	}
 	r := e.ready
 	e.ready = Ready{}
+	e.recordAnswers(now, r.Answers)
 	return r
 }
--- /dev/null
+++ b/dispatch/entry/events.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
+)
+
+// record keeps an event about a job; contract may be empty.
+func (e *Entry) record(now time.Time, kind event.Kind, jobID, contract, detail string, value int) {
+	e.opts.Events.Record(now, event.Event{
+		Kind: kind, Job: jobID, Contract: contract, Detail: detail, Value: uint64(max(0, value)),
+	})
+}
+
+// recordPeer keeps an event about an agent.
+func (e *Entry) recordPeer(now time.Time, kind event.Kind, a *agent, detail string, value uint64) {
+	e.opts.Events.Record(now, event.Event{Kind: kind, Peer: a.hello.Agent, Detail: detail, Value: value})
+}
+
+// recordTask keeps an event about a task and its agent.
+func (e *Entry) recordTask(now time.Time, kind event.Kind, t *taskState, a *agent, detail string) {
+	e.opts.Events.Record(now, event.Event{
+		Kind: kind, Job: t.job.job.Id, Contract: t.job.job.Contract, Task: t.index, Peer: a.hello.Agent, Detail: detail,
+	})
+}
+
+// recordRefusal keeps that a submission ended without a job.
+func (e *Entry) recordRefusal(now time.Time, j *pb.Job, a *pb.Answer) {
+	kind := event.JobRefused
+	if a.Outcome != pb.Outcome_OUTCOME_NOT_RUN {
+		kind = event.JobAnswered
+	}
+	e.record(now, kind, j.Id, j.Contract, outcomeText(a), 0)
+}
+
+// recordAnswers keeps the answers that Ready hands out.
+func (e *Entry) recordAnswers(now time.Time, answers []*pb.Answer) {
+	for _, a := range answers {
+		contract, took := "", time.Duration(0)
+		if js := e.jobs[a.Job]; js != nil {
+			contract = js.job.Contract
+			took = now.Sub(js.deadline.Add(-time.Duration(js.job.TimeoutMs) * time.Millisecond))
+		}
+		e.record(now, event.JobAnswered, a.Job, contract, outcomeText(a), int(took.Milliseconds()))
+	}
+}
+
+// Texts of outcomes in events.
+var outcomeTexts = map[pb.Outcome]string{
+	pb.Outcome_OUTCOME_COMPLETE: "complete",
+	pb.Outcome_OUTCOME_FAILED:   "failed",
+	pb.Outcome_OUTCOME_NOT_RUN:  "not run",
+	pb.Outcome_OUTCOME_UNKNOWN:  "outcome unknown",
+}
+
+// outcomeText is the outcome with its code and reason; only the first allocates
+// nothing, and it is the common one.
+func outcomeText(a *pb.Answer) string {
+	text := outcomeTexts[a.Outcome]
+	if a.Code == "" {
+		return text
+	}
+	return text + ", " + a.Code + ": " + a.Message
+}
+
+// recordSent keeps what a frame to an agent asks for. It is called before the
+// frame's number is given to the tasks placed: one that has a number was sent
+// before, over an older link.
+func (e *Entry) recordSent(now time.Time, a *agent, f *pb.EntryFrame) {
+	for _, t := range a.placed {
+		if t.seq != 0 {
+			e.recordTask(now, event.TaskResent, t, a, "over a new link")
+			continue
+		}
+		e.recordTask(now, event.TaskDispatched, t, a, "")
+	}
+	for _, r := range f.Revokes {
+		for _, index := range r.Tasks {
+			e.opts.Events.Record(now, event.Event{Kind: event.TaskRevoked, Job: r.Job, Task: index, Peer: a.hello.Agent})
+		}
+	}
+	for _, fence := range f.Fences {
+		e.opts.Events.Record(now, event.Event{Kind: event.JobFenced, Job: fence.Job, Peer: a.hello.Agent})
+	}
+	if f.Returned > 0 {
+		e.recordPeer(now, event.CreditsReturned, a, "", uint64(f.Returned))
+	}
+}
+
+// recordReceived keeps what a frame from an agent tells.
+func (e *Entry) recordReceived(now time.Time, a *agent, f *pb.AgentFrame) {
+	if f.Granted > 0 {
+		e.recordPeer(now, event.CreditsGranted, a, "", uint64(f.Granted))
+	}
+	if f.Recall > 0 {
+		e.recordPeer(now, event.CreditsRecalled, a, "", uint64(f.Recall))
+	}
+	if f.Leaving && !a.leaving {
+		e.recordPeer(now, event.DrainBegun, a, "the agent is leaving", 0)
+	}
+	for _, n := range f.News {
+		for _, res := range n.Results {
+			e.recordResult(now, a, n.Job, res)
+		}
+	}
+	for _, r := range f.Fenced {
+		e.opts.Events.Record(now, event.Event{
+			Kind: event.JobFenced, Job: r.Job, Peer: a.hello.Agent, Value: uint64(len(r.Results)), Detail: fenceText(r),
+		})
+	}
+}
+
+func (e *Entry) recordResult(now time.Time, a *agent, jobID string, res *pb.TaskResult) {
+	ev := event.Event{
+		Kind: event.TaskResult, Job: jobID, Task: res.Task, Peer: a.hello.Agent,
+		Detail: resultText(res), Value: uint64(res.RunMillis),
+	}
+	if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
+		ev.Kind = event.TaskRefused
+		ev.Detail = res.Error
+	}
+	if js := e.jobs[jobID]; js != nil {
+		ev.Contract = js.job.Contract
+	}
+	e.opts.Events.Record(now, ev)
+}
+
+func resultText(res *pb.TaskResult) string {
+	text := outcomeTexts[res.Outcome]
+	if res.Error == "" {
+		return text
+	}
+	return text + ": " + res.Error
+}
+
+func fenceText(r *pb.FenceReport) string {
+	switch {
+	case r.Evicted:
+		return "records dropped, more may have run here"
+	case len(r.Running) > 0:
+		return "tasks still running here"
+	}
+	return "nothing running here"
+}
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 )
 
@@ -70,11 +71,14 @@
 func (e *Entry) Submit(now time.Time, j *pb.Job) (Admission, *pb.Answer) {
 	digest := digestOf(j)
 	if js := e.jobs[j.Id]; js != nil {
+		e.record(now, event.JobJoined, j.Id, j.Contract, "", len(j.Tasks))
 		return e.resubmit(js, j, digest)
 	}
 	if answer := e.admit(now, j); answer != nil {
+		e.recordRefusal(now, j, answer)
 		return Answered, answer
 	}
+	e.record(now, event.JobAccepted, j.Id, j.Contract, j.Kind, len(j.Tasks))
 	e.accept(now, j, digest)
 	return Accepted, nil
 }
@@ -162,6 +166,7 @@
 		return nil, false
 	}
 	if js.answer == nil {
+		e.record(now, event.JobCancelled, jobID, contract, "", js.open)
 		e.endEarly(now, js, jobs.CodeCancelled, "cancelled by the caller")
 	}
 	return js.answer, true
--- /dev/null
+++ b/dispatch/entry/status.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+)
+
+// Counts sums up an entry's state.
+type Counts struct {
+	// Jobs accepted and not answered, tasks not dispatched, credits not used.
+	Jobs, Waiting, Credits int
+	// Agents with a link, and those not given up without one.
+	LinksUp, LinksDown int
+}
+
+// Counts returns the sums of now; its cost grows with the number of agents.
+func (e *Entry) Counts() Counts {
+	c := Counts{Jobs: len(e.deadlines) + len(e.recoveries), Waiting: e.queue.total}
+	for _, a := range e.agents {
+		c.Credits += a.credits
+		switch {
+		case a.session.IsUp():
+			c.LinksUp++
+		case !a.gone:
+			c.LinksDown++
+		}
+	}
+	return c
+}
+
+// AgentStatuses returns each agent as this entry sees it, by name. The messages
+// in it are shared and must not be changed.
+func (e *Entry) AgentStatuses() []*pb.AgentStatus {
+	list := make([]*pb.AgentStatus, 0, len(e.agents))
+	for _, a := range e.agents {
+		list = append(list, &pb.AgentStatus{
+			Hello:          a.hello,
+			Load:           a.load,
+			Credits:        uint32(max(0, a.credits)),
+			Linked:         a.session.IsUp(),
+			Leaving:        a.leaving,
+			ConfigRevision: a.revision,
+		})
+	}
+	return list
+}
+
+// Use is what one contract's tasks of this entry take.
+type Use struct {
+	Waiting, Running uint32
+	// MemoryBytes is what is reserved for the running ones.
+	MemoryBytes uint64
+}
+
+// Uses returns the use of each contract with waiting or running tasks; its cost
+// grows with the number of tasks at agents.
+func (e *Entry) Uses() map[string]Use {
+	uses := make(map[string]Use)
+	for _, cq := range e.queue.contracts {
+		if n := len(cq.tasks); n > 0 {
+			uses[cq.name] = Use{Waiting: uint32(n)}
+		}
+	}
+	for _, a := range e.agents {
+		for _, t := range a.tasks {
+			u := uses[t.job.job.Contract]
+			u.Running++
+			u.MemoryBytes += t.start.MemoryBytes
+			uses[t.job.job.Contract] = u
+		}
+	}
+	return uses
+}
+
+// Answered tells of a job that Ready has just answered: its contract, the time
+// from its acceptance, and the ideal, the longest run time of its tasks. False: it
+// was not accepted here.
+func (e *Entry) Answered(jobID string) (contract string, response, ideal time.Duration, ok bool) {
+	js := e.jobs[jobID]
+	if js == nil || js.answer == nil {
+		return "", 0, 0, false
+	}
+	accepted := js.deadline.Add(-time.Duration(js.job.TimeoutMs) * time.Millisecond)
+	for _, res := range js.answer.Results {
+		ideal = max(ideal, time.Duration(res.RunMillis)*time.Millisecond)
+	}
+	return js.job.Contract, js.answered.Sub(accepted), ideal, true
+}
--- a/dispatch/event/event.go
+++ b/dispatch/event/event.go
@@ -56,8 +56,12 @@
 	mask    uint64
 	slots   []slot
 	next    atomic.Uint64
+	totals  [kindCount]total
 }
 
+// total counts the events of a kind and sums up their values, since the start.
+type total struct{ events, value atomic.Uint64 }
+
 // A slot's lock is held for one copy of an event. Writers meet on it only when
 // one is a whole ring behind the other.
 type slot struct {
@@ -94,6 +98,12 @@
 		return
 	}
 	e.Clock = r.clock.Now(now)
+	if e.Kind < kindCount {
+		r.totals[e.Kind].events.Add(1)
+		if e.Value > 0 {
+			r.totals[e.Kind].value.Add(e.Value)
+		}
+	}
 	number := r.next.Add(1)
 	s := &r.slots[number&r.mask]
 	s.mu.Lock()
@@ -107,6 +117,30 @@
 	s.mu.Unlock()
 }
 
+// Stamp returns a timestamp for a message to another process; zero for a nil Ring.
+func (r *Ring) Stamp(now time.Time) uint64 {
+	if r == nil {
+		return 0
+	}
+	return r.clock.Now(now)
+}
+
+// Observe takes over the timestamp of a message from another process, so that
+// events recorded later sort after those that led to the message. It reports
+// false for a timestamp that is too far ahead; see hlc.Clock.
+func (r *Ring) Observe(remote uint64, now time.Time) bool {
+	return r == nil || r.clock.Observe(remote, now)
+}
+
+// Count returns how many events of kind k were recorded since the start,
+// overwritten ones included, and the sum of their values.
+func (r *Ring) Count(k Kind) (events, value uint64) {
+	if r == nil || k >= kindCount {
+		return 0, 0
+	}
+	return r.totals[k].events.Load(), r.totals[k].value.Load()
+}
+
 // Overwritten counts the events dropped since the process started.
 func (r *Ring) Overwritten() uint64 {
 	if r == nil {
--- a/dispatch/event/event_test.go
+++ b/dispatch/event/event_test.go
@@ -77,9 +77,37 @@
 	}
 }
 
+func TestCountsOutliveTheRing(t *testing.T) {
+	r := NewRing(Options{Size: 2})
+	for range 5 {
+		r.Record(epoch, Event{Kind: CreditsGranted, Value: 3})
+	}
+	r.Record(epoch, Event{Kind: 255, Value: 1})
+	if n, v := r.Count(CreditsGranted); n != 5 || v != 15 {
+		t.Errorf("counted %d events with value %d, want 5 with 15", n, v)
+	}
+	if n, _ := r.Count(255); n != 0 {
+		t.Errorf("counted %d events of no kind", n)
+	}
+}
+
+func TestStampsFollowPeers(t *testing.T) {
+	r := NewRing(Options{Size: 2})
+	ahead := hlc.Pack(epoch.Add(time.Second), 5)
+	if !r.Observe(ahead, epoch) || r.Stamp(epoch) <= ahead {
+		t.Error("a stamp is not above the one observed")
+	}
+	if r.Observe(hlc.Pack(epoch.Add(time.Hour), 0), epoch) {
+		t.Error("a timestamp an hour ahead was accepted")
+	}
+}
+
 func TestNilRing(t *testing.T) {
 	var r *Ring
 	r.Record(epoch, Event{Kind: JobAccepted})
+	if n, v := r.Count(JobAccepted); n != 0 || v != 0 || r.Stamp(epoch) != 0 || !r.Observe(1, epoch) {
+		t.Error("a nil ring counts or stamps")
+	}
 	if s := r.Snapshot(Filter{}); len(s.Events) != 0 || r.Overwritten() != 0 || r.Process() != "" || r.Worker() != "" {
 		t.Error("a nil ring holds something")
 	}
--- a/dispatch/event/kind.go
+++ b/dispatch/event/kind.go
@@ -157,6 +157,15 @@
 	return Unspecified, false
 }
 
+// Kinds returns all kinds but Unspecified, in their order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, kindCount-1)
+	for k := Unspecified + 1; k < kindCount; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
 // AboutTask reports whether Event.Task means something in events of kind k.
 func (k Kind) AboutTask() bool {
 	return k >= TaskDispatched && k <= TaskUnknown
--- a/node/metrics/contract.go
+++ b/node/metrics/contract.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,32 +10,60 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/papayahoist/papayahoist/api/jobs"
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 )
 
 // Contract holds the series of one contract at an entry.
 type Contract struct {
 	// Offered counts the jobs that callers submitted, resubmissions excepted.
-	Offered prometheus.Counter
+	Offered *Tally
 	// Served counts the jobs answered completely.
-	Served prometheus.Counter
+	Served *Tally
 	// Failed counts the jobs of which tasks ran and that were not completed.
 	Failed prometheus.Counter
 	// Unknown counts the jobs answered "outcome unknown".
 	Unknown prometheus.Counter
 	// TasksStarted counts the tasks sent to agents.
-	TasksStarted prometheus.Counter
+	TasksStarted *Tally
 
-	refused map[jobs.Code]prometheus.Counter
+	refused map[jobs.Code]*Tally
 	ratio   prometheus.Observer
 }
 
+// Tally is a counter that the process can read itself, for its status.
+type Tally struct {
+	counter prometheus.Counter
+	value   atomic.Uint64
+}
+
+// Add counts n.
+func (t *Tally) Add(n int) {
+	t.value.Add(uint64(n))
+	t.counter.Add(float64(n))
+}
+
+// Value returns the count since the process started.
+func (t *Tally) Value() uint64 { return t.value.Load() }
+
+// RefusedCounts returns the codes with which jobs were refused, in the order of
+// their names, and how often.
+func (c *Contract) RefusedCounts() []*pb.RefusedCount {
+	var counts []*pb.RefusedCount
+	for _, code := range slices.Sorted(maps.Keys(c.refused)) {
+		if n := c.refused[code].Value(); n > 0 {
+			counts = append(counts, &pb.RefusedCount{Code: string(code), Count: n})
+		}
+	}
+	return counts
+}
+
 // Refused counts a job answered "not run".
 func (c *Contract) Refused(code jobs.Code) {
 	if counter, ok := c.refused[code]; ok {
-		counter.Inc()
+		counter.Add(1)
 		return
 	}
-	c.refused[otherCode].Inc()
+	c.refused[otherCode].Add(1)
 }
 
 // Response observes a served job: the time from its arrival to its answer,
@@ -69,18 +98,18 @@
 
 func (v contractVecs) resolve(name string) *Contract {
 	c := &Contract{
-		Offered:      v.offered.WithLabelValues(name),
-		Served:       v.served.WithLabelValues(name),
+		Offered:      &Tally{counter: v.offered.WithLabelValues(name)},
+		Served:       &Tally{counter: v.served.WithLabelValues(name)},
 		Failed:       v.failed.WithLabelValues(name),
 		Unknown:      v.unknown.WithLabelValues(name),
-		TasksStarted: v.started.WithLabelValues(name),
-		refused:      make(map[jobs.Code]prometheus.Counter),
+		TasksStarted: &Tally{counter: v.started.WithLabelValues(name)},
+		refused:      make(map[jobs.Code]*Tally),
 		ratio:        v.ratio.WithLabelValues(name),
 	}
 	for _, code := range refusalCodes {
-		c.refused[code] = v.refused.WithLabelValues(name, string(code))
+		c.refused[code] = &Tally{counter: v.refused.WithLabelValues(name, string(code))}
 	}
-	c.refused[otherCode] = v.refused.WithLabelValues(name, otherCode)
+	c.refused[otherCode] = &Tally{counter: v.refused.WithLabelValues(name, otherCode)}
 	return c
 }
 
--- a/node/metrics/factory.go
+++ b/node/metrics/factory.go
@@ -14,9 +14,15 @@
 	return register(f, prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}))
 }
 
-func (f factory) counterFunc(name, help string, value func() float64) {
+// counterFunc's labels are names and values in turn; they tell apart the
+// functions of one name.
+func (f factory) counterFunc(name, help string, value func() float64, labels ...string) {
+	constant := prometheus.Labels{}
+	for i := 0; i+1 < len(labels); i += 2 {
+		constant[labels[i]] = labels[i+1]
+	}
 	register(f, prometheus.NewCounterFunc(
-		prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, value))
+		prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: constant}, value))
 }
 
 func (f factory) counterVec(name, help string, labels ...string) *prometheus.CounterVec {
@@ -24,8 +30,9 @@
 		prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels))
 }
 
-func (f factory) gauge(name, help string) prometheus.Gauge {
-	return register(f, prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}))
+func (f factory) gaugeFunc(name, help string, value func() float64) {
+	register(f, prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
 }
 
 func (f factory) gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
--- a/node/metrics/labels.go
+++ b/node/metrics/labels.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 )
 
 const namespace = "papayahoist"
@@ -53,6 +54,27 @@
 	"leaving", "heartbeat", "announce", "forward", "exchange",
 }
 
+// betweenEntries reports whether agents neither send nor receive the kind.
+func (m Message) betweenEntries() bool { return m == MessageForward || m == MessageExchange }
+
+// entryEvents are the kinds that agents never record.
+var entryEvents = map[event.Kind]bool{
+	event.JobAccepted:     true,
+	event.JobJoined:       true,
+	event.JobForwarded:    true,
+	event.JobRefused:      true,
+	event.JobCancelled:    true,
+	event.JobAnswered:     true,
+	event.TaskDispatched:  true,
+	event.TaskResent:      true,
+	event.TaskUnknown:     true,
+	event.WorkerSuspended: true,
+	event.WorkerTrial:     true,
+	event.WorkerResumed:   true,
+	event.StoreLost:       true,
+	event.StoreBack:       true,
+}
+
 // EntryFrameKind returns the kind of an entry's frame.
 func EntryFrameKind(f *pb.EntryFrame) Message {
 	switch {
@@ -105,48 +127,23 @@
 
 var directionNames = [directionCount]string{"sent", "received"}
 
-// Waste is why a message need not have been sent.
-type Waste uint8
-
-// Kinds of waste.
-const (
-	// WasteRefusedStart is a start that the agent refused.
-	WasteRefusedStart Waste = iota
-	// WasteResentStart is a start sent again over a new link.
-	WasteResentStart
-	// WasteDuplicateStart is a start that the agent had already.
-	WasteDuplicateStart
-	// WasteReturnedCredit is a grant that came back unused.
-	WasteReturnedCredit
-	// WasteStaleFrame is a frame of an older link.
-	WasteStaleFrame
-	// WasteRepeatedResult is a result that the home had already.
-	WasteRepeatedResult
-	// WasteForward is a job that reached another entry than its home.
-	WasteForward
-	wasteCount
-)
-
-var wasteNames = [wasteCount]string{
-	"refused_start", "resent_start", "duplicate_start", "returned_credit",
-	"stale_frame", "repeated_result", "forward",
+// wasteReasons names the events that stand for a message that need not have
+// been sent.
+var wasteReasons = map[event.Kind]string{
+	event.TaskRefused:     "refused_start",
+	event.TaskResent:      "resent_start",
+	event.TaskDuplicate:   "duplicate_start",
+	event.CreditsReturned: "returned_credits",
+	event.JobForwarded:    "forwarded_job",
 }
 
-// Movement of credits.
-type Movement uint8
-
-// Movements.
-const (
-	CreditsGranted Movement = iota
-	CreditsSpent
-	CreditsRecalled
-	CreditsReturned
-	// CreditsLost ended with their link.
-	CreditsLost
-	movementCount
-)
-
-var movementNames = [movementCount]string{"granted", "spent", "recalled", "returned", "lost"}
+// movements names the events that move credits; their values are the credits.
+var movements = map[event.Kind]string{
+	event.CreditsGranted:  "granted",
+	event.CreditsRecalled: "recalled",
+	event.CreditsReturned: "returned",
+	event.CreditsLost:     "lost",
+}
 
 // StoreCall is a kind of call to the platform's store.
 type StoreCall uint8
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,18 +26,7 @@
 type Process struct {
 	messages     [messageCount][directionCount]prometheus.Counter
 	messageBytes [messageCount][directionCount]prometheus.Counter
-	wasted       [wasteCount]prometheus.Counter
-	credits      [movementCount]prometheus.Counter
 
-	// LinksUp is the number of links in use.
-	LinksUp prometheus.Gauge
-	// LinksOpened and LinksLost count links; a link that goes silent is lost.
-	LinksOpened prometheus.Counter
-	LinksLost   prometheus.Counter
-	// PeersSuspected is the number of peers that have not been heard in time.
-	PeersSuspected prometheus.Gauge
-	// ConfigRevision is the highest contract revision in force here.
-	ConfigRevision prometheus.Gauge
 	// ConfigDelay is the time from the writing of a contract to its coming into
 	// force here, by the two hosts' clocks.
 	ConfigDelay prometheus.Histogram
@@ -50,14 +40,9 @@
 // configDelayBuckets lie around the 9 s within which a change must be in force.
 var configDelayBuckets = []float64{.01, .05, .1, .25, .5, 1, 2, 4, 9, 30, 120}
 
-func newProcess(reg prometheus.Registerer, o Options) *Process {
+func newProcess(reg prometheus.Registerer, o Options, agent bool) *Process {
 	f := factory{reg}
 	p := &Process{
-		LinksUp:            f.gauge("links_up", "Links in use."),
-		LinksOpened:        f.counter("links_opened_total", "Links opened."),
-		LinksLost:          f.counter("links_lost_total", "Links that failed or went silent."),
-		PeersSuspected:     f.gauge("peers_suspected", "Peers not heard from in time."),
-		ConfigRevision:     f.gauge("config_revision", "Highest contract revision in force."),
 		LogLines:           f.counter("log_lines_total", "Log lines written."),
 		LogLinesSuppressed: f.counter("log_lines_suppressed_total", "Log lines held back by the rate limit."),
 		ConfigDelay: f.histogram("config_delay_seconds",
@@ -68,23 +53,17 @@
 	messages := f.counterVec("messages_total", "Messages between processes.", "kind", "direction")
 	bytes := f.counterVec("message_bytes_total", "Encoded bytes of messages between processes.", "kind", "direction")
 	for m, kind := range messageNames {
+		if agent && Message(m).betweenEntries() {
+			continue
+		}
 		for d, direction := range directionNames {
 			p.messages[m][d] = messages.WithLabelValues(kind, direction)
 			p.messageBytes[m][d] = bytes.WithLabelValues(kind, direction)
 		}
 	}
-	wasted := f.counterVec("messages_wasted_total", "Messages that need not have been sent.", "reason")
-	for w, reason := range wasteNames {
-		p.wasted[w] = wasted.WithLabelValues(reason)
-	}
-	credits := f.counterVec("credits_total", "Credits moved.", "movement")
-	for m, movement := range movementNames {
-		p.credits[m] = credits.WithLabelValues(movement)
-	}
+	registerEvents(f, o.Ring, agent)
 	f.gaugeVec("build_info", "Always 1; the labels tell what runs.", "version", "role").
 		WithLabelValues(o.Version, o.Role).Set(1)
-	f.counterFunc("events_overwritten_total", "Time line events lost to newer ones.",
-		func() float64 { return float64(o.Ring.Overwritten()) })
 	if o.Clock != nil {
 		f.counterFunc("clocks_rejected_total", "Timestamps of peers too far ahead.",
 			func() float64 { return float64(o.Clock.Rejected()) })
@@ -94,31 +73,73 @@
 	return p
 }
 
-// Message counts one message and its encoded size.
+// Message counts one message and its encoded size. An agent must not call it
+// for messages between entries.
 func (p *Process) Message(m Message, d Direction, bytes int) {
 	p.messages[m][d].Inc()
 	p.messageBytes[m][d].Add(float64(bytes))
 }
 
-// Wasted counts messages that need not have been sent.
-func (p *Process) Wasted(w Waste, n int) { p.wasted[w].Add(float64(n)) }
-
-// Credits counts credits moved.
-func (p *Process) Credits(m Movement, n int) { p.credits[m].Add(float64(n)) }
+// registerEvents exports the ring's counts, so that what is counted and what
+// the time line shows are the same decisions.
+func registerEvents(f factory, r *event.Ring, agent bool) {
+	for _, k := range event.Kinds() {
+		if agent && entryEvents[k] {
+			continue
+		}
+		f.counterFunc("events_total", "Events recorded, by kind.",
+			func() float64 { n, _ := r.Count(k); return float64(n) }, "kind", k.String())
+	}
+	for k, reason := range wasteReasons {
+		if agent && entryEvents[k] {
+			continue
+		}
+		f.counterFunc("messages_wasted_total", "Messages that need not have been sent.",
+			func() float64 { n, _ := r.Count(k); return float64(n) }, "reason", reason)
+	}
+	for k, movement := range movements {
+		f.counterFunc("credits_total", "Credits moved.",
+			func() float64 { _, v := r.Count(k); return float64(v) }, "movement", movement)
+	}
+	f.counterFunc("events_overwritten_total", "Time line events lost to newer ones.",
+		func() float64 { return float64(r.Overwritten()) })
+}
 
 // Agent holds the collectors of an agent.
 type Agent struct {
 	*Process
-	// Slots of the endpoint, and tasks running in them.
-	Slots        prometheus.Gauge
-	TasksRunning prometheus.Gauge
-	// TasksStarted counts starts at the endpoint, TasksFailed those that it failed.
-	TasksStarted prometheus.Counter
-	TasksFailed  prometheus.Counter
-	// ResultsHeld is the number of results not acknowledged by their home.
-	ResultsHeld prometheus.Gauge
+	// TasksFailed counts the tasks that the endpoint failed.
+	TasksFailed prometheus.Counter
 	// TaskRun is the run time of tasks at the endpoint.
 	TaskRun prometheus.Histogram
+
+	state source[AgentState]
+}
+
+// AgentState is what an agent is at the time of a scrape.
+type AgentState struct {
+	// Slots of the endpoint, and tasks running in them.
+	Slots, TasksRunning int
+	// ResultsHeld is the number of results not acknowledged by their home.
+	ResultsHeld int
+	// LinksUp is the number of links in use.
+	LinksUp        int
+	ConfigRevision uint64
+}
+
+// SetState sets where the agent's state is read at each scrape. read may be
+// called from any goroutine.
+func (a *Agent) SetState(read func() AgentState) { a.state.Store(&read) }
+
+// source reads a state; until it is set, the state is zero.
+type source[S any] struct{ atomic.Pointer[func() S] }
+
+func (s *source[S]) read() S {
+	if read := s.Load(); read != nil {
+		return (*read)()
+	}
+	var zero S
+	return zero
 }
 
 // taskRunBuckets cover tasks of 50 ms to a second, and the few longer ones.
@@ -128,37 +149,54 @@
 // registered there already.
 func NewAgent(reg prometheus.Registerer, o Options) *Agent {
 	f := factory{reg}
-	return &Agent{
-		Process:      newProcess(reg, o),
-		Slots:        f.gauge("slots", "Slots of the endpoint."),
-		TasksRunning: f.gauge("tasks_running", "Tasks running at the endpoint."),
-		TasksStarted: f.counter("tasks_started_total", "Tasks started at the endpoint."),
-		TasksFailed:  f.counter("tasks_failed_total", "Tasks that the endpoint failed."),
-		ResultsHeld:  f.gauge("results_held", "Results not acknowledged by their home yet."),
-		TaskRun:      f.histogram("task_run_seconds", "Run time of tasks at the endpoint.", taskRunBuckets),
+	a := &Agent{
+		Process:     newProcess(reg, o, true),
+		TasksFailed: f.counter("tasks_failed_total", "Tasks that the endpoint failed."),
+		TaskRun:     f.histogram("task_run_seconds", "Run time of tasks at the endpoint.", taskRunBuckets),
+	}
+	gauge := func(name, help string, value func(AgentState) float64) {
+		f.gaugeFunc(name, help, func() float64 { return value(a.state.read()) })
 	}
+	gauge("slots", "Slots of the endpoint.", func(s AgentState) float64 { return float64(s.Slots) })
+	gauge("tasks_running", "Tasks running at the endpoint.", func(s AgentState) float64 { return float64(s.TasksRunning) })
+	gauge("results_held", "Results not acknowledged by their home yet.", func(s AgentState) float64 { return float64(s.ResultsHeld) })
+	gauge("links_up", "Links in use.", func(s AgentState) float64 { return float64(s.LinksUp) })
+	gauge("config_revision", "Highest contract revision in force.", func(s AgentState) float64 { return float64(s.ConfigRevision) })
+	return a
 }
 
 // Entry holds the collectors of an entry.
 type Entry struct {
 	*Process
-	// JobsInFlight is the number of jobs accepted and not answered.
-	JobsInFlight prometheus.Gauge
-	// TasksWaiting is the number of tasks accepted and not dispatched.
-	TasksWaiting prometheus.Gauge
-	// CreditsHeld is the number of starts that agents have granted.
-	CreditsHeld prometheus.Gauge
-	// WorkersSuspended is the number of workers that get no work for failing tasks.
-	WorkersSuspended prometheus.Gauge
-	// StoreUp is 1 while the platform's store answers.
-	StoreUp prometheus.Gauge
 
+	state         source[EntryState]
 	storeCalls    [storeCallCount]storeSeries
 	contracts     contractCache
 	contractVecs  contractVecs
 	otherContract *Contract
 }
 
+// EntryState is what an entry is at the time of a scrape.
+type EntryState struct {
+	// JobsInFlight is the number of jobs accepted and not answered.
+	JobsInFlight int
+	// TasksWaiting is the number of tasks accepted and not dispatched.
+	TasksWaiting int
+	// CreditsHeld is the number of starts that agents have granted.
+	CreditsHeld int
+	// LinksUp is the number of links in use, LinksDown of those that are missed.
+	LinksUp, LinksDown int
+	// WorkersSuspended is the number of workers that get no work for failing tasks.
+	WorkersSuspended int
+	ConfigRevision   uint64
+	// StoreUp is whether the platform's store answers.
+	StoreUp bool
+}
+
+// SetState sets where the entry's state is read at each scrape. read may be
+// called from any goroutine.
+func (e *Entry) SetState(read func() EntryState) { e.state.Store(&read) }
+
 type storeSeries struct {
 	ok, failed prometheus.Counter
 	duration   prometheus.Observer
@@ -172,14 +210,10 @@
 func NewEntry(reg prometheus.Registerer, o Options) *Entry {
 	f := factory{reg}
 	e := &Entry{
-		Process:          newProcess(reg, o),
-		JobsInFlight:     f.gauge("jobs_in_flight", "Jobs accepted and not answered."),
-		TasksWaiting:     f.gauge("tasks_waiting", "Tasks accepted and not dispatched."),
-		CreditsHeld:      f.gauge("credits_held", "Starts granted by agents and not used."),
-		WorkersSuspended: f.gauge("workers_suspended", "Workers that get no work because tasks fail there."),
-		StoreUp:          f.gauge("store_up", "Whether the platform's store answers."),
-		contractVecs:     newContractVecs(f),
+		Process:      newProcess(reg, o, false),
+		contractVecs: newContractVecs(f),
 	}
+	e.registerState(f)
 	e.otherContract = e.contractVecs.resolve(OtherContract)
 	calls := f.counterVec("store_calls_total", "Calls to the platform's store.", "call", "result")
 	duration := f.histogramVec("store_call_duration_seconds", "Duration of calls to the platform's store, watches excepted.",
@@ -194,6 +228,26 @@
 	return e
 }
 
+func (e *Entry) registerState(f factory) {
+	gauge := func(name, help string, value func(EntryState) float64) {
+		f.gaugeFunc(name, help, func() float64 { return value(e.state.read()) })
+	}
+	gauge("jobs_in_flight", "Jobs accepted and not answered.", func(s EntryState) float64 { return float64(s.JobsInFlight) })
+	gauge("tasks_waiting", "Tasks accepted and not dispatched.", func(s EntryState) float64 { return float64(s.TasksWaiting) })
+	gauge("credits_held", "Starts granted by agents and not used.", func(s EntryState) float64 { return float64(s.CreditsHeld) })
+	gauge("links_up", "Links in use.", func(s EntryState) float64 { return float64(s.LinksUp) })
+	gauge("links_down", "Agents not given up that have no link.", func(s EntryState) float64 { return float64(s.LinksDown) })
+	gauge("workers_suspended", "Workers that get no work because tasks fail there.",
+		func(s EntryState) float64 { return float64(s.WorkersSuspended) })
+	gauge("config_revision", "Highest contract revision in force.", func(s EntryState) float64 { return float64(s.ConfigRevision) })
+	gauge("store_up", "Whether the platform's store answers.", func(s EntryState) float64 {
+		if s.StoreUp {
+			return 1
+		}
+		return 0
+	})
+}
+
 // StoreCall counts a call to the platform's store that took d.
 func (e *Entry) StoreCall(c StoreCall, d time.Duration, err error) {
 	s := e.storeCalls[c]
--- a/node/metrics/metrics_test.go
+++ b/node/metrics/metrics_test.go
@@ -58,12 +58,12 @@
 	// A caller sends requests with made-up contract names. Were each a series,
 	// the process would grow until it is killed, and the metrics server with it.
 	for i := range 10_000 {
-		e.Contract(fmt.Sprintf("made-up-%d", i)).Offered.Inc()
+		e.Contract(fmt.Sprintf("made-up-%d", i)).Offered.Add(1)
 	}
 	if after := series(t, reg); after != before {
 		t.Errorf("%d series after made-up names, want %d", after, before)
 	}
-	if got := testutil.ToFloat64(e.Contract("made-up").Offered); got != 10_000 {
+	if got := e.Contract("made-up").Offered.Value(); got != 10_000 {
 		t.Errorf("other contracts count %v, want 10000", got)
 	}
 	for i := range 2 * MaxContracts {
@@ -89,7 +89,9 @@
 
 func TestContractCounts(t *testing.T) {
 	reg := prometheus.NewRegistry()
-	e := NewEntry(reg, Options{Role: "entry"})
+	ring := event.NewRing(event.Options{})
+	e := NewEntry(reg, Options{Role: "entry", Ring: ring})
+	e.SetState(func() EntryState { return EntryState{JobsInFlight: 7, StoreUp: true} })
 	e.AddContract("reports")
 	c := e.Contract("reports")
 	c.Refused(jobs.CodeQueueFull)
@@ -98,32 +100,46 @@
 	c.Response(300*time.Millisecond, 0)
 	e.StoreCall(StoreWrite, time.Millisecond, nil)
 	e.StoreCall(StoreWrite, time.Second, errors.New("timeout"))
-	e.Wasted(WasteResentStart, 3)
-	e.Credits(CreditsGranted, 8)
+	for range 3 {
+		ring.Record(time.Unix(0, 0), event.Event{Kind: event.TaskResent})
+	}
+	ring.Record(time.Unix(0, 0), event.Event{Kind: event.CreditsReturned, Value: 8})
 	want := `
+# HELP papayahoist_credits_total Credits moved.
+# TYPE papayahoist_credits_total counter
+papayahoist_credits_total{movement="granted"} 0
+papayahoist_credits_total{movement="lost"} 0
+papayahoist_credits_total{movement="recalled"} 0
+papayahoist_credits_total{movement="returned"} 8
+# HELP papayahoist_jobs_in_flight Jobs accepted and not answered.
+# TYPE papayahoist_jobs_in_flight gauge
+papayahoist_jobs_in_flight 7
 # HELP papayahoist_messages_wasted_total Messages that need not have been sent.
 # TYPE papayahoist_messages_wasted_total counter
 papayahoist_messages_wasted_total{reason="duplicate_start"} 0
-papayahoist_messages_wasted_total{reason="forward"} 0
+papayahoist_messages_wasted_total{reason="forwarded_job"} 0
 papayahoist_messages_wasted_total{reason="refused_start"} 0
-papayahoist_messages_wasted_total{reason="repeated_result"} 0
 papayahoist_messages_wasted_total{reason="resent_start"} 3
-papayahoist_messages_wasted_total{reason="returned_credit"} 0
-papayahoist_messages_wasted_total{reason="stale_frame"} 0
+papayahoist_messages_wasted_total{reason="returned_credits"} 1
+# HELP papayahoist_store_up Whether the platform's store answers.
+# TYPE papayahoist_store_up gauge
+papayahoist_store_up 1
 `
-	if err := testutil.GatherAndCompare(reg, strings.NewReader(want), "papayahoist_messages_wasted_total"); err != nil {
+	if err := testutil.GatherAndCompare(reg, strings.NewReader(want), "papayahoist_messages_wasted_total",
+		"papayahoist_credits_total", "papayahoist_jobs_in_flight", "papayahoist_store_up"); err != nil {
 		t.Error(err)
 	}
+	wantRefused := "code:\"other\" count:1 code:\"queue_full\" count:1"
+	if got := refusedText(c); got != wantRefused {
+		t.Errorf("refused %s, want %s", got, wantRefused)
+	}
 	counts := []struct {
 		name    string
 		counter prometheus.Counter
 		want    float64
 	}{
-		{"queue full", c.refused[jobs.CodeQueueFull], 1},
-		{"unlisted code", c.refused[otherCode], 1},
 		{"write ok", e.storeCalls[StoreWrite].ok, 1},
 		{"write failed", e.storeCalls[StoreWrite].failed, 1},
-		{"granted", e.credits[CreditsGranted], 8},
 	}
 	for _, tt := range counts {
 		if got := testutil.ToFloat64(tt.counter); got != tt.want {
@@ -150,6 +166,14 @@
 	}
 }
 
+func refusedText(c *Contract) string {
+	var parts []string
+	for _, r := range c.RefusedCounts() {
+		parts = append(parts, fmt.Sprintf("code:%q count:%d", r.Code, r.Count))
+	}
+	return strings.Join(parts, " ")
+}
+
 func TestFrameKinds(t *testing.T) {
 	entry := []struct {
 		frame *pb.EntryFrame
@@ -195,11 +219,11 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		c := e.Contract("reports")
-		c.Offered.Inc()
-		c.TasksStarted.Inc()
+		c.Offered.Add(1)
+		c.TasksStarted.Add(1)
 		e.Message(MessageStart, Sent, 200)
 		e.Message(MessageNews, Received, 200)
-		c.Served.Inc()
+		c.Served.Add(1)
 		c.Response(300*time.Millisecond, 200*time.Millisecond)
 	}
 }
