--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -17,6 +18,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/agent"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
@@ -28,6 +30,8 @@
 	ErrStart = Errors.NewType("start")
 	// ErrLink is given to an entry whose link is refused.
 	ErrLink = Errors.NewType("link")
+	// ErrLeaving makes an agent not ready that shuts down.
+	ErrLeaving = Errors.NewType("leaving")
 )
 
 // Endpoint runs tasks. Run blocks until the task has ended, and reports the
@@ -47,8 +51,15 @@
 	// Join lists node addresses of entries, or of the balancer before them.
 	Join     []string
 	Endpoint Endpoint
-	// Operators is served on the operators' port.
+	// Operators is served on the operators' port; nil: status, time line, metrics
+	// and probes of this agent.
 	Operators http.Handler
+	// OperatorsTLS is for the operators' port; nil: none.
+	OperatorsTLS *tls.Config
+	// Gatherer is what Metrics are registered with, for the operators' port.
+	Gatherer prometheus.Gatherer
+	// Version is shown to operators.
+	Version string
 	// NodesTLS is for both directions between our processes; nil: none.
 	NodesTLS *tls.Config
 	// DrainTimeout bounds a planned stop.
@@ -73,6 +84,9 @@
 	ctx    context.Context // of tasks and announcements
 	cancel context.CancelFunc
 
+	started time.Time
+	leaving atomic.Bool
+
 	mu      sync.Mutex // guards what follows, and serializes the core
 	core    *agent.Agent
 	links   map[string]*entryLink // by entry incarnation
@@ -103,9 +117,13 @@
 	if opts.Hello.Address == "" {
 		opts.Hello.Address = nodes.Addr().String()
 	}
+	if opts.Hello.OperatorAddress == "" && admin != nil {
+		opts.Hello.OperatorAddress = admin.Addr().String()
+	}
 	opts.Core.Hello = opts.Hello
 	a := &Agent{
-		opts: opts, log: opts.Logger, nodes: nodes, admin: admin, core: agent.New(opts.Core),
+		started: time.Now(),
+		opts:    opts, log: opts.Logger, nodes: nodes, admin: admin, core: agent.New(opts.Core),
 		links:   make(map[string]*entryLink),
 		running: make(map[agent.TaskRef]context.CancelFunc),
 		known:   make(map[string]string),
@@ -114,6 +132,8 @@
 		a.known[j] = ""
 	}
 	a.timer = rpc.NewTimer(a.tick)
+	opts.Metrics.SetState(a.metricsState)
+	a.recordProcess(event.ProcessStarted, opts.Version)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a, nil
 }
@@ -139,8 +159,8 @@
 func (a *Agent) Run(ctx context.Context) error {
 	servers := []*http.Server{rpc.NewServer(a.nodesHandler(), a.opts.NodesTLS)}
 	listeners := []net.Listener{a.nodes}
-	if a.admin != nil && a.opts.Operators != nil {
-		servers = append(servers, rpc.NewServer(a.opts.Operators, nil))
+	if a.admin != nil {
+		servers = append(servers, rpc.NewServer(a.operatorsHandler(), a.opts.OperatorsTLS))
 		listeners = append(listeners, a.admin)
 	}
 	failed := make(chan error, len(servers))
@@ -170,6 +190,7 @@
 
 func (a *Agent) drain() {
 	a.log.Info("draining", "limit", a.opts.DrainTimeout)
+	a.leaving.Store(true)
 	a.decide(a.core.Leave)
 	limit := time.Now().Add(a.opts.DrainTimeout)
 	for time.Now().Before(limit) {
@@ -177,11 +198,13 @@
 		drained := a.core.Drained()
 		a.mu.Unlock()
 		if drained {
+			a.recordProcess(event.DrainEnded, "every result is acknowledged")
 			a.log.Info("drained")
 			return
 		}
 		time.Sleep(drainPoll)
 	}
+	a.recordProcess(event.DrainEnded, "at the limit, with work left")
 	a.log.Warn("drain limit reached")
 }
 
@@ -239,6 +262,7 @@
 
 func (a *Agent) run(ctx context.Context, r agent.Run) {
 	res := a.opts.Endpoint.Run(ctx, r)
+	a.countEnd(res)
 	a.decide(func(now time.Time) {
 		if cancel := a.running[r.TaskRef]; cancel != nil {
 			cancel()
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -150,7 +150,9 @@
 	defer cancel()
 	client := rpc.NewClient(a.opts.NodesTLS)
 	defer client.CloseIdleConnections()
-	req := &pb.AnnounceRequest{Agent: a.opts.Hello, Relink: relink, Leaving: leaving}
+	req := &pb.AnnounceRequest{
+		Agent: a.opts.Hello, Relink: relink, Leaving: leaving, Clock: a.opts.Core.Events.Stamp(time.Now()),
+	}
 	a.opts.Metrics.Message(metrics.MessageAnnounce, metrics.Sent, proto.Size(req))
 	resp, err := papayahoistv1connect.NewEntryServiceClient(client, rpc.URL(address, a.opts.NodesTLS)).Announce(ctx,
 		connect.NewRequest(req))
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -18,6 +18,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
@@ -27,20 +28,35 @@
 	Errors = errorx.NewNamespace("node.entry")
 	// ErrStart is given when an entry can't begin to serve.
 	ErrStart = Errors.NewType("start")
+	// ErrLeaving makes an entry not ready that shuts down.
+	ErrLeaving = Errors.NewType("leaving")
 )
 
 // Options configure an Entry.
 type Options struct {
 	// Hello names the entry; Address is filled in from the listener when empty.
 	Hello *pb.EntryHello
-	// Listen addresses, IP and port. Operators' requests are served by Operators.
+	// Listen addresses, IP and port.
 	CallersListen, NodesListen, OperatorsListen string
 	// Contract returns the contract in force; it must not block.
 	Contract func(name string) *pb.Contract
 	// Peers returns the living entries; it must not block.
 	Peers func() []*pb.Peer
-	// Operators is served on the operators' port.
+	// Contracts lists those in force, for operators; it must not block. Nil: those
+	// that callers have used are listed.
+	Contracts func() []*pb.Contract
+	// StoreError tells why the platform's store can't be used, empty if it can; it
+	// must not block. Nil: never.
+	StoreError func() string
+	// Operators is served on the operators' port; nil: status, time line, metrics
+	// and probes of this entry.
 	Operators http.Handler
+	// OperatorsTLS is for the operators' port; nil: none.
+	OperatorsTLS *tls.Config
+	// Gatherer is what Metrics are registered with, for the operators' port.
+	Gatherer prometheus.Gatherer
+	// Version is shown to operators.
+	Version string
 	// NodesTLS is for both directions between our processes; nil: none.
 	NodesTLS *tls.Config
 	// CallersTLS is for the callers' port; nil: none.
@@ -68,6 +84,7 @@
 	ctx     context.Context // of the links; ends when Run does
 	cancel  context.CancelFunc
 	killed  atomic.Bool
+	leaving atomic.Bool
 
 	mu      sync.Mutex // guards what follows, and serializes the core
 	core    *entry.Entry
@@ -106,11 +123,16 @@
 	if opts.Hello.Address == "" {
 		opts.Hello.Address = e.nodes.Addr().String()
 	}
+	if opts.Hello.OperatorAddress == "" {
+		opts.Hello.OperatorAddress = e.OperatorsAddress()
+	}
 	e.opts.Core.Hello = opts.Hello
 	e.opts.Core.Started = time.Now()
 	e.opts.Core.Contract = opts.Contract
 	e.core = entry.New(e.opts.Core)
 	e.timer = rpc.NewTimer(e.tick)
+	opts.Metrics.SetState(e.metricsState)
+	e.recordProcess(event.ProcessStarted, opts.Version)
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e, nil
 }
@@ -156,8 +178,8 @@
 		rpc.NewServer(e.nodesHandler(), e.opts.NodesTLS),
 	}
 	listeners := []net.Listener{e.callers, e.nodes}
-	if e.admin != nil && e.opts.Operators != nil {
-		servers = append(servers, rpc.NewServer(e.opts.Operators, nil))
+	if e.admin != nil {
+		servers = append(servers, rpc.NewServer(e.operatorsHandler(), e.opts.OperatorsTLS))
 		listeners = append(listeners, e.admin)
 	}
 	failed := make(chan error, len(servers))
@@ -185,6 +207,7 @@
 
 func (e *Entry) drain() {
 	e.log.Info("draining", "limit", e.opts.DrainTimeout)
+	e.leaving.Store(true)
 	e.decide(e.core.Leave)
 	limit := time.Now().Add(e.opts.DrainTimeout)
 	for time.Now().Before(limit) {
@@ -192,11 +215,13 @@
 		drained := e.core.Drained()
 		e.mu.Unlock()
 		if drained {
+			e.recordProcess(event.DrainEnded, "every job has its answer")
 			e.log.Info("drained")
 			return
 		}
 		time.Sleep(drainPoll)
 	}
+	e.recordProcess(event.DrainEnded, "at the limit, with jobs left")
 	e.log.Warn("drain limit reached")
 }
 
@@ -241,10 +266,11 @@
 	for _, o := range ready.Frames {
 		if l := e.links[o.Agent]; l != nil && l.epoch == o.Epoch {
 			l.out.Put(o.Frame)
-			e.opts.Metrics.Message(metrics.EntryFrameKind(o.Frame), metrics.Sent, proto.Size(o.Frame))
+			e.countFrame(o.Frame, proto.Size(o.Frame))
 		}
 	}
 	for _, a := range ready.Answers {
+		e.countAnswer(a)
 		for _, w := range e.waiters[a.Job] {
 			w <- a
 		}
--- a/node/entry/nodes.go
+++ b/node/entry/nodes.go
@@ -35,8 +35,13 @@
 	if m.Agent.GetAgent() == "" || m.Agent.GetIncarnation() == "" || m.Agent.GetAddress() == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, ErrStart.New("an agent announces its name, incarnation and address"))
 	}
-	s.e.decide(func(now time.Time) { s.e.core.AgentSeen(now, m.Agent, m.Relink, m.Leaving) })
-	resp := &pb.AnnounceResponse{Entry: s.e.opts.Hello, Peers: s.e.opts.Peers()}
+	s.e.decide(func(now time.Time) {
+		s.e.opts.Core.Events.Observe(m.Clock, now)
+		s.e.core.AgentSeen(now, m.Agent, m.Relink, m.Leaving)
+	})
+	resp := &pb.AnnounceResponse{
+		Entry: s.e.opts.Hello, Peers: s.e.opts.Peers(), Clock: s.e.opts.Core.Events.Stamp(time.Now()),
+	}
 	s.e.opts.Metrics.Message(metrics.MessageAnnounce, metrics.Received, proto.Size(m))
 	s.e.opts.Metrics.Message(metrics.MessageAnnounce, metrics.Sent, proto.Size(resp))
 	return connect.NewResponse(resp), nil
@@ -48,11 +53,12 @@
 	if m.Home != s.e.opts.Hello.Incarnation {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, ErrStart.New("another incarnation of the entry"))
 	}
+	s.e.opts.Core.Events.Observe(m.Clock, time.Now())
 	r := s.e.serveLocal(ctx, request{
 		job: m.Job, contract: m.Contract, fetch: m.Fetch, cancel: m.Cancel,
 		wait: time.Duration(m.WaitMs) * time.Millisecond,
 	})
-	resp := &pb.ForwardResponse{Answer: r.answer, Known: r.known}
+	resp := &pb.ForwardResponse{Answer: r.answer, Known: r.known, Clock: s.e.opts.Core.Events.Stamp(time.Now())}
 	s.e.opts.Metrics.Message(metrics.MessageForward, metrics.Received, proto.Size(m))
 	s.e.opts.Metrics.Message(metrics.MessageForward, metrics.Sent, proto.Size(resp))
 	return connect.NewResponse(resp), nil
@@ -83,9 +89,13 @@
 		case rq.fetch:
 			rp.answer, rp.known = e.core.Fetch(rq.job.Id, rq.contract)
 		default:
+			_, before := e.core.Fetch(rq.job.Id, rq.job.Contract)
 			var admitted entry.Admission
 			admitted, rp.answer = e.core.Submit(now, rq.job)
 			rp.known = true
+			if !before {
+				e.countSubmission(rq.job.Contract, rp.answer)
+			}
 			if admitted != entry.Answered {
 				rp.answer = nil
 			}
--- /dev/null
+++ b/node/entry/operators.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/node/metrics"
+	"github.com/papayahoist/papayahoist/node/operator"
+)
+
+// roleEntry names the role in status and time line.
+const roleEntry = "entry"
+
+// operatorsHandler serves the operators' port from the entry's own state.
+func (e *Entry) operatorsHandler() http.Handler {
+	if e.opts.Operators != nil {
+		return e.opts.Operators
+	}
+	return operator.NewHandler(operator.Options{
+		Status:      e,
+		Ring:        e.opts.Core.Events,
+		Incarnation: e.opts.Hello.Incarnation,
+		Role:        roleEntry,
+		Ready:       e.ready,
+		Gatherer:    e.opts.Gatherer,
+		Requests:    e.opts.Metrics.OperatorRequests,
+		Logger:      e.log,
+	})
+}
+
+// ready tells the balancer to send no new callers to an entry that leaves.
+func (e *Entry) ready() error {
+	if e.leaving.Load() {
+		return ErrLeaving.New("the entry is shutting down")
+	}
+	return nil
+}
+
+// Status implements operator.StatusSource.
+func (e *Entry) Status() *pb.StatusResponse {
+	e.mu.Lock()
+	agents, uses := e.core.AgentStatuses(), e.core.Uses()
+	e.mu.Unlock()
+	s := &pb.StatusResponse{
+		Process:       e.opts.Hello.Entry,
+		Incarnation:   e.opts.Hello.Incarnation,
+		Role:          roleEntry,
+		FailureDomain: e.opts.Hello.FailureDomain,
+		Peers:         e.peers(),
+		Agents:        agents,
+		Contracts:     e.contractStatuses(uses),
+		Leaving:       e.leaving.Load(),
+		StartedUnixMs: e.opts.Core.Started.UnixMilli(),
+		Version:       e.opts.Version,
+	}
+	if e.opts.StoreError != nil {
+		s.StoreError = e.opts.StoreError()
+	}
+	for _, c := range s.Contracts {
+		s.ConfigRevision = max(s.ConfigRevision, c.Contract.Revision)
+	}
+	return s
+}
+
+func (e *Entry) peers() []*pb.Peer {
+	if e.opts.Peers == nil {
+		return nil
+	}
+	return e.opts.Peers()
+}
+
+// contractStatuses lists the contracts in force, by name.
+func (e *Entry) contractStatuses(uses map[string]entry.Use) []*pb.ContractStatus {
+	var list []*pb.ContractStatus
+	for _, c := range e.contracts() {
+		series, use := e.opts.Metrics.Contract(c.Name), uses[c.Name]
+		list = append(list, &pb.ContractStatus{
+			Contract:    c,
+			Waiting:     use.Waiting,
+			Running:     use.Running,
+			MemoryBytes: use.MemoryBytes,
+			Offered:     series.Offered.Value(),
+			Served:      series.Served.Value(),
+			Started:     series.TasksStarted.Value(),
+			Refused:     series.RefusedCounts(),
+		})
+	}
+	slices.SortFunc(list, func(a, b *pb.ContractStatus) int { return strings.Compare(a.Contract.Name, b.Contract.Name) })
+	return list
+}
+
+// contracts lists those in force; without a list, those that callers have used.
+func (e *Entry) contracts() []*pb.Contract {
+	if e.opts.Contracts != nil {
+		list := e.opts.Contracts()
+		for _, c := range list {
+			e.opts.Metrics.AddContract(c.Name)
+		}
+		return list
+	}
+	var list []*pb.Contract
+	for _, name := range e.opts.Metrics.ContractNames() {
+		if c := e.opts.Contract(name); c != nil && !c.Deleted {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// metricsState is read at each scrape.
+func (e *Entry) metricsState() metrics.EntryState {
+	e.mu.Lock()
+	c := e.core.Counts()
+	e.mu.Unlock()
+	s := metrics.EntryState{
+		JobsInFlight: c.Jobs,
+		TasksWaiting: c.Waiting,
+		CreditsHeld:  c.Credits,
+		LinksUp:      c.LinksUp,
+		LinksDown:    c.LinksDown,
+		StoreUp:      e.opts.StoreError == nil || e.opts.StoreError() == "",
+	}
+	for _, contract := range e.contracts() {
+		s.ConfigRevision = max(s.ConfigRevision, contract.Revision)
+	}
+	return s
+}
+
+// series returns the counters of a contract. Only names of the configuration
+// get counters of their own.
+func (e *Entry) series(contract string) *metrics.Contract {
+	if e.opts.Contract != nil && e.opts.Contract(contract) != nil {
+		e.opts.Metrics.AddContract(contract)
+	}
+	return e.opts.Metrics.Contract(contract)
+}
+
+// countSubmission counts a new job, and its refusal if there is one.
+func (e *Entry) countSubmission(contract string, refused *pb.Answer) {
+	c := e.series(contract)
+	c.Offered.Add(1)
+	if refused != nil && refused.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
+		c.Refused(jobs.Code(refused.Code))
+	}
+}
+
+// countAnswer counts how a job ended that Ready has just answered.
+func (e *Entry) countAnswer(a *pb.Answer) {
+	contract, response, ideal, accepted := e.core.Answered(a.Job)
+	if !accepted {
+		contract = metrics.OtherContract // a job of an entry that is gone
+	}
+	c := e.series(contract)
+	switch a.Outcome {
+	case pb.Outcome_OUTCOME_COMPLETE:
+		c.Served.Add(1)
+		c.Response(response, ideal)
+	case pb.Outcome_OUTCOME_NOT_RUN:
+		c.Refused(jobs.Code(a.Code))
+	case pb.Outcome_OUTCOME_UNKNOWN:
+		c.Unknown.Inc()
+	default:
+		c.Failed.Inc()
+	}
+}
+
+// countFrame counts a frame on its way to an agent.
+func (e *Entry) countFrame(f *pb.EntryFrame, bytes int) {
+	e.opts.Metrics.Message(metrics.EntryFrameKind(f), metrics.Sent, bytes)
+	for _, b := range f.Starts {
+		e.series(b.Contract).TasksStarted.Add(len(b.Tasks))
+	}
+}
+
+// recordProcess keeps an event about this process.
+func (e *Entry) recordProcess(kind event.Kind, detail string) {
+	e.opts.Core.Events.Record(time.Now(), event.Event{Kind: kind, Detail: detail})
+}
--- a/node/entry/route.go
+++ b/node/entry/route.go
@@ -10,6 +10,7 @@
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
@@ -56,17 +57,22 @@
 	defer cancel()
 	client := rpc.NewClient(e.opts.NodesTLS)
 	defer client.CloseIdleConnections()
+	now := time.Now()
+	e.opts.Core.Events.Record(now, event.Event{
+		Kind: event.JobForwarded, Job: rq.job.GetId(), Contract: rq.contract, Peer: p.Entry,
+	})
 	forward := &pb.ForwardRequest{
+		Clock: e.opts.Core.Events.Stamp(now),
 		Home: p.Incarnation, Job: rq.job, Fetch: rq.fetch, Cancel: rq.cancel,
 		Contract: rq.contract, WaitMs: uint32(rq.wait / time.Millisecond),
 	}
 	e.opts.Metrics.Message(metrics.MessageForward, metrics.Sent, proto.Size(forward))
-	e.opts.Metrics.Wasted(metrics.WasteForward, 1)
 	resp, err := papayahoistv1connect.NewEntryServiceClient(client, rpc.URL(p.Address, e.opts.NodesTLS)).Forward(ctx,
 		connect.NewRequest(forward))
 	if err != nil {
 		return reply{}, false
 	}
+	e.opts.Core.Events.Observe(resp.Msg.Clock, time.Now())
 	return reply{answer: resp.Msg.Answer, known: resp.Msg.Known}, true
 }
 
--- a/node/metrics/contract.go
+++ b/node/metrics/contract.go
@@ -144,8 +144,15 @@
 	return e.otherContract
 }
 
-// AddContract resolves the series of a contract that came into force.
+// ContractNames returns the contracts with series of their own, by name.
+func (e *Entry) ContractNames() []string { return slices.Sorted(maps.Keys(e.contracts.load())) }
+
+// AddContract resolves the series of a contract that came into force; without
+// effect for one that has them.
 func (e *Entry) AddContract(name string) {
+	if _, ok := e.contracts.load()[name]; ok {
+		return
+	}
 	e.contracts.mu.Lock()
 	defer e.contracts.mu.Unlock()
 	old := e.contracts.load()
