--- a/dispatch/agent/events.go
+++ b/dispatch/agent/events.go
@@ -80,4 +80,5 @@
 	if f.Leaving && !p.leaving {
 		a.recordPeer(now, event.DrainBegun, p, "the entry is leaving", 0)
 	}
+	p.leaving = f.Leaving
 }
--- a/dispatch/agent/status.go
+++ b/dispatch/agent/status.go
@@ -12,7 +12,7 @@
 
 // Counts returns the sums of now; its cost grows with the number of records.
 func (a *Agent) Counts() Counts {
-	c := Counts{Running: a.running, LinksUp: len(a.linked())}
+	c := Counts{Running: a.running, LinksUp: a.links()}
 	for _, rec := range a.jobs {
 		for _, t := range rec.tasks {
 			if t.result != nil && !t.acked {
@@ -23,6 +23,16 @@
 	return c
 }
 
+func (a *Agent) links() int {
+	n := 0
+	for _, p := range a.peers {
+		if p.session.IsUp() {
+			n++
+		}
+	}
+	return n
+}
+
 // Load returns the load of now, as entries get it.
 func (a *Agent) Load() *pb.AgentLoad { return a.load() }
 
--- a/dispatch/entry/events.go
+++ b/dispatch/entry/events.go
@@ -5,6 +5,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
 // record keeps an event about a job; contract may be empty.
@@ -19,6 +20,18 @@
 	e.opts.Events.Record(now, event.Event{Kind: kind, Peer: a.hello.Agent, Detail: detail, Value: value})
 }
 
+// recordStanding keeps that an agent gets less work than before, or more.
+func (e *Entry) recordStanding(now time.Time, a *agent, to place.Standing) {
+	if a.standing == to {
+		return
+	}
+	kind := map[place.Standing]event.Kind{
+		place.Suspended: event.WorkerSuspended, place.Trial: event.WorkerTrial, place.Open: event.WorkerResumed,
+	}[to]
+	a.standing = to
+	e.recordPeer(now, kind, a, standingTexts[to], 0)
+}
+
 // recordTask keeps an event about a task and its agent.
 func (e *Entry) recordTask(now time.Time, kind event.Kind, t *taskState, a *agent, detail string) {
 	e.opts.Events.Record(now, event.Event{
--- a/dispatch/entry/status.go
+++ b/dispatch/entry/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
 // Counts sums up an entry's state.
@@ -12,19 +13,23 @@
 	Jobs, Waiting, Credits int
 	// Agents with a link, and those not given up without one.
 	LinksUp, LinksDown int
+	// Agents that get no work because tasks fail there.
+	Suspended int
 }
 
 // Counts returns the sums of now; its cost grows with the number of agents.
 func (e *Entry) Counts() Counts {
-	c := Counts{Jobs: len(e.deadlines) + len(e.recoveries), Waiting: e.queue.total}
+	c := Counts{Jobs: len(e.deadlines) + len(e.recoveries), Waiting: e.policy.sched.Waiting(), Credits: e.policy.sched.Pool.Credits()}
 	for _, a := range e.agents {
-		c.Credits += a.credits
 		switch {
 		case a.session.IsUp():
 			c.LinksUp++
 		case !a.gone:
 			c.LinksDown++
 		}
+		if a.standing == place.Suspended {
+			c.Suspended++
+		}
 	}
 	return c
 }
@@ -37,7 +42,8 @@
 		list = append(list, &pb.AgentStatus{
 			Hello:          a.hello,
 			Load:           a.load,
-			Credits:        uint32(max(0, a.credits)),
+			Credits:        e.creditsOf(a),
+			Suspended:      standingTexts[a.standing],
 			Linked:         a.session.IsUp(),
 			Leaving:        a.leaving,
 			ConfigRevision: a.revision,
@@ -46,6 +52,19 @@
 	return list
 }
 
+// standingTexts tell operators why an agent gets less work or none.
+var standingTexts = map[place.Standing]string{
+	place.Trial:     "on trial",
+	place.Suspended: "tasks fail there",
+}
+
+func (e *Entry) creditsOf(a *agent) uint32 {
+	if known := e.policy.sched.Pool.Agent(a.hello.Agent); known != nil {
+		return uint32(max(0, known.Credits()))
+	}
+	return 0
+}
+
 // Use is what one contract's tasks of this entry take.
 type Use struct {
 	Waiting, Running uint32
@@ -57,9 +76,9 @@
 // grows with the number of tasks at agents.
 func (e *Entry) Uses() map[string]Use {
 	uses := make(map[string]Use)
-	for _, cq := range e.queue.contracts {
-		if n := len(cq.tasks); n > 0 {
-			uses[cq.name] = Use{Waiting: uint32(n)}
+	for name := range e.policy.contracts {
+		if n := e.policy.sched.WaitingOf(name); n > 0 {
+			uses[name] = Use{Waiting: uint32(n)}
 		}
 	}
 	for _, a := range e.agents {
--- a/node/entry/operators.go
+++ b/node/entry/operators.go
@@ -119,12 +119,13 @@
 	c := e.core.Counts()
 	e.mu.Unlock()
 	s := metrics.EntryState{
-		JobsInFlight: c.Jobs,
-		TasksWaiting: c.Waiting,
-		CreditsHeld:  c.Credits,
-		LinksUp:      c.LinksUp,
-		LinksDown:    c.LinksDown,
-		StoreUp:      e.opts.StoreError == nil || e.opts.StoreError() == "",
+		JobsInFlight:     c.Jobs,
+		TasksWaiting:     c.Waiting,
+		CreditsHeld:      c.Credits,
+		LinksUp:          c.LinksUp,
+		LinksDown:        c.LinksDown,
+		WorkersSuspended: c.Suspended,
+		StoreUp:          e.opts.StoreError == nil || e.opts.StoreError() == "",
 	}
 	for _, contract := range e.contracts() {
 		s.ConfigRevision = max(s.ConfigRevision, contract.Revision)
