Membership of entries without a list; contracts spread without the store

Cause: leases lapse in an outage of the store, processes pause, start and die, and each must learn of the others and of the contracts from whoever answers.

Registry.Since no longer claims more than its holder covers (found by the test of silent watches: the change never spread).

--- a/dispatch/contract/contract_test.go
+++ b/dispatch/contract/contract_test.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -237,8 +236,11 @@
 			said := rapid.Uint64Range(0, 20).Draw(t, "covered")
 			before := r.Snapshot()
 			kept := maps.Clone(before.byName)
-			r.Apply(batch, said)
-			covered = max(covered, said)
+			since := rapid.Uint64Range(0, 20).Draw(t, "since")
+			r.Apply(batch, since, said)
+			if since <= covered {
+				covered = max(covered, said)
+			}
 			for _, c := range batch {
 				highest[c.Name] = max(highest[c.Name], c.Revision)
 			}
@@ -257,30 +259,48 @@
 	})
 }
 
-// One process learns from another in bounded messages, of which some are lost.
-// If it believed itself up to date with a change missing, it would run an old
-// contract and nobody would send the change again.
+// One process learns from another in bounded messages. Some are lost, some come
+// late, and the learning process is restarted and gets what was meant for the one
+// before it. If it believed itself up to date with a change missing, it would run
+// an old contract and nobody would send the change again.
 func TestCatchingUpLeavesNothingOut(t *testing.T) {
+	type message struct {
+		contracts   []*pb.Contract
+		since, upTo uint64
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		ahead, behind := NewRegistry(), NewRegistry()
-		revision := uint64(0)
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			if rapid.Bool().Draw(t, "change") {
+		var revision uint64
+		var sent []message
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"change", "send", "deliver", "restart"}).Draw(t, "step") {
+			case "change":
 				revision++
 				name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "name")
-				ahead.Apply([]*pb.Contract{{Name: name, Revision: revision}}, revision)
-				continue
-			}
-			contracts, covered := ahead.Snapshot().Since(behind.Snapshot().Covered(), 2)
-			if rapid.Bool().Draw(t, "lost") {
-				continue
-			}
-			behind.Apply(contracts, covered)
-			if covered < revision {
-				continue
+				ahead.Apply([]*pb.Contract{{Name: name, Revision: revision}}, revision-1, revision)
+			case "send":
+				since := behind.Snapshot().Covered()
+				if rapid.Bool().Draw(t, "ahead") {
+					since += rapid.Uint64Range(0, 9).Draw(t, "by")
+				}
+				contracts, upTo := ahead.Snapshot().Since(since, 2)
+				if upTo > revision {
+					t.Fatalf("said to be covered up to %d of %d", upTo, revision)
+				}
+				sent = append(sent, message{contracts, since, upTo})
+			case "deliver":
+				if len(sent) > 0 {
+					m := rapid.SampledFrom(sent).Draw(t, "message")
+					behind.Apply(m.contracts, m.since, m.upTo)
+				}
+			case "restart":
+				behind = NewRegistry()
 			}
-			if !slices.Equal(ahead.Snapshot().All(), behind.Snapshot().All()) {
-				t.Fatalf("covered %d of %d and not the same", covered, revision)
+			for _, c := range ahead.Snapshot().All() {
+				held := behind.Snapshot().Held(c.Name).GetRevision()
+				if c.Revision <= behind.Snapshot().Covered() && held != c.Revision {
+					t.Fatalf("covered up to %d, and %s at %d in place of %d", behind.Snapshot().Covered(), c.Name, held, c.Revision)
+				}
 			}
 		}
 	})
--- a/dispatch/contract/registry.go
+++ b/dispatch/contract/registry.go
@@ -46,8 +46,9 @@
 }
 
 // Since returns at most limit contracts, tombstones included, that changed after
-// a revision, oldest change first. A receiver that applies them is covered up to
-// the second result.
+// a revision, oldest change first. A receiver that was covered up to the revision
+// and applies them is covered up to the second result, which is the lower one when
+// the receiver is ahead.
 func (s *Snapshot) Since(revision uint64, limit int) ([]*pb.Contract, uint64) {
 	var changed []*pb.Contract
 	for _, c := range s.byName {
@@ -57,7 +58,7 @@
 	}
 	slices.SortFunc(changed, func(a, b *pb.Contract) int { return cmp.Compare(a.Revision, b.Revision) })
 	if len(changed) <= limit {
-		return changed, max(revision, s.covered)
+		return changed, s.covered
 	}
 	changed = changed[:limit]
 	return changed, min(changed[limit-1].Revision, s.covered)
@@ -80,9 +81,12 @@
 func (r *Registry) Snapshot() *Snapshot { return r.snapshot }
 
 // Apply takes in contracts with their revisions and returns those that were
-// newer than what was held. Covered is the revision up to which the caller knows
-// that nothing is missing after this; zero if it knows nothing.
-func (r *Registry) Apply(contracts []*pb.Contract, covered uint64) []*pb.Contract {
+// newer than what was held. The caller knows that they are all changes after
+// revision since up to revision upTo; if it knows nothing both are zero.
+//
+// What was meant for another process, or for this one before it was restarted,
+// may begin behind a gap; then the contracts are taken, and what is covered stays.
+func (r *Registry) Apply(contracts []*pb.Contract, since, upTo uint64) []*pb.Contract {
 	var newer []*pb.Contract
 	next := r.snapshot.byName
 	for _, c := range contracts {
@@ -95,8 +99,12 @@
 		next[c.Name] = c
 		newer = append(newer, c)
 	}
+	covered := r.snapshot.covered
+	if since <= covered {
+		covered = max(covered, upTo)
+	}
 	if newer != nil || covered > r.snapshot.covered {
-		r.snapshot = &Snapshot{byName: next, covered: max(covered, r.snapshot.covered)}
+		r.snapshot = &Snapshot{byName: next, covered: covered}
 	}
 	return newer
 }
--- a/node/config/holder.go
+++ b/node/config/holder.go
@@ -40,10 +40,10 @@
 }
 
 // Apply puts in force what is newer than what is held; see contract.Registry.
-func (h *Holder) Apply(contracts []*pb.Contract, covered uint64) {
+func (h *Holder) Apply(contracts []*pb.Contract, since, upTo uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	newer := h.registry.Apply(contracts, covered)
+	newer := h.registry.Apply(contracts, since, upTo)
 	snapshot := h.registry.Snapshot()
 	h.snapshot.Store(snapshot)
 	if len(newer) == 0 {
--- /dev/null
+++ b/node/membership/membership.go
@@ -0,0 +1,167 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/member"
+	"github.com/papayahoist/papayahoist/node/config"
+	"github.com/papayahoist/papayahoist/platform/store"
+	"github.com/papayahoist/papayahoist/platform/store/follow"
+	"google.golang.org/protobuf/proto"
+)
+
+// Exchanger carries one exchange to the entry at an address. An error means that
+// no answer was received.
+type Exchanger interface {
+	Exchange(ctx context.Context, address string, state *pb.PeerState) (*pb.PeerState, error)
+}
+
+// Options of a Membership. The zero value of a field stands for its default
+// unless said otherwise.
+type Options struct {
+	// Self is this process. It is required.
+	Self *pb.Peer
+	// Store is the platform's; nil when there is none.
+	Store store.Client
+	// Config receives the contracts. It is required.
+	Config *config.Holder
+	// Join are nodes' addresses of entries, or of the balancer before them, that
+	// are asked while the store can't be reached.
+	Join []string
+	// Exchanger is required.
+	Exchanger Exchanger
+	// LeaseTTL is that of the announcement. It is renewed after a third.
+	// Default 60 s.
+	LeaseTTL time.Duration
+	Member   member.Options
+	Follow   follow.Options
+	// ExchangeTimeout bounds one exchange. Default 1 s.
+	ExchangeTimeout time.Duration
+	// Extend adds to the state that is sent; Received is given the state of
+	// others. Both may be nil, and must not block.
+	Extend, Received func(*pb.PeerState)
+	Logger           *slog.Logger
+	// Random gives numbers in [0, 1), concurrently. Default: math/rand/v2.
+	Random func() float64
+}
+
+// Membership is safe for concurrent use.
+type Membership struct {
+	opts Options
+	log  *slog.Logger
+	self atomic.Pointer[pb.Peer]
+
+	peers atomic.Pointer[[]*pb.Peer]
+	// followed is how far the store's changes are known; only the reader uses it.
+	followed store.Revision
+
+	wake  chan struct{}
+	leave chan struct{}
+
+	mu  sync.Mutex // serializes the set
+	set *member.Set
+	// reached is whether the store answers, for log lines of its changes.
+	reached bool
+}
+
+// New returns a membership that knows no other entry.
+func New(o Options) *Membership {
+	if o.LeaseTTL == 0 {
+		o.LeaseTTL = time.Minute
+	}
+	if o.ExchangeTimeout == 0 {
+		o.ExchangeTimeout = time.Second
+	}
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	m := &Membership{
+		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}),
+		set: member.New(o.Self, o.Join, o.Random, o.Member),
+	}
+	m.self.Store(o.Self)
+	m.peers.Store(&[]*pb.Peer{})
+	return m
+}
+
+// Peers returns the other entries that live, and this one. It takes no lock.
+func (m *Membership) Peers() []*pb.Peer { return *m.peers.Load() }
+
+// Find returns the entry process with the incarnation if it may be reached, nil
+// otherwise.
+func (m *Membership) Find(incarnation string) *pb.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.set.Find(incarnation)
+}
+
+// Run keeps the membership until the context ends. It returns when all that it
+// started has ended.
+func (m *Membership) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	if m.opts.Store != nil {
+		wg.Go(func() { _ = follow.Run(ctx, m.opts.Store, Prefix, (*reader)(m), m.opts.Follow) })
+		wg.Go(func() { m.announce(ctx) })
+	}
+	m.exchange(ctx, &wg)
+}
+
+// Leave tells the other entries and the store that this one takes no new work.
+func (m *Membership) Leave() {
+	left := proto.CloneOf(m.self.Load())
+	if left.Leaving {
+		return
+	}
+	left.Leaving = true
+	m.self.Store(left)
+	close(m.leave)
+	for _, p := range m.Peers() {
+		if p.Incarnation != left.Incarnation {
+			go m.ask(context.Background(), member.Ask{Address: p.Address, Incarnation: p.Incarnation})
+		}
+	}
+}
+
+// update runs one input of the set and publishes what came of it.
+func (m *Membership) update(input func(now time.Time, s *member.Set)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	input(time.Now(), m.set)
+	m.publish()
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Membership) publish() {
+	members := m.set.Members()
+	peers := make([]*pb.Peer, 0, len(members)+1)
+	peers = append(append(peers, m.self.Load()), members...)
+	before := m.Peers()
+	m.peers.Store(&peers)
+	if len(before) > 0 && len(before) != len(peers) {
+		m.log.Info("entries", "count", len(peers))
+	}
+}
+
+// storeReached notes whether the store answers.
+func (m *Membership) storeReached(reached bool, err error) {
+	m.update(func(now time.Time, s *member.Set) {
+		if reached != m.reached {
+			m.log.Info("store", "reached", reached, "err", err)
+		}
+		m.reached = reached
+		s.Store(now, reached)
+	})
+}
