--- a/cmd/internal/bench/profile.go
+++ b/cmd/internal/bench/profile.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
@@ -18,6 +19,8 @@
 	MemoryBytes    uint64
 	Slots          uint32
 	Connections    uint32
+	// Delay is one way between processes, CallerDelay to callers.
+	Delay, CallerDelay time.Duration
 	// Entries are thin instances behind the balancer.
 	Entries int
 	Streams []Stream
@@ -62,6 +65,9 @@
 	burstFactor = 2.5
 )
 
+// noisyFactor is how much more than its share a noisy contract offers.
+const noisyFactor = 10
+
 const mebibyte = 1 << 20
 
 func contract(name string, class pb.Class, weight uint32, concurrency uint32) *pb.Contract {
@@ -76,6 +82,7 @@
 	return Profile{
 		Name: "cadwaladr", FailureDomains: []string{"frame-hall", "chain-shed", "creep-room"},
 		Workers: 11, WorkersPerRack: 3, Cores: 16, MemoryBytes: 32 << 30, Slots: 8, Connections: 64, Entries: 3,
+		Delay: time.Millisecond, CallerDelay: time.Millisecond,
 		Streams: []Stream{
 			{Contract: contract("break-reports", pb.Class_CLASS_URGENT, 4, 88), Kind: "break-report", Share: 0.3, MaxTasks: 20, MemoryBytes: 600 * mebibyte, Timeout: 20 * time.Second},
 			{Contract: contract("gauge-checks", pb.Class_CLASS_NORMAL, 2, 88), Kind: "gauge-check", Share: 0.5, MaxTasks: 160, MemoryBytes: 400 * mebibyte, Timeout: 30 * time.Second},
@@ -89,6 +96,7 @@
 	return Profile{
 		Name: "hilvana", FailureDomains: []string{"quilicura", "maipu", "la-florida"},
 		Workers: 11, WorkersPerRack: 3, Cores: 64, MemoryBytes: 128 << 30, Slots: 8, Connections: 64, Entries: 3,
+		Delay: 1500 * time.Microsecond, CallerDelay: 3 * time.Millisecond,
 		Streams: []Stream{
 			{Contract: contract("pickups", pb.Class_CLASS_URGENT, 4, 88), Kind: "pickup", Share: 0.35, MaxTasks: 20, MemoryBytes: 400 * mebibyte, Timeout: 20 * time.Second},
 			{Contract: contract("grades", pb.Class_CLASS_NORMAL, 2, 88), Kind: "grade", Share: 0.45, MaxTasks: 160, MemoryBytes: 1500 * mebibyte, Timeout: 30 * time.Second},
@@ -107,6 +115,10 @@
 	return Profile{}, false
 }
 
+func (p Profile) has(contract string) bool {
+	return slices.ContainsFunc(p.Streams, func(s Stream) bool { return s.Contract.Name == contract })
+}
+
 // Capacity is the task time that the site can serve per second.
 func (p Profile) Capacity() float64 { return float64(p.Workers) * float64(p.Slots) }
 
@@ -128,12 +140,16 @@
 }
 
 // Plan draws the arrivals of a run: load is the offered task time over the
-// site's capacity.
-func (p Profile) Plan(seed uint64, load float64, length time.Duration) []JobPlan {
+// site's capacity. The noisy contract, if any, offers noisyFactor times its
+// share; the others' arrivals are the same with and without it.
+func (p Profile) Plan(seed uint64, load float64, length time.Duration, noisy string) []JobPlan {
 	var plan []JobPlan
 	for i, s := range p.Streams {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)+1))
 		perSecond := load * p.Capacity() * s.Share / (meanTasks(s.MaxTasks) * meanTaskSeconds())
+		if s.Contract.Name == noisy {
+			perSecond *= noisyFactor
+		}
 		// Bursts add to the mean; the base rate makes up for it.
 		base := perSecond / (1 + (burstFactor-1)*burstLength.Seconds()/burstEvery.Seconds())
 		for at := time.Duration(0); ; {
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -107,7 +107,7 @@
 
 // Run sends the load and returns what came of it.
 func (d *Demo) Run(ctx context.Context) (*Report, error) {
-	plan := d.profile.Plan(d.options.Seed, d.options.Load, d.options.Length)
+	plan := d.profile.Plan(d.options.Seed, d.options.Load, d.options.Length, "")
 	d.options.Progress("%d jobs arrive over %s at %.0f%% load", len(plan), d.options.Length, 100*d.options.Load)
 	callers, err := newCallers(d.Callers())
 	if err != nil {
--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -24,8 +24,11 @@
 // commands are the subcommands, each in a file of its own, in the order of the
 // help.
 var commands = []cli.Register{
+	registerContract,
 	registerJob,
 	registerStatus,
 	registerTimeline,
+	registerBench,
 	registerDemo,
+	registerStandin,
 }
