--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -250,7 +250,7 @@
 		Contract: func(name string) *pb.Contract { return s.contracts[name] },
 		Peers:    s.peers, DrainTimeout: s.opts.DrainTimeout, Core: core,
 		Metrics: metrics.NewEntry(registry, metrics.Options{Role: "entry", Ring: core.Events}), Gatherer: registry,
-		Logger:  s.opts.Logger.With("process", hello.Entry),
+		Logger: s.opts.Logger.With("process", hello.Entry),
 	})
 	if err != nil {
 		return ErrSite.Wrap(err, "entry %d", e.index)
@@ -333,7 +333,7 @@
 		Hello: hello, NodesListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0", Join: join, Endpoint: agent.HTTPEndpoint{Client: client},
 		DrainTimeout: s.opts.DrainTimeout, Core: core,
 		Metrics: metrics.NewAgent(registry, metrics.Options{Role: "agent", Ring: core.Events}), Gatherer: registry,
-		Logger:  s.opts.Logger.With("process", hello.Agent),
+		Logger: s.opts.Logger.With("process", hello.Agent),
 	})
 	if err != nil {
 		return ErrSite.Wrap(err, "agent %d", a.index)
--- a/node/entry/route.go
+++ b/node/entry/route.go
@@ -63,7 +63,7 @@
 	})
 	forward := &pb.ForwardRequest{
 		Clock: e.opts.Core.Events.Stamp(now),
-		Home: p.Incarnation, Job: rq.job, Fetch: rq.fetch, Cancel: rq.cancel,
+		Home:  p.Incarnation, Job: rq.job, Fetch: rq.fetch, Cancel: rq.cancel,
 		Contract: rq.contract, WaitMs: uint32(rq.wait / time.Millisecond),
 	}
 	e.opts.Metrics.Message(metrics.MessageForward, metrics.Sent, proto.Size(forward))
