--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/place"
@@ -38,6 +39,8 @@
 	MaxWaiting int
 	// MaxJobs bounds the jobs held, ended ones included.
 	MaxJobs int
+	// Events takes what happens, for the time line, and stamps messages; nil: none.
+	Events *event.Ring
 }
 
 // Defaults of Options.
@@ -136,6 +139,7 @@
 // Leave stops the entry from taking new jobs; those it has go on.
 func (e *Entry) Leave(now time.Time) {
 	e.leaving = true
+	e.record(now, event.DrainBegun, "", "", "no new jobs", len(e.deadlines))
 	for _, a := range e.agents {
 		a.dirty = a.session.IsUp()
 	}
@@ -199,5 +203,6 @@
 	}
 	r := e.ready
 	e.ready = Ready{}
+	e.recordAnswers(now, r.Answers)
 	return r
 }
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/place"
 )
@@ -73,16 +74,20 @@
 func (e *Entry) Submit(now time.Time, j *pb.Job) (Admission, *pb.Answer) {
 	digest := digestOf(j)
 	if js := e.jobs[j.Id]; js != nil {
+		e.record(now, event.JobJoined, j.Id, j.Contract, "", len(j.Tasks))
 		return e.resubmit(js, j, digest)
 	}
 	c, answer := e.admit(now, j)
 	if answer != nil {
+		e.recordRefusal(now, j, answer)
 		return Answered, answer
 	}
 	queued, request := e.plan(now, j, c)
 	if answer := e.refusal(now, j, request); answer != nil {
+		e.recordRefusal(now, j, answer)
 		return Answered, answer
 	}
+	e.record(now, event.JobAccepted, j.Id, j.Contract, j.Kind, len(j.Tasks))
 	e.accept(now, j, digest, queued)
 	return Accepted, nil
 }
@@ -172,6 +177,7 @@
 		return nil, false
 	}
 	if js.answer == nil {
+		e.record(now, event.JobCancelled, jobID, contract, "", js.open)
 		e.endEarly(now, js, jobs.CodeCancelled, "cancelled by the caller")
 	}
 	return js.answer, true
