papayahoistd entry and agent: processes put together from settings

Cause: the drivers, membership, contracts, metrics and time line were there, but nothing put them together into a process. Change: node/process assembles entry and agent from settings; entries answer exchanges and divide contracts with those that membership names; store client that turns to another address after a failed call; papayahoistd entry|agent. Open: an agent that announced itself before the entries knew each other never meets the second entry.

--- a/cmd/papayahoist/job.go
+++ b/cmd/papayahoist/job.go
@@ -49,7 +49,7 @@
 	submit.Flag("payload", "Payload of one task; may be repeated.").StringsVar(&c.payloads)
 	submit.Flag("payload-file", "File with the payload of one task; may be repeated.").StringsVar(&c.files)
 	submit.Flag("repeat", "How often to take each payload, as a task of its own.").Default("1").IntVar(&c.repeat)
-	submit.Flag("timeout", "Ends the job when it passes; 0 takes the contract's default.").Default("0s").DurationVar(&c.timeout)
+	submit.Flag("timeout", "Ends the job, and the wait for it, when it passes; 0 takes the contract's default.").Default("30s").DurationVar(&c.timeout)
 	submit.Flag("memory-bytes", "Memory a task is thought to need.").Uint64Var(&c.memory)
 	submit.Flag("cpu-millis", "Thousandths of a core a task is thought to need.").Uint32Var(&c.cpu)
 	submit.Flag("run-ms", "Time a task is thought to run.").Uint32Var(&c.run)
--- a/cmd/papayahoistd/main.go
+++ b/cmd/papayahoistd/main.go
@@ -20,11 +20,13 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // a second signal ends the process at once
-	code := cli.Run(ctx, "papayahoistd", help, os.Args[1:], os.Stdout, os.Stderr, registerCheck)
+	code := cli.Run(ctx, "papayahoistd", help, os.Args[1:], os.Stdout, os.Stderr, commands...)
 	stop()
 	os.Exit(int(code))
 }
 
+var commands = []cli.Register{registerEntry, registerAgent, registerCheck}
+
 func registerCheck(app *kingpin.Application, env *cli.Env) {
 	check := app.Command("check", "Check a settings file of either role, and the TLS files that it names.")
 	file := check.Arg("file", "The settings file.").Required().String()
--- a/cmd/papayahoistd/main_test.go
+++ b/cmd/papayahoistd/main_test.go
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	var out, errOut bytes.Buffer
-	code := cli.Run(t.Context(), "papayahoistd", help, []string{"check", file}, &out, &errOut, registerCheck)
+	code := cli.Run(t.Context(), "papayahoistd", help, []string{"check", file}, &out, &errOut, commands...)
 	if code != cli.CodeUsage {
 		t.Errorf("exit code %d, want %d", code, cli.CodeUsage)
 	}
@@ -33,7 +33,7 @@
 func TestCheckAcceptsExamples(t *testing.T) {
 	for _, file := range []string{"../../docs/operators/entry.json", "../../docs/operators/agent.json"} {
 		var out, errOut bytes.Buffer
-		code := cli.Run(t.Context(), "papayahoistd", help, []string{"check", file}, &out, &errOut, registerCheck)
+		code := cli.Run(t.Context(), "papayahoistd", help, []string{"check", file}, &out, &errOut, commands...)
 		if code != cli.CodeDone || !strings.Contains(out.String(), "good settings") {
 			t.Errorf("%s: exit code %d, output %q, errors %q", file, code, out.String(), errOut.String())
 		}
--- /dev/null
+++ b/cmd/papayahoistd/serve.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"io"
+	"log/slog"
+	"runtime/debug"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+	"github.com/papayahoist/papayahoist/node/lograte"
+	"github.com/papayahoist/papayahoist/node/process"
+	"github.com/papayahoist/papayahoist/node/settings"
+)
+
+func registerEntry(app *kingpin.Application, env *cli.Env) {
+	command := app.Command("entry", "Run an entry.")
+	file := settingsFlag(command)
+	command.Action(cli.Action(func() error { return runEntry(env, *file) }))
+}
+
+func registerAgent(app *kingpin.Application, env *cli.Env) {
+	command := app.Command("agent", "Run the agent beside an endpoint.")
+	file := settingsFlag(command)
+	command.Action(cli.Action(func() error { return runAgent(env, *file) }))
+}
+
+func settingsFlag(command *kingpin.CmdClause) *string {
+	return command.Flag("settings", "The settings file; see docs/operators/settings.md.").
+		Required().Envar("PAPAYAHOIST_SETTINGS").String()
+}
+
+func runEntry(env *cli.Env, file string) error {
+	read, err := settings.LoadEntry(file)
+	if err != nil {
+		return cli.Fail(cli.CodeUsage, err)
+	}
+	entry, err := process.NewEntry(process.EntryOptions{
+		Settings: *read, Version: version(), Logger: logger(env.Err, read.LogFormat, read.LogLevel),
+	})
+	if err != nil {
+		return err
+	}
+	return entry.Run(env.Context)
+}
+
+func runAgent(env *cli.Env, file string) error {
+	read, err := settings.LoadAgent(file)
+	if err != nil {
+		return cli.Fail(cli.CodeUsage, err)
+	}
+	agent, err := process.NewAgent(process.AgentOptions{
+		Settings: *read, Version: version(), Logger: logger(env.Err, read.LogFormat, read.LogLevel),
+	})
+	if err != nil {
+		return err
+	}
+	return agent.Run(env.Context)
+}
+
+// logger writes lines as the settings say, at a bounded rate.
+func logger(w io.Writer, format string, level slog.Level) *slog.Logger {
+	options := &slog.HandlerOptions{Level: level}
+	var handler slog.Handler = slog.NewJSONHandler(w, options)
+	if format == settings.LogText {
+		handler = slog.NewTextHandler(w, options)
+	}
+	return slog.New(lograte.NewHandler(handler, lograte.Options{}))
+}
+
+// version is the module version that this binary was built from.
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return ""
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -42,6 +42,13 @@
 	Contract func(name string) *pb.Contract
 	// Peers returns the living entries; it must not block.
 	Peers func() []*pb.Peer
+	// FindPeer returns the entry with an incarnation that may be reached, nil for
+	// none; it must not block. Nil: Peers are searched.
+	FindPeer func(incarnation string) *pb.Peer
+	// Exchange answers another entry's exchange of state; nil: none is served.
+	Exchange func(*pb.PeerState) *pb.PeerState
+	// Ready returns why the entry can't serve yet, or nil; nil: it always can.
+	Ready func() error
 	// Contracts lists those in force, for operators; it must not block. Nil: those
 	// that callers have used are listed.
 	Contracts func() []*pb.Contract
@@ -90,6 +97,7 @@
 	core    *entry.Entry
 	links   map[string]*agentLink // by agent name
 	waiters map[string][]chan *pb.Answer
+	heard   map[string]uint64 // clock of the last state, by entry incarnation
 	timer   *rpc.Timer
 }
 
--- a/node/entry/operators.go
+++ b/node/entry/operators.go
@@ -39,6 +39,9 @@
 	if e.leaving.Load() {
 		return ErrLeaving.New("the entry is shutting down")
 	}
+	if e.opts.Ready != nil {
+		return e.opts.Ready()
+	}
 	return nil
 }
 
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,7 +47,10 @@
 	// Extend adds to the state that is sent; Received is given the state of
 	// others. Both may be nil, and must not block.
 	Extend, Received func(*pb.PeerState)
-	Logger           *slog.Logger
+	// OnPeers is given the members after each change, this entry first; it must
+	// not block, nor call the membership but for Peers. Nil: nobody is told.
+	OnPeers func([]*pb.Peer)
+	Logger  *slog.Logger
 	// Random gives numbers in [0, 1), concurrently. Default: math/rand/v2.
 	Random func() float64
 }
@@ -68,6 +72,8 @@
 	set *member.Set
 	// reached is whether the store answers, for log lines of its changes.
 	reached bool
+	// storeError tells why the store doesn't answer; nil while it does.
+	storeError atomic.Pointer[string]
 }
 
 // New returns a membership that knows no other entry.
@@ -153,6 +159,17 @@
 	if len(before) > 0 && len(before) != len(peers) {
 		m.log.Info("entries", "count", len(peers))
 	}
+	if m.opts.OnPeers != nil && !slices.Equal(before, peers) {
+		m.opts.OnPeers(peers)
+	}
+}
+
+// StoreError tells why the store can't be used, empty if it can.
+func (m *Membership) StoreError() string {
+	if why := m.storeError.Load(); why != nil {
+		return *why
+	}
+	return ""
 }
 
 // storeReached notes whether the store answers.
@@ -162,6 +179,15 @@
 			m.log.Info("store", "reached", reached, "err", err)
 		}
 		m.reached = reached
+		m.storeError.Store(reason(err))
 		s.Store(now, reached)
 	})
 }
+
+func reason(err error) *string {
+	if err == nil {
+		return nil
+	}
+	text := err.Error()
+	return &text
+}
--- /dev/null
+++ b/node/process/store.go
@@ -0,0 +1,56 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/papayahoist/papayahoist/node/metrics"
+	"github.com/papayahoist/papayahoist/platform/store/etcdv3"
+)
+
+// storeCalls maps the store client's kinds of calls to those of the metrics.
+var storeCalls = map[etcdv3.Kind]metrics.StoreCall{
+	etcdv3.KindRead:  metrics.StoreGet,
+	etcdv3.KindWrite: metrics.StoreWrite,
+	etcdv3.KindLease: metrics.StoreLease,
+	etcdv3.KindWatch: metrics.StoreWatch,
+}
+
+// newStore returns a client of the store at any of the addresses.
+func newStore(addresses []string, transport http.RoundTripper, m *metrics.Entry) *etcdv3.Client {
+	spread := &failover{addresses: addresses, next: transport}
+	return etcdv3.New("http://"+addresses[0], etcdv3.Options{
+		HTTPClient: &http.Client{Transport: spread},
+		OnCall: func(kind etcdv3.Kind, took time.Duration, err error) {
+			m.StoreCall(storeCalls[kind], took, err)
+		},
+	})
+}
+
+// failover sends requests to one address until a call fails there, and then to
+// the next: a member of the store that died would otherwise look like an outage
+// of the whole store for as long as it is down.
+type failover struct {
+	addresses []string
+	next      http.RoundTripper
+	current   atomic.Uint64
+}
+
+// RoundTrip implements http.RoundTripper. It repeats nothing.
+func (f *failover) RoundTrip(r *http.Request) (*http.Response, error) {
+	at := f.current.Load()
+	address := f.addresses[at%uint64(len(f.addresses))]
+	if r.URL.Host != address {
+		r = r.Clone(r.Context())
+		r.URL.Host, r.Host = address, ""
+	}
+	response, err := f.next.RoundTrip(r)
+	// A call that timed out counts as failed, one that was given up doesn't.
+	if err != nil && !errors.Is(r.Context().Err(), context.Canceled) {
+		f.current.CompareAndSwap(at, at+1)
+	}
+	return response, err
+}
