--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -21,6 +21,10 @@
 	FenceTTL time.Duration
 	// MaxFences bounds the fences held at once.
 	MaxFences int
+	// PeerLostAfter is when an entry without a link is taken for gone: a drain no
+	// longer waits for it, and its results may be evicted. It should exceed the
+	// entries' AgentLostAfter.
+	PeerLostAfter time.Duration
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
 }
@@ -31,7 +35,10 @@
 	DefaultMaxResultBytes = 64 << 20
 	DefaultFenceTTL       = 30 * time.Minute
 	DefaultMaxFences      = 50_000
+	DefaultPeerLostAfter  = 15 * time.Second
 	DefaultLoadEvery      = time.Second
+	// maxHomes bounds the homes remembered for evicted records.
+	maxHomes = 4096
 )
 
 func (o Options) withDefaults() Options {
@@ -48,6 +55,9 @@
 	if o.MaxFences == 0 {
 		o.MaxFences = DefaultMaxFences
 	}
+	if o.PeerLostAfter == 0 {
+		o.PeerLostAfter = DefaultPeerLostAfter
+	}
 	if o.LoadEvery == 0 {
 		o.LoadEvery = DefaultLoadEvery
 	}
@@ -56,14 +66,14 @@
 
 // TaskRef names one task.
 type TaskRef struct {
-	Job  string
-	Task uint32
+	Contract string
+	Job      string // the id without the contract
+	Task     uint32
 }
 
 // Run is a task to start at the endpoint.
 type Run struct {
 	TaskRef
-	Contract string
 	Kind     string
 	Payload  []byte
 	Deadline time.Time
@@ -89,8 +99,8 @@
 type Agent struct {
 	opts Options
 
-	peers []*peer // in order of arrival, so that runs are repeatable
-	jobs  map[string]*record
+	peers []*peer            // in order of arrival, so that runs are repeatable
+	jobs  map[string]*record // by job.Name
 	// oldest ended jobs first, for eviction
 	ended       []*record
 	tasks       int // tasks in all records
@@ -102,7 +112,9 @@
 
 	fences     map[string]time.Time
 	fenceOrder []string
-	evicted    map[string]bool // homes with dropped records
+	// evicted holds the homes with dropped records; unacked those of them that had
+	// not acknowledged every result dropped.
+	evicted, unacked homeSet
 
 	leaving bool
 	ready   Ready
@@ -112,6 +124,8 @@
 type peer struct {
 	hello   *pb.EntryHello
 	session link.Session
+	downAt  time.Time // when the last link was lost
+	lost    bool      // without a link for PeerLostAfter
 	// credits granted and not used; want is what the entry could use beyond them.
 	credits, want int
 	recalled      bool
@@ -131,12 +145,16 @@
 
 // record is what the agent knows of one job.
 type record struct {
-	job, home string
-	contract  string
-	tasks     map[uint32]*task
-	open      int // tasks running or not acknowledged
-	watchers  []string
-	listed    bool // in Agent.ended
+	name     string // job.Name
+	contract string
+	id       string
+	home     string
+	digest   uint64
+	tasks    map[uint32]*task
+	running  int
+	open     int // tasks running or not acknowledged
+	watchers []string
+	listed   bool // in Agent.ended
 }
 
 type task struct {
@@ -151,11 +169,10 @@
 // New returns an Agent without links.
 func New(opts Options) *Agent {
 	return &Agent{
-		opts:    opts.withDefaults(),
-		jobs:    make(map[string]*record),
-		loads:   make(map[string]*pb.ContractLoad),
-		fences:  make(map[string]time.Time),
-		evicted: make(map[string]bool),
+		opts:   opts.withDefaults(),
+		jobs:   make(map[string]*record),
+		loads:  make(map[string]*pb.ContractLoad),
+		fences: make(map[string]time.Time),
 	}
 }
 
@@ -168,6 +185,7 @@
 	}
 	p := a.peer(hello.Incarnation)
 	if p == nil {
+		a.forgetPeers()
 		p = &peer{}
 		a.peers = append(a.peers, p)
 	} else if hello.Epoch <= p.session.Epoch() {
@@ -176,6 +194,7 @@
 		return "older than the link in use"
 	}
 	p.hello = hello
+	p.lost = false
 	p.session.Up(now, hello.Epoch, a.opts.Link)
 	p.credits, p.want, p.recalled = 0, 0, false
 	p.unacked = nil
@@ -193,7 +212,7 @@
 	for _, rec := range a.sortedRecords(p.hello.Incarnation) {
 		for _, t := range rec.sortedTasks() {
 			if t.result != nil && !t.acked {
-				a.addNews(p, rec.job, t.result)
+				a.addNews(p, rec.name, t.result)
 			}
 		}
 	}
@@ -206,12 +225,13 @@
 	if p == nil || p.session.Epoch() != epoch || !p.session.IsUp() {
 		return
 	}
-	a.drop(p)
+	a.drop(now, p)
 	a.balance()
 }
 
-func (a *Agent) drop(p *peer) {
+func (a *Agent) drop(now time.Time, p *peer) {
 	p.session.Down()
+	p.downAt = now
 	p.credits, p.want = 0, 0
 	p.out = pb.AgentFrame{}
 	p.dirty = false
@@ -293,6 +313,15 @@
 				continue
 			}
 		}
+		if b.Resent && a.unacked.has(p.hello.Incarnation) {
+			// The home was out of reach for so long that results were dropped which it
+			// had not acknowledged. This start may belong to one of them; running it
+			// could be the second time.
+			a.addNews(p, b.Job, &pb.TaskResult{
+				Task: ts.Task, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: "the agent has dropped its record of the task",
+			})
+			continue
+		}
 		if why := a.refuse(p, b, ts); why != "" {
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
@@ -306,7 +335,8 @@
 }
 
 func (a *Agent) refuse(p *peer, b *pb.StartBatch, ts *pb.TaskStart) string {
-	id, err := job.Parse(b.Job)
+	_, bare := job.SplitName(b.Job)
+	id, err := job.Parse(bare)
 	switch {
 	case err != nil || (id.HasHome() && id.Home.Incarnation != p.hello.Incarnation):
 		return job.RefusedForeign
@@ -343,17 +373,21 @@
 func (a *Agent) run(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart) {
 	rec := a.jobs[b.Job]
 	if rec == nil {
-		rec = &record{job: b.Job, home: p.hello.Incarnation, contract: b.Contract, tasks: make(map[uint32]*task)}
+		contract, id := job.SplitName(b.Job)
+		rec = &record{
+			name: b.Job, contract: contract, id: id, home: p.hello.Incarnation, digest: b.Digest,
+			tasks: make(map[uint32]*task, len(b.Tasks)),
+		}
 		a.jobs[b.Job] = rec
 	}
 	rec.tasks[ts.Task] = &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes}
 	rec.open++
+	rec.running++
 	a.tasks++
 	a.running++
-	a.reserve(b.Contract, 1, int64(ts.MemoryBytes))
+	a.reserve(rec.contract, 1, int64(ts.MemoryBytes))
 	a.ready.Run = append(a.ready.Run, Run{
-		TaskRef:  TaskRef{Job: b.Job, Task: ts.Task},
-		Contract: b.Contract,
+		TaskRef:  rec.ref(ts.Task),
 		Kind:     b.Kind,
 		Payload:  ts.Payload,
 		Deadline: now.Add(time.Duration(b.TimeoutMs) * time.Millisecond),
@@ -378,7 +412,7 @@
 // outcome is complete, failed, not run (the endpoint proved it never began) or
 // unknown.
 func (a *Agent) TaskEnded(now time.Time, ref TaskRef, res *pb.TaskResult) {
-	rec := a.jobs[ref.Job]
+	rec := a.jobs[job.Name(ref.Contract, ref.Job)]
 	if rec == nil {
 		return
 	}
@@ -388,6 +422,7 @@
 	}
 	res.Task = ref.Task
 	t.result = res
+	rec.running--
 	a.running--
 	a.resultBytes += len(res.Body)
 	a.reserve(rec.contract, -1, -int64(t.memory))
@@ -396,16 +431,16 @@
 		// repetition of this one, and the caller would wait until the deadline.
 		a.dropTask(t)
 	}
-	if home := a.homeOf(rec); home != nil {
-		if home.session.IsUp() {
-			a.addNews(home, rec.job, res)
-		}
+	home := a.homeOf(rec)
+	if home != nil && home.session.IsUp() {
+		a.addNews(home, rec.name, res)
 	}
 	for _, w := range rec.watchers {
 		if p := a.peer(w); p != nil && p.session.IsUp() {
-			a.addNews(p, rec.job, res)
+			a.addNews(p, rec.name, res)
 		}
 	}
+	a.retire(rec)
 	a.balance()
 }
 
@@ -416,7 +451,7 @@
 	a.tasks--
 	a.resultBytes -= len(t.result.Body)
 	if len(t.rec.tasks) == 0 {
-		delete(a.jobs, t.rec.job)
+		delete(a.jobs, t.rec.name)
 	}
 }
 
@@ -436,28 +471,31 @@
 			a.addNews(p, r.Job, refusal(index, job.RefusedRevoked))
 		case t.result == nil && !t.stopping:
 			t.stopping = true
-			a.ready.Stop = append(a.ready.Stop, TaskRef{Job: r.Job, Task: index})
+			a.ready.Stop = append(a.ready.Stop, rec.ref(index))
 		}
 	}
 }
 
+// fence refuses every later start of a job whose home is taken for gone, and
+// reports what was started.
 func (a *Agent) fence(now time.Time, p *peer, f *pb.Fence) {
 	report := &pb.FenceReport{Job: f.Job}
-	a.expireFences(now)
-	if _, ok := a.fences[f.Job]; !ok {
-		if len(a.fences) >= a.opts.MaxFences {
-			// Without room the job can't be fenced, and saying so keeps the asker from
-			// drawing conclusions.
-			report.Evicted = true
-		} else {
-			a.fences[f.Job] = now.Add(a.opts.FenceTTL)
-			a.fenceOrder = append(a.fenceOrder, f.Job)
-		}
+	_, bare := job.SplitName(f.Job)
+	id, _ := job.Parse(bare)
+	if home := a.peer(id.Home.Incarnation); !f.HomeEnded && home != nil && home.session.IsUp() && !home.session.Silent(now) {
+		// The asker can't reach the home, but this agent does: fencing would end a
+		// job that goes well.
+		report.HomeAlive = true
+	} else if !a.addFence(now, f.Job) {
+		// Without room the job can't be fenced, and saying so keeps the asker from
+		// drawing conclusions.
+		report.Evicted = true
 	}
-	if id, err := job.Parse(f.Job); err == nil && a.evicted[id.Home.Incarnation] {
+	if a.evicted.has(id.Home.Incarnation) {
 		report.Evicted = true
 	}
 	if rec := a.jobs[f.Job]; rec != nil {
+		report.Digest = rec.digest
 		for _, t := range rec.sortedTasks() {
 			if t.result == nil {
 				report.Running = append(report.Running, t.index)
@@ -471,6 +509,20 @@
 	p.dirty = true
 }
 
+// addFence reports whether the job is fenced.
+func (a *Agent) addFence(now time.Time, name string) bool {
+	a.expireFences(now)
+	if a.fenced(name) {
+		return true
+	}
+	if len(a.fences) >= a.opts.MaxFences {
+		return false
+	}
+	a.fences[name] = now.Add(a.opts.FenceTTL)
+	a.fenceOrder = append(a.fenceOrder, name)
+	return true
+}
+
 func (a *Agent) fenced(jobID string) bool {
 	_, ok := a.fences[jobID]
 	return ok
@@ -507,9 +559,13 @@
 func (a *Agent) Tick(now time.Time) {
 	changed := false
 	for _, p := range a.peers {
+		if !p.session.IsUp() && !p.lost && !now.Before(p.downAt.Add(a.opts.PeerLostAfter)) {
+			p.lost = true
+			a.retireAll(p.hello.Incarnation)
+		}
 		if p.session.Silent(now) {
 			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
-			a.drop(p)
+			a.drop(now, p)
 			changed = true
 		} else if p.session.Due(now) {
 			p.dirty = true
@@ -525,6 +581,9 @@
 	var next time.Time
 	for _, p := range a.peers {
 		next = link.Earlier(next, p.session.Next())
+		if !p.session.IsUp() && !p.lost {
+			next = link.Earlier(next, p.downAt.Add(a.opts.PeerLostAfter))
+		}
 	}
 	return next
 }
@@ -538,19 +597,30 @@
 	}
 }
 
-// Drained reports whether nothing is left that an entry waits for.
+// Drained reports whether nothing is left that an entry waits for. An entry that
+// has only lost its link is waited for: its results would be lost otherwise.
 func (a *Agent) Drained() bool {
 	if a.running > 0 {
 		return false
 	}
 	for _, rec := range a.jobs {
-		if rec.open > 0 && a.homeOf(rec) != nil && a.homeOf(rec).session.IsUp() {
+		if home := a.homeOf(rec); rec.open > 0 && home != nil && !home.lost {
 			return false
 		}
 	}
 	return true
 }
 
+// Size is what an Agent holds in memory.
+type Size struct {
+	Tasks, ResultBytes, Fences int
+}
+
+// Size returns the sizes that Options bound.
+func (a *Agent) Size() Size {
+	return Size{Tasks: a.tasks, ResultBytes: a.resultBytes, Fences: len(a.fences)}
+}
+
 // Ready returns what has to be done since the last call.
 func (a *Agent) Ready(now time.Time) Ready {
 	for _, p := range a.peers {
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -25,24 +25,24 @@
 	revision uint64
 	wanted   uint32 // want as last told
 
-	tasks   []*taskState // sent or received
-	unacked []*taskState // sent, in the order of their frames
-	revoked []revoked    // not acknowledged
+	tasks []*taskState // sent, and no result or refusal has come
 
 	out    pb.EntryFrame // content of the next frame
 	placed []*taskState  // starts of the next frame
 	dirty  bool
 }
 
-// revoked is a revocation that went out with frame seq; zero: not sent yet.
-type revoked struct {
-	seq uint64
-	ref *taskState
-}
+// maxPast is how many ended incarnations of an agent are remembered.
+const maxPast = 4
 
 // AgentSeen takes in an announcement. A new incarnation replaces the old one,
 // whose process has ended. Relink asks for a new link to the same process.
 func (e *Entry) AgentSeen(now time.Time, hello *pb.AgentHello, relink, leaving bool) {
+	if slices.Contains(e.past[hello.Agent], hello.Incarnation) {
+		// An announcement that was delayed until after the next process's own. Taking
+		// it in would give up on all that runs in the living process.
+		return
+	}
 	a := e.byName[hello.Agent]
 	if a != nil && a.hello.Incarnation != hello.Incarnation {
 		e.lose(now, a, "the agent was restarted")
@@ -68,6 +68,8 @@
 }
 
 func (e *Entry) remove(a *agent) {
+	past := append(e.past[a.hello.Agent], a.hello.Incarnation)
+	e.past[a.hello.Agent] = past[max(0, len(past)-maxPast):]
 	delete(e.byName, a.hello.Agent)
 	e.agents = slices.DeleteFunc(e.agents, func(x *agent) bool { return x == a })
 }
@@ -76,7 +78,10 @@
 	if a.dialing || a.session.IsUp() || a.gone || now.Before(a.dialAt) {
 		return
 	}
-	a.epoch++
+	// One counter for all agents: an agent that is forgotten and comes back would
+	// refuse a link numbered lower than the last.
+	e.epoch++
+	a.epoch = e.epoch
 	a.dialing = true
 	a.dialAt = now.Add(e.opts.RedialAfter)
 	h := &pb.EntryHello{
@@ -86,9 +91,10 @@
 	e.ready.Dials = append(e.ready.Dials, Dial{Agent: a.hello.Agent, Address: a.hello.Address, Hello: h})
 }
 
-// LinkUp takes in that the link asked for with the epoch is open. What the agent
-// has not acknowledged is sent again: it may have been lost with the old link,
-// and the agent knows which of it arrived.
+// LinkUp takes in that the link asked for with the epoch is open. Every start
+// without a result goes out again: it, its refusal or its result may have been
+// lost with the old link, and the agent knows which of its starts it took. A
+// revoked one must not start any more, so its revocation goes out in its place.
 func (e *Entry) LinkUp(now time.Time, name string, epoch uint64) {
 	a := e.byName[name]
 	if a == nil || a.epoch != epoch || !a.dialing {
@@ -98,25 +104,17 @@
 	a.session.Up(now, epoch, e.opts.Link)
 	a.credits, a.wanted = 0, 0
 	a.out = pb.EntryFrame{}
-	a.dirty = false
-	again := a.unacked
-	a.unacked, a.placed = nil, nil
-	for _, r := range a.revoked {
-		if r.ref.phase != ended {
-			a.addRevoke(r.ref)
-		}
-	}
-	for _, t := range again {
-		if t.phase == sent && !a.isRevoked(t) {
+	a.placed = nil
+	a.dirty = len(a.tasks) > 0
+	for _, t := range a.tasks {
+		if t.revoked {
+			a.addRevoke(t)
+		} else {
 			a.placed = append(a.placed, t)
-			a.dirty = true
 		}
 	}
-	for i := range a.revoked {
-		a.revoked[i].seq = 0
-	}
-	for _, id := range e.recoveryIDs() {
-		e.fenceAt(e.recoveries[id], a)
+	for _, name := range e.recoveryNames() {
+		e.fenceAgain(e.recoveries[name], a)
 	}
 }
 
@@ -151,9 +149,7 @@
 	for _, t := range a.placed {
 		if t.seq == 0 {
 			a.untrack(t)
-			e.requeue(t)
-		} else {
-			a.unacked = append(a.unacked, t)
+			e.requeue(now, t)
 		}
 	}
 	a.placed = nil
@@ -197,15 +193,15 @@
 func (e *Entry) lose(now time.Time, a *agent, why string) {
 	e.down(now, a)
 	tasks := a.tasks
-	a.tasks, a.unacked, a.revoked = nil, nil, nil
+	a.tasks = nil
 	for _, t := range tasks {
 		if t.phase == ended {
 			continue
 		}
 		e.taskEnded(now, t, &pb.TaskResult{Task: t.index, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: why})
 	}
-	for _, id := range e.recoveryIDs() {
-		e.recoveryLost(now, e.recoveries[id], a)
+	for _, name := range e.recoveryNames() {
+		e.recoveryLost(now, e.recoveries[name], a)
 	}
 }
 
@@ -218,7 +214,6 @@
 	if !a.session.Received(now, f.Seq, f.Ack, hasContent(f)) {
 		return
 	}
-	a.acknowledged()
 	if f.Hello != nil {
 		a.hello = f.Hello
 	}
@@ -255,23 +250,9 @@
 	a.dirty = true
 }
 
-func (a *agent) acknowledged() {
-	acked := a.session.Acked()
-	n := 0
-	for ; n < len(a.unacked) && a.unacked[n].seq <= acked; n++ {
-		if t := a.unacked[n]; t.phase == sent {
-			t.phase = received
-		}
-	}
-	a.unacked = a.unacked[n:]
-	a.revoked = slices.DeleteFunc(a.revoked, func(r revoked) bool {
-		return r.seq != 0 && r.seq <= acked
-	})
-}
-
 func (e *Entry) news(now time.Time, a *agent, n *pb.TaskNews) {
 	if r := e.recoveries[n.Job]; r != nil {
-		e.recoveryNews(now, r, a, n.Results)
+		e.recoveryNews(now, r, n.Results)
 	}
 	js := e.jobs[n.Job]
 	if js == nil {
@@ -282,7 +263,7 @@
 			continue
 		}
 		t := &js.tasks[res.Task]
-		if t.agent != a || (t.phase != sent && t.phase != received) {
+		if t.agent != a || t.phase != sent {
 			// A result that came twice, over an old and a new link.
 			continue
 		}
@@ -310,26 +291,22 @@
 	f.Seq, f.Ack = a.session.Send(now, content)
 	for _, t := range a.placed {
 		t.seq = f.Seq
-		a.unacked = append(a.unacked, t)
 	}
 	a.placed = a.placed[:0]
-	for i := range a.revoked {
-		if a.revoked[i].seq == 0 {
-			a.revoked[i].seq = f.Seq
-		}
-	}
 	e.ready.Frames = append(e.ready.Frames, Out{Agent: a.hello.Agent, Epoch: a.session.Epoch(), Frame: f})
 }
 
 func addStart(now time.Time, batches []*pb.StartBatch, t *taskState) []*pb.StartBatch {
-	j := t.job.job
-	if n := len(batches); n > 0 && batches[n-1].Job == j.Id {
+	js := t.job
+	resent := t.seq != 0
+	if n := len(batches); n > 0 && batches[n-1].Job == js.name && batches[n-1].Resent == resent {
 		batches[n-1].Tasks = append(batches[n-1].Tasks, t.start)
 		return batches
 	}
-	left := max(1, t.job.deadline.Sub(now)/time.Millisecond)
+	left := max(1, js.deadline.Sub(now)/time.Millisecond)
 	return append(batches, &pb.StartBatch{
-		Job: j.Id, Contract: j.Contract, Kind: j.Kind, TimeoutMs: uint32(left), Tasks: []*pb.TaskStart{t.start},
+		Job: js.name, Contract: js.job.Contract, Kind: js.job.Kind, TimeoutMs: uint32(left),
+		Tasks: []*pb.TaskStart{t.start}, Digest: js.digest, Resent: resent,
 	})
 }
 
@@ -354,27 +331,32 @@
 	a.tasks = a.tasks[:last]
 }
 
-// revoke asks the agent not to start a task, or to stop it.
-func (a *agent) revoke(t *taskState) {
-	if a.isRevoked(t) {
-		return
+// revoke asks the agent not to start a task, or to stop it. True: the start has
+// not left this process, and is withdrawn.
+func (a *agent) revoke(t *taskState) (withdrawn bool) {
+	if t.seq == 0 {
+		a.untrack(t)
+		a.placed = slices.DeleteFunc(a.placed, func(x *taskState) bool { return x == t })
+		a.credits++
+		return true
+	}
+	if t.revoked {
+		return false
 	}
-	a.revoked = append(a.revoked, revoked{ref: t})
+	t.revoked = true
 	if a.session.IsUp() {
+		a.placed = slices.DeleteFunc(a.placed, func(x *taskState) bool { return x == t })
 		a.addRevoke(t)
 	}
+	return false
 }
 
 func (a *agent) addRevoke(t *taskState) {
 	a.dirty = true
-	id := t.job.job.Id
-	if n := len(a.out.Revokes); n > 0 && a.out.Revokes[n-1].Job == id {
+	name := t.job.name
+	if n := len(a.out.Revokes); n > 0 && a.out.Revokes[n-1].Job == name {
 		a.out.Revokes[n-1].Tasks = append(a.out.Revokes[n-1].Tasks, t.index)
 		return
 	}
-	a.out.Revokes = append(a.out.Revokes, &pb.Revoke{Job: id, Tasks: []uint32{t.index}})
-}
-
-func (a *agent) isRevoked(t *taskState) bool {
-	return slices.ContainsFunc(a.revoked, func(r revoked) bool { return r.ref == t })
+	a.out.Revokes = append(a.out.Revokes, &pb.Revoke{Job: name, Tasks: []uint32{t.index}})
 }
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -23,22 +23,41 @@
 	// TokenTTL is how long an id made from a home token may start a job. Ids are
 	// remembered at least that long.
 	TokenTTL time.Duration
+	// TokenPeriod is how long the same token is handed out, at most.
+	TokenPeriod time.Duration
+	// RevokeWait is how long the answer of a job that was cancelled or is late
+	// may wait for the agents' proof that nothing has run.
+	RevokeWait time.Duration
+	// RecoverWait is how long a recovery waits for agents that can't be reached.
+	RecoverWait time.Duration
 	// AgentLostAfter is when an agent without a link is given up, and the outcome
 	// of what was sent to it is unknown.
 	AgentLostAfter time.Duration
 	// RedialAfter is the least time between two attempts to reach an agent.
 	RedialAfter time.Duration
-	// MaxJobs bounds the jobs held, ended ones included.
+	// MaxJobs bounds the jobs without an answer, and the answers kept.
 	MaxJobs int
+	// MaxAnswerBytes bounds the results in the answers kept.
+	MaxAnswerBytes int
+	// MaxSpent bounds the ids remembered as not to be started again; beyond it
+	// the oldest tokens expire early.
+	MaxSpent int
+	// MaxRecoveries bounds the recoveries held, ended ones included.
+	MaxRecoveries int
 }
 
 // Defaults of Options.
 const (
 	DefaultAnswerTTL      = 2 * time.Minute
 	DefaultTokenTTL       = 15 * time.Minute
+	DefaultRevokeWait     = 50 * time.Millisecond
+	DefaultRecoverWait    = 2 * time.Second
 	DefaultAgentLostAfter = 10 * time.Second
 	DefaultRedialAfter    = 250 * time.Millisecond
 	DefaultMaxJobs        = 200_000
+	DefaultMaxAnswerBytes = 64 << 20
+	DefaultMaxSpent       = 1_000_000
+	DefaultMaxRecoveries  = 10_000
 )
 
 func (o Options) withDefaults() Options {
@@ -50,11 +69,20 @@
 	}
 	set(&o.AnswerTTL, DefaultAnswerTTL)
 	set(&o.TokenTTL, DefaultTokenTTL)
+	set(&o.TokenPeriod, min(job.TokenPeriod, o.TokenTTL/4))
+	set(&o.RevokeWait, DefaultRevokeWait)
+	set(&o.RecoverWait, DefaultRecoverWait)
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
 	set(&o.RedialAfter, DefaultRedialAfter)
-	if o.MaxJobs == 0 {
-		o.MaxJobs = DefaultMaxJobs
+	bound := func(n *int, def int) {
+		if *n == 0 {
+			*n = def
+		}
 	}
+	bound(&o.MaxJobs, DefaultMaxJobs)
+	bound(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	bound(&o.MaxSpent, DefaultMaxSpent)
+	bound(&o.MaxRecoveries, DefaultMaxRecoveries)
 	return o
 }
 
@@ -73,11 +101,17 @@
 	Hello   *pb.EntryHello
 }
 
+// Ended is the answer of a job.
+type Ended struct {
+	Contract string
+	Answer   *pb.Answer
+}
+
 // Ready is what the driver must carry out, in any order.
 type Ready struct {
 	Dials   []Dial
 	Frames  []Out
-	Answers []*pb.Answer
+	Answers []Ended
 }
 
 // Entry is the state of one entry: its jobs, and its links to agents.
@@ -86,12 +120,17 @@
 
 	agents []*agent // sorted by name
 	byName map[string]*agent
-
-	jobs       map[string]*jobState
-	deadlines  deadlineHeap
-	ended      []*jobState // answered jobs, oldest first
-	queue      queue
-	recoveries map[string]*recovery
+	past   map[string][]string // ended incarnations by name, oldest first
+	epoch  uint64              // of the last link asked for
+
+	jobs        map[string]*jobState // by job.Name
+	deadlines   deadlineHeap
+	ended       []*jobState // answered jobs, oldest first
+	answerBytes int
+	spent       *spent
+	queue       queue
+	recoveries  map[string]*recovery // by job.Name
+	recovered   []*recovery          // ended ones, oldest first
 
 	leaving bool
 	ready   Ready
@@ -99,17 +138,20 @@
 
 // New returns an Entry without agents.
 func New(opts Options) *Entry {
+	opts = opts.withDefaults()
 	return &Entry{
-		opts:       opts.withDefaults(),
+		opts:       opts,
 		byName:     make(map[string]*agent),
+		past:       make(map[string][]string),
 		jobs:       make(map[string]*jobState),
+		spent:      newSpent(opts.Started, opts),
 		recoveries: make(map[string]*recovery),
 	}
 }
 
 // Token is the home token to hand to callers now.
 func (e *Entry) Token(now time.Time) job.Token {
-	return job.TokenAt(e.opts.Hello.Incarnation, now.Sub(e.opts.Started))
+	return job.Token{Incarnation: e.opts.Hello.Incarnation, Period: e.spent.period(now)}
 }
 
 // Leave stops the entry from taking new jobs; those it has go on.
@@ -122,14 +164,12 @@
 
 // Drained reports whether every job has its answer.
 func (e *Entry) Drained() bool {
-	return len(e.deadlines) == 0 && len(e.recoveries) == 0
+	return len(e.deadlines) == 0 && len(e.recoveries) == len(e.recovered)
 }
 
 // Tick takes in the passing of time; call it no later than Next says.
 func (e *Entry) Tick(now time.Time) {
-	for len(e.deadlines) > 0 && !now.Before(e.deadlines[0].deadline) {
-		e.expire(now, e.deadlines[0])
-	}
+	e.expireJobs(now)
 	e.expireRecoveries(now)
 	for _, a := range e.agents {
 		e.tickAgent(now, a)
@@ -144,19 +184,22 @@
 		next = e.deadlines[0].deadline
 	}
 	for _, r := range e.recoveries {
-		next = link.Earlier(next, r.deadline)
+		next = link.Earlier(next, r.next())
 	}
 	for _, a := range e.agents {
 		next = link.Earlier(next, a.next(e.opts))
 	}
 	if len(e.ended) > 0 {
-		next = link.Earlier(next, e.forgetAt(e.ended[0]))
+		next = link.Earlier(next, e.ended[0].answered.Add(e.opts.AnswerTTL))
 	}
 	return next
 }
 
 // Ready returns what has to be done since the last call.
 func (e *Entry) Ready(now time.Time) Ready {
+	// A process that was paused takes in messages before its timer: what is late by
+	// now must not be sent to an agent any more.
+	e.expireJobs(now)
 	e.place(now)
 	for _, a := range e.agents {
 		if a.dirty && a.session.IsUp() {
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -2,10 +2,10 @@
 
 import (
 	"container/heap"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
@@ -18,37 +18,40 @@
 const (
 	// waiting: not sent to any agent, or refused by the one it was sent to.
 	waiting phase = iota
-	// sent: on its way to an agent process, which may have started it.
+	// sent: given to an agent process, which may have started it.
 	sent
-	// received: the agent process has acknowledged the start.
-	received
 	// ended: the result is known, or nobody waits for it any more.
 	ended
 )
 
-// jobState is a job from its acceptance until its id is forgotten.
+// jobState is a job from its acceptance until its answer is dropped.
 type jobState struct {
+	name     string // job.Name
 	job      *pb.Job
 	digest   uint64
+	period   uint64 // of the id's home token
 	deadline time.Time
 	heapPos  int
 	tasks    []taskState
 	open     int  // tasks that have not ended
-	touched  bool // some task may have started
+	ran      bool // some task has run, or may have, and that won't change
+	ending   *pb.Answer
 	answer   *pb.Answer
 	answered time.Time
-	issued   time.Duration // uptime when the id's token was handed out
+	size     int // bytes of results in the answer
+	dropped  bool
 }
 
 type taskState struct {
-	job    *jobState
-	index  uint32
-	phase  phase
-	agent  *agent
-	pos    int // in agent.tasks
-	seq    uint64
-	start  *pb.TaskStart
-	result *pb.TaskResult
+	job     *jobState
+	index   uint32
+	phase   phase
+	agent   *agent
+	pos     int    // in agent.tasks
+	seq     uint64 // of the frame that carried the start last; zero: none has
+	revoked bool
+	start   *pb.TaskStart
+	result  *pb.TaskResult
 }
 
 // Admission says what became of a submission.
@@ -65,32 +68,65 @@
 )
 
 // Submit takes in a job of this home. A job that was submitted before is joined,
-// never started again. The answer is set when the admission is Answered; then
-// nothing was started by this call.
+// never started again, and one that was refused stays refused. The answer is set
+// when the admission is Answered; then nothing was started by this call.
 func (e *Entry) Submit(now time.Time, j *pb.Job) (Admission, *pb.Answer) {
 	digest := digestOf(j)
-	if js := e.jobs[j.Id]; js != nil {
+	name := job.Name(j.Contract, j.Id)
+	if js := e.jobs[name]; js != nil {
 		return e.resubmit(js, j, digest)
 	}
-	if answer := e.admit(now, j); answer != nil {
+	id, err := job.Parse(j.Id)
+	if err != nil || id.Home.Incarnation != e.opts.Hello.Incarnation {
+		return Answered, otherJob(j.Id, jobs.CodeBadRequest, "the id does not name this entry")
+	}
+	period := id.Home.Period
+	if !e.spent.live(now, period) {
+		// The entry may have run this id and forgotten it since. Starting it again
+		// would be the second start that the caller can't see.
+		return Answered, unknown(j.Id, jobs.CodeNotFound, "the id's home token has expired")
+	}
+	if v, ok := e.spent.find(period, name); ok {
+		return Answered, spentAnswer(j.Id, v)
+	}
+	if answer := e.admit(j); answer != nil {
+		e.spent.add(now, period, name, verdictOf(answer.Code))
 		return Answered, answer
 	}
-	e.accept(now, j, digest)
+	e.accept(now, j, name, period, digest)
 	return Accepted, nil
 }
 
+func spentAnswer(id string, v verdict) *pb.Answer {
+	if v == ranBefore {
+		return unknown(id, jobs.CodeNotFound, "the job has ended and its answer is no longer kept")
+	}
+	return refuse(id, refusalCodes[v], "the id was refused before; a new attempt takes a new id", 0)
+}
+
+// digestOf tells bodies apart that are sent under the same id.
 func digestOf(j *pb.Job) uint64 {
-	c := &pb.Job{Contract: j.Contract, Kind: j.Kind, TimeoutMs: j.TimeoutMs, Tasks: j.Tasks}
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
-	if err != nil {
-		return 0
+	var d xxhash.Digest
+	d.Reset()
+	var b [32]byte
+	number := func(n ...uint64) {
+		for i, x := range n {
+			binary.LittleEndian.PutUint64(b[8*i:], x)
+		}
+		_, _ = d.Write(b[:8*len(n)])
+	}
+	number(uint64(len(j.Kind)), uint64(j.TimeoutMs), uint64(len(j.Tasks)))
+	_, _ = d.WriteString(j.Kind)
+	for _, t := range j.Tasks {
+		number(uint64(len(t.Payload)), t.MemoryBytes, uint64(t.CpuMillis), uint64(t.RunMillis))
+		_, _ = d.Write(t.Payload)
 	}
-	return xxhash.Sum64(b)
+	return max(1, d.Sum64())
 }
 
 func (e *Entry) resubmit(js *jobState, j *pb.Job, digest uint64) (Admission, *pb.Answer) {
-	if js.job.Contract != j.Contract || js.digest != digest {
-		return Answered, refuse(j.Id, jobs.CodeConflict, "the id was used for another job", 0)
+	if js.digest != digest {
+		return Answered, conflict(j.Id)
 	}
 	if js.answer != nil {
 		return Answered, js.answer
@@ -99,16 +135,7 @@
 }
 
 // admit returns the refusal of a new job, nil when it may run.
-func (e *Entry) admit(now time.Time, j *pb.Job) *pb.Answer {
-	id, err := job.Parse(j.Id)
-	if err != nil || !id.HasHome() || id.Home.Incarnation != e.opts.Hello.Incarnation {
-		return refuse(j.Id, jobs.CodeBadRequest, "the id does not name this entry", 0)
-	}
-	if now.Sub(e.opts.Started)-id.Home.IssuedAt() > e.opts.TokenTTL {
-		// The entry may have run this id and forgotten it since. Starting it again
-		// would be the second start that the caller can't see.
-		return unknown(j.Id, jobs.CodeNotFound, "the id's home token has expired")
-	}
+func (e *Entry) admit(j *pb.Job) *pb.Answer {
 	c := e.opts.Contract(j.Contract)
 	switch {
 	case e.leaving:
@@ -119,7 +146,7 @@
 		return refuse(j.Id, jobs.CodeBadRequest, "a job has 1 to 160 tasks", 0)
 	case e.queue.waiting(j.Contract)+len(j.Tasks) > int(c.Waiting):
 		return refuse(j.Id, jobs.CodeQueueFull, "the contract's waiting limit is reached", time.Second)
-	case len(e.jobs) >= e.opts.MaxJobs:
+	case len(e.deadlines) >= e.opts.MaxJobs:
 		return refuse(j.Id, jobs.CodeOverloaded, "the entry holds as many jobs as it can", time.Second)
 	}
 	if j.TimeoutMs == 0 {
@@ -128,10 +155,9 @@
 	return nil
 }
 
-func (e *Entry) accept(now time.Time, j *pb.Job, digest uint64) {
-	id, _ := job.Parse(j.Id)
+func (e *Entry) accept(now time.Time, j *pb.Job, name string, period, digest uint64) {
 	js := &jobState{
-		job: j, digest: digest, open: len(j.Tasks), issued: id.Home.IssuedAt(),
+		name: name, job: j, digest: digest, open: len(j.Tasks), period: period,
 		deadline: now.Add(time.Duration(j.TimeoutMs) * time.Millisecond),
 		tasks:    make([]taskState, len(j.Tasks)),
 	}
@@ -142,14 +168,14 @@
 		js.tasks[i] = taskState{job: js, index: uint32(i), start: s}
 		e.queue.push(e.opts.Contract(j.Contract), &js.tasks[i])
 	}
-	e.jobs[j.Id] = js
+	e.jobs[name] = js
 	heap.Push(&e.deadlines, js)
 }
 
 // Fetch returns the answer of a job, or that it is known and runs.
 func (e *Entry) Fetch(jobID, contract string) (answer *pb.Answer, known bool) {
-	js := e.jobs[jobID]
-	if js == nil || js.job.Contract != contract {
+	js := e.jobs[job.Name(contract, jobID)]
+	if js == nil {
 		return nil, false
 	}
 	return js.answer, true
@@ -157,8 +183,8 @@
 
 // Cancel ends a job of the contract. It does nothing for an unknown or ended one.
 func (e *Entry) Cancel(now time.Time, jobID, contract string) (answer *pb.Answer, known bool) {
-	js := e.jobs[jobID]
-	if js == nil || js.job.Contract != contract {
+	js := e.jobs[job.Name(contract, jobID)]
+	if js == nil {
 		return nil, false
 	}
 	if js.answer == nil {
@@ -167,42 +193,76 @@
 	return js.answer, true
 }
 
-func (e *Entry) expire(now time.Time, js *jobState) {
-	e.endEarly(now, js, jobs.CodeDeadline, "the deadline has passed")
+func (e *Entry) expireJobs(now time.Time) {
+	for len(e.deadlines) > 0 && !now.Before(e.deadlines[0].deadline) {
+		js := e.deadlines[0]
+		if js.ending != nil {
+			e.answerEnded(now, js)
+			continue
+		}
+		e.endEarly(now, js, jobs.CodeDeadline, "the deadline has passed")
+	}
 }
 
-// endEarly answers a job that has tasks left. Those not sent are dropped, and
-// the others revoked. The caller is not kept waiting for the revocations: without
-// them "not run" can't be proven, so the outcome is then "failed".
+// endEarly ends a job that has tasks left. Those not sent are dropped, and the
+// others revoked. Where the agents' proof that nothing has run may come within
+// RevokeWait, the answer waits for it: "not run" is worth more to the caller than
+// "failed".
 func (e *Entry) endEarly(now time.Time, js *jobState, code jobs.Code, message string) {
-	e.revokeAll(js)
-	if js.touched {
-		e.answer(now, js, &pb.Answer{Job: js.job.Id, Outcome: pb.Outcome_OUTCOME_FAILED, Code: string(code), Message: message})
+	if js.ending != nil {
 		return
 	}
-	e.answer(now, js, refuse(js.job.Id, code, message, 0))
+	js.ending = &pb.Answer{Job: js.job.Id, Code: string(code), Message: message}
+	reachable := e.revokeAll(js)
+	if js.open == 0 || js.ran || !reachable {
+		e.answerEnded(now, js)
+		return
+	}
+	js.deadline = now.Add(e.opts.RevokeWait)
+	heap.Fix(&e.deadlines, js.heapPos)
+}
+
+// answerEnded answers a job that is ending with what is proven by now.
+func (e *Entry) answerEnded(now time.Time, js *jobState) {
+	js.ending.Outcome = pb.Outcome_OUTCOME_FAILED
+	if js.open == 0 && !js.ran {
+		js.ending.Outcome = pb.Outcome_OUTCOME_NOT_RUN
+	}
+	e.answer(now, js, js.ending)
 }
 
-// revokeAll withdraws what has not ended, with one message per agent.
-func (e *Entry) revokeAll(js *jobState) {
+// revokeAll withdraws what has not ended, with one message per agent. It reports
+// whether every agent that may have started something has a link.
+func (e *Entry) revokeAll(js *jobState) (reachable bool) {
+	reachable = true
 	for i := range js.tasks {
 		t := &js.tasks[i]
 		switch t.phase {
 		case waiting:
 			e.queue.remove(t)
-		case sent, received:
-			t.agent.revoke(t)
+		case sent:
+			if t.agent.revoke(t) {
+				t.phase = ended
+				js.open--
+				continue
+			}
+			reachable = reachable && t.agent.session.IsUp()
 		}
 	}
+	return reachable
 }
 
 // answer ends a job. The answer is complete with every result, or has none.
 func (e *Entry) answer(now time.Time, js *jobState, a *pb.Answer) {
 	js.answer = a
 	js.answered = now
+	for _, r := range a.Results {
+		js.size += len(r.Body)
+	}
+	e.answerBytes += js.size
 	heap.Remove(&e.deadlines, js.heapPos)
 	e.ended = append(e.ended, js)
-	e.ready.Answers = append(e.ready.Answers, a)
+	e.ready.Answers = append(e.ready.Answers, Ended{Contract: js.job.Contract, Answer: a})
 }
 
 // taskEnded takes in a task's result.
@@ -210,24 +270,43 @@
 	js := t.job
 	t.phase = ended
 	t.result = res
-	js.touched = true
+	js.ran = true
 	js.open--
 	if js.answer != nil {
+		e.finishDrop(now, js)
 		return
 	}
 	switch res.Outcome {
 	case pb.Outcome_OUTCOME_COMPLETE:
-		if js.open == 0 {
+		switch {
+		case js.open == 0 && js.allComplete():
 			e.complete(now, js)
+		case js.ending != nil:
+			e.answerEnded(now, js)
 		}
 	case pb.Outcome_OUTCOME_UNKNOWN:
 		e.revokeAll(js)
 		e.answer(now, js, unknown(js.job.Id, jobs.CodeAgentLost, res.Error))
 	default:
+		if js.ending != nil {
+			e.answerEnded(now, js)
+			return
+		}
 		e.endEarly(now, js, jobs.CodeTaskFailed, res.Error)
 	}
 }
 
+// allComplete reports whether each task has a result; some may have been dropped
+// or refused while the job was ending.
+func (js *jobState) allComplete() bool {
+	for i := range js.tasks {
+		if r := js.tasks[i].result; r == nil || r.Outcome != pb.Outcome_OUTCOME_COMPLETE {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Entry) complete(now time.Time, js *jobState) {
 	a := &pb.Answer{Job: js.job.Id, Outcome: pb.Outcome_OUTCOME_COMPLETE, Results: make([]*pb.TaskResult, len(js.tasks))}
 	for i := range js.tasks {
@@ -236,35 +315,68 @@
 	e.answer(now, js, a)
 }
 
-// requeue puts back a task that its agent has proven not to run.
-func (e *Entry) requeue(t *taskState) {
-	t.phase = waiting
-	t.agent = nil
-	if t.job.answer != nil {
+// refused takes in that an agent has not started a task and never will under the
+// start it was sent.
+func (e *Entry) refused(now time.Time, t *taskState, res *pb.TaskResult) {
+	if res.Error == job.RefusedFenced && t.job.ending == nil && t.job.answer == nil {
+		// Another entry took this one for dead and is gathering the job's results;
+		// starting the task elsewhere could contradict what it tells the caller.
 		t.phase = ended
 		t.job.open--
+		e.endEarly(now, t.job, jobs.CodeHomeLost, "another entry took over the job's recovery")
 		return
 	}
-	e.queue.push(e.opts.Contract(t.job.job.Contract), t)
+	e.requeue(now, t)
 }
 
-// forgetAt is when an ended job may be dropped: its answer has been kept long
-// enough, and its id can no longer start anything.
-func (e *Entry) forgetAt(js *jobState) time.Time {
-	keep := js.answered.Add(e.opts.AnswerTTL)
-	expired := e.opts.Started.Add(js.issued + e.opts.TokenTTL + time.Millisecond)
-	if expired.After(keep) {
-		return expired
+// requeue puts back a task that its agent has proven not to run.
+func (e *Entry) requeue(now time.Time, t *taskState) {
+	js := t.job
+	t.agent, t.seq, t.revoked = nil, 0, false
+	if js.answer == nil && js.ending == nil {
+		t.phase = waiting
+		e.queue.push(e.opts.Contract(js.job.Contract), t)
+		return
+	}
+	t.phase = ended
+	js.open--
+	switch {
+	case js.answer != nil:
+		e.finishDrop(now, js)
+	case js.open == 0:
+		e.answerEnded(now, js)
 	}
-	return keep
 }
 
+// forgetOld drops answers that were kept long enough, and the oldest of those
+// that are too many. Their ids stay spent.
 func (e *Entry) forgetOld(now time.Time) {
-	n := 0
-	for ; n < len(e.ended) && !now.Before(e.forgetAt(e.ended[n])); n++ {
-		delete(e.jobs, e.ended[n].job.Id)
+	for len(e.ended) > 0 {
+		js := e.ended[0]
+		if len(e.ended) <= e.opts.MaxJobs && e.answerBytes <= e.opts.MaxAnswerBytes &&
+			now.Before(js.answered.Add(e.opts.AnswerTTL)) {
+			return
+		}
+		e.ended = e.ended[1:]
+		e.answerBytes -= js.size
+		v := ranBefore
+		if js.answer.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
+			v = verdictOf(js.answer.Code)
+		}
+		e.spent.add(now, js.period, js.name, v)
+		js.answer = spentAnswer(js.job.Id, v)
+		js.job.Tasks = nil
+		js.dropped = true
+		e.finishDrop(now, js)
+	}
+}
+
+// finishDrop forgets a job whose answer was dropped, once no agent holds a task
+// of it: until then a late result must find its task.
+func (e *Entry) finishDrop(_ time.Time, js *jobState) {
+	if js.dropped && js.open == 0 {
+		delete(e.jobs, js.name)
 	}
-	e.ended = e.ended[n:]
 }
 
 func refuse(id string, code jobs.Code, message string, retry time.Duration) *pb.Answer {
@@ -278,6 +390,16 @@
 	return &pb.Answer{Job: id, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Code: string(code), Message: message}
 }
 
+// otherJob answers a request that is not about the job of that id, whose
+// outcome therefore stays open.
+func otherJob(id string, code jobs.Code, message string) *pb.Answer {
+	return &pb.Answer{Job: id, Code: string(code), Message: message}
+}
+
+func conflict(id string) *pb.Answer {
+	return otherJob(id, jobs.CodeConflict, "the id was used for another body, of which nothing was started")
+}
+
 // deadlineHeap holds the jobs without an answer, the next deadline first.
 type deadlineHeap []*jobState
 
--- a/dispatch/entry/place.go
+++ b/dispatch/entry/place.go
@@ -3,9 +3,7 @@
 import (
 	"time"
 
-	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
-	"github.com/papayahoist/papayahoist/dispatch/job"
 )
 
 // queue holds the waiting tasks of each contract in the order they came.
@@ -89,7 +87,6 @@
 		}
 		t := e.queue.pop()
 		a.credits--
-		t.job.touched = true
 		a.track(t)
 	}
 	e.tellWant()
@@ -126,19 +123,3 @@
 		a.wanted = n
 	}
 }
-
-// refused takes in that an agent has not started a task and never will.
-func (e *Entry) refused(now time.Time, t *taskState, res *pb.TaskResult) {
-	if res.Error == job.RefusedFenced {
-		// Another entry took this one for dead and is gathering the job's results;
-		// starting the task elsewhere could contradict what it tells the caller.
-		t.phase = ended
-		t.job.open--
-		if t.job.answer == nil {
-			e.revokeAll(t.job)
-			e.answer(now, t.job, unknown(t.job.job.Id, jobs.CodeHomeLost, "another entry took over the job's recovery"))
-		}
-		return
-	}
-	e.requeue(t)
-}
--- a/dispatch/job/id.go
+++ b/dispatch/job/id.go
@@ -19,33 +19,38 @@
 const (
 	// IncarnationLength is the length of an incarnation: 128 random bits in hex.
 	IncarnationLength = 32
-	// TokenPeriod is how long an entry hands out the same home token.
+	// TokenPeriod is how long an entry hands out the same home token, at most.
 	TokenPeriod = time.Minute
 	maxLength   = 128
 )
 
-// Token is an entry's home token: its incarnation and the period, counted from
-// the start of that process, in which the token was handed out. The period lets
-// an entry forget ids: one whose token has expired is never started, whether or
-// not the entry still remembers it.
+// Token is an entry's home token: its incarnation and the period, counted from 0
+// at the start of that process, in which the token was handed out. The period
+// lets an entry forget ids: one whose token has expired is never started,
+// whether or not the entry still remembers it.
 type Token struct {
 	Incarnation string
 	Period      uint64
 }
 
-// TokenAt returns the token that the incarnation hands out after it has been up
-// for the given time.
-func TokenAt(incarnation string, up time.Duration) Token {
-	return Token{Incarnation: incarnation, Period: uint64(up / TokenPeriod)}
-}
-
 // String formats the token as callers see it.
 func (t Token) String() string {
 	return t.Incarnation + "-" + strconv.FormatUint(t.Period, 10)
 }
 
-// IssuedAt is when the token was first handed out, as uptime of its process.
-func (t Token) IssuedAt() time.Duration { return time.Duration(t.Period) * TokenPeriod }
+// Name is what the system's own processes call a job: the contract and the id.
+// With the contract in it, nobody can read, join, cancel or fence the job of
+// another customer, however the id was come by.
+func Name(contract, id string) string { return contract + "/" + id }
+
+// SplitName undoes Name; an id holds no slash.
+func SplitName(name string) (contract, id string) {
+	i := strings.LastIndexByte(name, '/')
+	if i < 0 {
+		return "", name
+	}
+	return name[:i], name[i+1:]
+}
 
 // ID is a parsed job id.
 type ID struct {
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -239,6 +240,11 @@
 
 func (a *Agent) run(ctx context.Context, r agent.Run) {
 	res := a.opts.Endpoint.Run(ctx, r)
+	if res.Outcome == pb.Outcome_OUTCOME_UNKNOWN && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// The task was started, and its time is over: that much is known.
+		res.Outcome, res.Error = pb.Outcome_OUTCOME_FAILED, "the deadline has passed"
+		a.stopTask(r.TaskRef)
+	}
 	a.decide(func(now time.Time) {
 		if cancel := a.running[r.TaskRef]; cancel != nil {
 			cancel()
--- a/node/agent/endpoint.go
+++ b/node/agent/endpoint.go
@@ -6,17 +6,20 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/agent"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/platform/endpoint"
 )
 
-// HTTPEndpoint runs tasks through the platform's service on the worker.
+// HTTPEndpoint runs tasks through the platform's service on the worker. The
+// service knows a job by contract and id, so that the stop of one customer's task
+// can't end that of another who chose the same id.
 type HTTPEndpoint struct {
 	Client endpoint.Client
 }
 
 // Run starts a task and waits for its end.
 func (h HTTPEndpoint) Run(ctx context.Context, r agent.Run) *pb.TaskResult {
-	res, err := h.Client.Run(ctx, endpoint.Task{Job: r.Job, Index: r.Task, Contract: r.Contract, Kind: r.Kind, Payload: r.Payload})
+	res, err := h.Client.Run(ctx, endpoint.Task{Job: job.Name(r.Contract, r.Job), Index: r.Task, Contract: r.Contract, Kind: r.Kind, Payload: r.Payload})
 	if err == nil {
 		return &pb.TaskResult{
 			Outcome: pb.Outcome_OUTCOME_COMPLETE, Body: res.Body,
@@ -38,5 +41,5 @@
 
 // Stop asks the worker to end a task.
 func (h HTTPEndpoint) Stop(ctx context.Context, ref agent.TaskRef) error {
-	return h.Client.Stop(ctx, ref.Job, ref.Task)
+	return h.Client.Stop(ctx, job.Name(ref.Contract, ref.Job), ref.Task)
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -18,6 +18,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
@@ -72,7 +73,7 @@
 	mu      sync.Mutex // guards what follows, and serializes the core
 	core    *entry.Entry
 	links   map[string]*agentLink // by agent name
-	waiters map[string][]chan *pb.Answer
+	waiters map[string][]chan *pb.Answer // by job.Name
 	timer   *rpc.Timer
 }
 
@@ -238,10 +239,11 @@
 		}
 	}
 	for _, a := range ready.Answers {
-		for _, w := range e.waiters[a.Job] {
-			w <- a
+		name := job.Name(a.Contract, a.Answer.Job)
+		for _, w := range e.waiters[name] {
+			w <- a.Answer
 		}
-		delete(e.waiters, a.Job)
+		delete(e.waiters, name)
 	}
 	e.timer.Set(now, e.core.Next())
 }
@@ -250,24 +252,24 @@
 
 // wait registers for a job's answer; call it within decide. The channel has room
 // for the one answer, so that handing it over never blocks.
-func (e *Entry) wait(jobID string) chan *pb.Answer {
+func (e *Entry) wait(name string) chan *pb.Answer {
 	w := make(chan *pb.Answer, 1)
-	e.waiters[jobID] = append(e.waiters[jobID], w)
+	e.waiters[name] = append(e.waiters[name], w)
 	return w
 }
 
 // unwait gives up a registration.
-func (e *Entry) unwait(jobID string, w chan *pb.Answer) {
+func (e *Entry) unwait(name string, w chan *pb.Answer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	list := e.waiters[jobID]
+	list := e.waiters[name]
 	for i, x := range list {
 		if x == w {
-			e.waiters[jobID] = append(list[:i], list[i+1:]...)
+			e.waiters[name] = append(list[:i], list[i+1:]...)
 			break
 		}
 	}
-	if len(e.waiters[jobID]) == 0 {
-		delete(e.waiters, jobID)
+	if len(e.waiters[name]) == 0 {
+		delete(e.waiters, name)
 	}
 }
--- a/node/entry/nodes.go
+++ b/node/entry/nodes.go
@@ -13,6 +13,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/node/metrics"
 )
 
@@ -76,6 +77,7 @@
 func (e *Entry) serveLocal(ctx context.Context, rq request) reply {
 	var rp reply
 	var w chan *pb.Answer
+	name := job.Name(rq.contract, rq.job.Id)
 	e.decide(func(now time.Time) {
 		switch {
 		case rq.cancel:
@@ -91,16 +93,16 @@
 			}
 		}
 		if rp.known && rp.answer == nil {
-			w = e.wait(rq.job.Id)
+			w = e.wait(name)
 		}
 	})
 	if w != nil {
-		rp.answer = e.await(ctx, rq.job.Id, w, rq.wait)
+		rp.answer = e.await(ctx, name, w, rq.wait)
 	}
 	return rp
 }
 
-func (e *Entry) await(ctx context.Context, jobID string, w chan *pb.Answer, limit time.Duration) *pb.Answer {
+func (e *Entry) await(ctx context.Context, name string, w chan *pb.Answer, limit time.Duration) *pb.Answer {
 	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
@@ -109,7 +111,7 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	e.unwait(jobID, w)
+	e.unwait(name, w)
 	select {
 	case a := <-w:
 		return a
--- a/node/entry/route.go
+++ b/node/entry/route.go
@@ -36,7 +36,7 @@
 	if rq.fetch || rq.cancel || len(rq.job.Tasks) == 0 {
 		return reply{}
 	}
-	return e.recover(ctx, rq)
+	return e.recover(ctx, rq, false)
 }
 
 func (e *Entry) findPeer(incarnation string) *pb.Peer {
@@ -70,16 +70,17 @@
 	return reply{answer: resp.Msg.Answer, known: resp.Msg.Known}, true
 }
 
-func (e *Entry) recover(ctx context.Context, rq request) reply {
+func (e *Entry) recover(ctx context.Context, rq request, homeEnded bool) reply {
 	var w chan *pb.Answer
+	name := job.Name(rq.contract, rq.job.Id)
+	rp := reply{known: true}
 	e.decide(func(now time.Time) {
-		w = e.wait(rq.job.Id)
-		if rq.job.TimeoutMs == 0 {
-			if c := e.opts.Contract(rq.contract); c != nil {
-				rq.job.TimeoutMs = c.DefaultTimeoutMs
-			}
+		if rp.answer = e.core.Recover(now, rq.job, homeEnded); rp.answer == nil {
+			w = e.wait(name)
 		}
-		e.core.Recover(now, rq.job)
 	})
-	return reply{answer: e.await(ctx, rq.job.Id, w, rq.wait), known: true}
+	if w != nil {
+		rp.answer = e.await(ctx, name, w, rq.wait)
+	}
+	return rp
 }
