--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -5,7 +5,9 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/job"
+	"github.com/papayahoist/papayahoist/dispatch/limit"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
 // Options configure an Agent.
@@ -25,6 +27,9 @@
 	// longer waits for it, and its results may be evicted. It should exceed the
 	// entries' AgentLostAfter.
 	PeerLostAfter time.Duration
+	// Damping is how long an entry's credits must lie unused before they are
+	// recalled for another that waits.
+	Damping time.Duration
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
 }
@@ -38,7 +43,8 @@
 	DefaultPeerLostAfter  = 15 * time.Second
 	DefaultLoadEvery      = time.Second
 	// maxHomes bounds the homes remembered for evicted records.
-	maxHomes = 4096
+	maxHomes       = 4096
+	DefaultDamping = 10 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -58,6 +64,9 @@
 	if o.PeerLostAfter == 0 {
 		o.PeerLostAfter = DefaultPeerLostAfter
 	}
+	if o.Damping == 0 {
+		o.Damping = DefaultDamping
+	}
 	if o.LoadEvery == 0 {
 		o.LoadEvery = DefaultLoadEvery
 	}
@@ -106,6 +115,7 @@
 	tasks       int // tasks in all records
 	resultBytes int
 
+	slots    *limit.Credits
 	running  int
 	reserved uint64
 	loads    map[string]*pb.ContractLoad
@@ -126,10 +136,6 @@
 	session link.Session
 	downAt  time.Time // when the last link was lost
 	lost    bool      // without a link for PeerLostAfter
-	// credits granted and not used; want is what the entry could use beyond them.
-	credits, want int
-	recalled      bool
-	leaving       bool
 
 	out        pb.AgentFrame // content of the next frame
 	dirty      bool
@@ -161,6 +167,7 @@
 	rec      *record
 	index    uint32
 	memory   uint64
+	units    int            // slots that it takes
 	result   *pb.TaskResult // nil while running
 	acked    bool
 	stopping bool
@@ -168,8 +175,10 @@
 
 // New returns an Agent without links.
 func New(opts Options) *Agent {
+	opts = opts.withDefaults()
 	return &Agent{
-		opts:   opts.withDefaults(),
+		opts:   opts,
+		slots:  limit.NewCredits(limit.CreditsOptions{Slots: int(opts.Hello.Slots), Damping: opts.Damping}),
 		jobs:   make(map[string]*record),
 		loads:  make(map[string]*pb.ContractLoad),
 		fences: make(map[string]time.Time),
@@ -196,13 +205,13 @@
 	p.hello = hello
 	p.lost = false
 	p.session.Up(now, hello.Epoch, a.opts.Link)
-	p.credits, p.want, p.recalled = 0, 0, false
+	a.slots.Link(hello.Incarnation, now)
 	p.unacked = nil
 	p.out = pb.AgentFrame{Hello: a.opts.Hello, Leaving: a.leaving}
 	p.loadSentAt = time.Time{}
 	p.dirty = true
 	a.requeueResults(p)
-	a.balance()
+	a.balance(now)
 	return ""
 }
 
@@ -226,13 +235,13 @@
 		return
 	}
 	a.drop(now, p)
-	a.balance()
+	a.balance(now)
 }
 
 func (a *Agent) drop(now time.Time, p *peer) {
 	p.session.Down()
 	p.downAt = now
-	p.credits, p.want = 0, 0
+	a.slots.Unlink(p.hello.Incarnation)
 	p.out = pb.AgentFrame{}
 	p.dirty = false
 }
@@ -247,9 +256,10 @@
 		return
 	}
 	a.acknowledged(p)
-	p.leaving = f.Leaving
-	p.want = int(f.Want)
-	a.takeBack(p, int(f.Returned))
+	a.slots.SetWant(entry, int(f.Want))
+	if f.Returned > 0 || f.Recalled {
+		a.slots.Returned(entry, int(f.Returned))
+	}
 	for _, b := range f.Starts {
 		a.start(now, p, b)
 	}
@@ -262,7 +272,7 @@
 	for _, id := range f.Finished {
 		a.finished(id)
 	}
-	a.balance()
+	a.balance(now)
 }
 
 // HasContent reports whether a frame must be acknowledged.
@@ -271,14 +281,6 @@
 		f.Returned > 0 || len(f.Contracts) > 0
 }
 
-func (a *Agent) takeBack(p *peer, n int) {
-	if n == 0 {
-		return
-	}
-	p.recalled = false
-	p.credits = max(0, p.credits-n)
-}
-
 func (a *Agent) acknowledged(p *peer) {
 	acked := p.session.Acked()
 	n := 0
@@ -296,20 +298,32 @@
 	}
 	t.acked = true
 	t.rec.open--
+	if t.notRun() {
+		// From here on a start of the task is a new one.
+		a.dropTask(t)
+		return
+	}
 	a.retire(t.rec)
 }
 
+// notRun reports whether the endpoint has proven that the task never began.
+func (t *task) notRun() bool {
+	return t.result != nil && t.result.Outcome == pb.Outcome_OUTCOME_NOT_RUN
+}
+
 // start accepts or refuses each task of a batch.
 func (a *Agent) start(now time.Time, p *peer, b *pb.StartBatch) {
 	for _, ts := range b.Tasks {
-		if p.credits > 0 {
-			p.credits--
-		}
+		units := a.units(ts.MemoryBytes)
 		if rec := a.jobs[b.Job]; rec != nil {
-			if t := rec.tasks[ts.Task]; t != nil {
+			if t := rec.tasks[ts.Task]; t != nil && t.notRun() && !b.Resent {
+				// The home has taken in that the task did not run, and tries it again.
+				a.dropTask(t)
+			} else if t != nil {
 				// A start sent again on a new link after the first arrived: running it
 				// twice is what this record prevents. The result, if any, was put on the
 				// new link when it came up.
+				a.slots.Unused(p.hello.Incarnation, units)
 				continue
 			}
 		}
@@ -317,19 +331,29 @@
 			// The home was out of reach for so long that results were dropped which it
 			// had not acknowledged. This start may belong to one of them; running it
 			// could be the second time.
+			a.slots.Unused(p.hello.Incarnation, units)
 			a.addNews(p, b.Job, &pb.TaskResult{
 				Task: ts.Task, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: "the agent has dropped its record of the task",
 			})
 			continue
 		}
-		if why := a.refuse(p, b, ts); why != "" {
+		why := a.refuse(p, b, ts)
+		if why == "" && !a.slots.Start(p.hello.Incarnation, units) {
+			why = job.RefusedNoSlot
+		}
+		if why != "" {
+			a.slots.Unused(p.hello.Incarnation, units)
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
 		}
-		a.run(now, p, b, ts)
+		a.run(now, p, b, ts, units)
 	}
 }
 
+func (a *Agent) units(memory uint64) int {
+	return place.Units(memory, a.opts.Hello.MemoryBytes, int(a.opts.Hello.Slots))
+}
+
 func refusal(index uint32, why string) *pb.TaskResult {
 	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Error: why}
 }
@@ -344,8 +368,6 @@
 		return job.RefusedFenced
 	case a.leaving:
 		return job.RefusedLeaving
-	case a.free() <= 0:
-		return job.RefusedNoSlot
 	case a.opts.Hello.MemoryBytes > 0 && a.reserved+ts.MemoryBytes > a.opts.Hello.MemoryBytes:
 		return job.RefusedMemory
 	case a.full():
@@ -354,15 +376,6 @@
 	return ""
 }
 
-// free is the slots neither running a task nor granted.
-func (a *Agent) free() int {
-	n := int(a.opts.Hello.Slots) - a.running
-	for _, p := range a.peers {
-		n -= p.credits
-	}
-	return n
-}
-
 // full reports whether the agent would have to forget something that an entry
 // has not acknowledged in order to take one more task.
 func (a *Agent) full() bool {
@@ -370,7 +383,7 @@
 	return a.tasks >= a.opts.MaxRecords || a.resultBytes >= a.opts.MaxResultBytes
 }
 
-func (a *Agent) run(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart) {
+func (a *Agent) run(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart, units int) {
 	rec := a.jobs[b.Job]
 	if rec == nil {
 		contract, id := job.SplitName(b.Job)
@@ -380,7 +393,7 @@
 		}
 		a.jobs[b.Job] = rec
 	}
-	rec.tasks[ts.Task] = &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes}
+	rec.tasks[ts.Task] = &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes, units: units}
 	rec.open++
 	rec.running++
 	a.tasks++
@@ -424,16 +437,13 @@
 	t.result = res
 	rec.running--
 	a.running--
+	a.slots.End(rec.home, t.units)
 	a.resultBytes += len(res.Body)
 	a.reserve(rec.contract, -1, -int64(t.memory))
-	if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
-		// With the record kept, a new start of the task would be taken for a
-		// repetition of this one, and the caller would wait until the deadline.
-		a.dropTask(t)
-	}
 	home := a.homeOf(rec)
 	if home != nil && home.session.IsUp() {
 		a.addNews(home, rec.name, res)
+		a.regrant(home, t.units)
 	}
 	for _, w := range rec.watchers {
 		if p := a.peer(w); p != nil && p.session.IsUp() {
@@ -441,18 +451,25 @@
 		}
 	}
 	a.retire(rec)
-	a.balance()
+	a.balance(now)
 }
 
-// dropTask forgets one task that has not run.
+// dropTask forgets one task that has not run. Until its home has acknowledged
+// that, or starts it anew, the record stays: a start that was sent again before
+// the home learned of the end would run here while the home sends it elsewhere.
 func (a *Agent) dropTask(t *task) {
+	if !t.acked {
+		t.acked = true
+		t.rec.open--
+	}
 	delete(t.rec.tasks, t.index)
-	t.rec.open--
 	a.tasks--
 	a.resultBytes -= len(t.result.Body)
 	if len(t.rec.tasks) == 0 {
 		delete(a.jobs, t.rec.name)
+		return
 	}
+	a.retire(t.rec)
 }
 
 func (a *Agent) homeOf(rec *record) *peer { return a.peer(rec.home) }
@@ -557,7 +574,6 @@
 
 // Tick takes in the passing of time; call it no later than Next says.
 func (a *Agent) Tick(now time.Time) {
-	changed := false
 	for _, p := range a.peers {
 		if !p.session.IsUp() && !p.lost && !now.Before(p.downAt.Add(a.opts.PeerLostAfter)) {
 			p.lost = true
@@ -566,19 +582,16 @@
 		if p.session.Silent(now) {
 			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
 			a.drop(now, p)
-			changed = true
 		} else if p.session.Due(now) {
 			p.dirty = true
 		}
 	}
-	if changed {
-		a.balance()
-	}
+	a.balance(now)
 }
 
 // Next is when Tick is due; zero: not before the next input.
 func (a *Agent) Next() time.Time {
-	var next time.Time
+	next := a.slots.RecallAt()
 	for _, p := range a.peers {
 		next = link.Earlier(next, p.session.Next())
 		if !p.session.IsUp() && !p.lost {
@@ -592,7 +605,7 @@
 func (a *Agent) Leave(now time.Time) {
 	a.leaving = true
 	for _, p := range a.peers {
-		p.credits = 0
+		a.slots.Unlink(p.hello.Incarnation)
 		p.dirty = p.session.IsUp()
 	}
 }
@@ -672,7 +685,7 @@
 func (a *Agent) load() *pb.AgentLoad {
 	l := &pb.AgentLoad{
 		Running:             uint32(a.running),
-		FreeSlots:           uint32(max(0, a.free())),
+		FreeSlots:           uint32(a.slots.Free()),
 		ReservedMemoryBytes: a.reserved,
 	}
 	for _, c := range sortedKeys(a.loads) {
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -19,7 +19,6 @@
 	downAt  time.Time // when the last link was lost
 	gone    bool      // given up; back when it announces itself
 
-	credits  int
 	leaving  bool
 	load     *pb.AgentLoad
 	revision uint64
@@ -56,6 +55,7 @@
 		slices.SortFunc(e.agents, func(x, y *agent) int { return strings.Compare(x.hello.Agent, y.hello.Agent) })
 	}
 	a.leaving = leaving
+	e.policy.health.Add(hello.Agent)
 	if a.gone {
 		a.gone = false
 		a.downAt = now
@@ -70,6 +70,7 @@
 func (e *Entry) remove(a *agent) {
 	past := append(e.past[a.hello.Agent], a.hello.Incarnation)
 	e.past[a.hello.Agent] = past[max(0, len(past)-maxPast):]
+	e.policy.health.Remove(a.hello.Agent)
 	delete(e.byName, a.hello.Agent)
 	e.agents = slices.DeleteFunc(e.agents, func(x *agent) bool { return x == a })
 }
@@ -102,7 +103,8 @@
 	}
 	a.dialing = false
 	a.session.Up(now, epoch, e.opts.Link)
-	a.credits, a.wanted = 0, 0
+	a.wanted = 0
+	known := e.updateAgent(now, a)
 	a.out = pb.EntryFrame{}
 	a.placed = nil
 	a.dirty = len(a.tasks) > 0
@@ -111,6 +113,8 @@
 			a.addRevoke(t)
 		} else {
 			a.placed = append(a.placed, t)
+			// The agent takes the slot from what it grants on this link.
+			e.policy.sched.Pool.Grant(known, -known.Units(t.start.MemoryBytes))
 		}
 	}
 	for _, name := range e.recoveryNames() {
@@ -144,15 +148,20 @@
 	}
 	a.session.Down()
 	a.dialing = false
-	a.credits = 0
+	if known := e.policy.sched.Pool.Agent(a.hello.Agent); known != nil {
+		e.policy.sched.Pool.SetCredits(known, 0)
+		e.updateAgent(now, a)
+	}
 	// Starts that were placed and never framed have not left this process.
-	for _, t := range a.placed {
+	placed := a.placed
+	a.placed = nil
+	for _, t := range placed {
 		if t.seq == 0 {
 			a.untrack(t)
+			e.release(a, t)
 			e.requeue(now, t)
 		}
 	}
-	a.placed = nil
 }
 
 func (e *Entry) tickAgent(now time.Time, a *agent) {
@@ -194,7 +203,9 @@
 	e.down(now, a)
 	tasks := a.tasks
 	a.tasks = nil
+	e.policy.sched.Drop(a.hello.Agent)
 	for _, t := range tasks {
+		e.release(a, t)
 		if t.phase == ended {
 			continue
 		}
@@ -221,7 +232,8 @@
 		a.load = f.Load
 	}
 	a.revision = max(a.revision, f.ConfigRevision)
-	a.credits += int(f.Granted)
+	known := e.updateAgent(now, a)
+	e.policy.sched.Pool.Grant(known, int(f.Granted))
 	for _, n := range f.News {
 		e.news(now, a, n)
 	}
@@ -230,7 +242,8 @@
 	}
 	a.leaving = f.Leaving
 	if a.leaving {
-		a.credits = 0
+		e.policy.sched.Pool.SetCredits(known, 0)
+		e.updateAgent(now, a)
 	}
 	if f.Recall > 0 {
 		e.giveBack(a, int(f.Recall))
@@ -244,9 +257,9 @@
 // giveBack returns credits that no waiting task needs; it answers even with
 // none, so that the agent may ask again.
 func (e *Entry) giveBack(a *agent, n int) {
-	n = min(n, a.credits)
-	a.credits -= n
-	a.out.Returned += uint32(n)
+	known := e.policy.sched.Pool.Agent(a.hello.Agent)
+	a.out.Returned += uint32(e.policy.sched.Pool.Reclaim(known, n))
+	a.out.Recalled = true
 	a.dirty = true
 }
 
@@ -267,7 +280,11 @@
 			// A result that came twice, over an old and a new link.
 			continue
 		}
-		a.untrack(t)
+		if a.untrack(t) {
+			e.unspend(a, t)
+		}
+		e.release(a, t)
+		e.learn(now, a, t, res)
 		if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
 			e.refused(now, t, res)
 			continue
@@ -280,7 +297,7 @@
 func (e *Entry) flush(now time.Time, a *agent) {
 	f := &pb.EntryFrame{
 		Revokes: a.out.Revokes, Fences: a.out.Fences, Finished: a.out.Finished,
-		Returned: a.out.Returned, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
+		Returned: a.out.Returned, Recalled: a.out.Recalled, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
 	}
 	a.out = pb.EntryFrame{}
 	a.dirty = false
@@ -321,34 +338,34 @@
 	a.dirty = true
 }
 
-func (a *agent) untrack(t *taskState) {
+// untrack ends the agent's part in a task. A start that waits for the next frame
+// is taken out of it, which untrack reports: with a new link the result or refusal
+// may be in the agent's first frame, and the start that was about to go out again
+// would run the task a second time.
+func (a *agent) untrack(t *taskState) (withdrawn bool) {
+	n := len(a.placed)
+	a.placed = slices.DeleteFunc(a.placed, func(x *taskState) bool { return x == t })
+	withdrawn = len(a.placed) < n
 	last := len(a.tasks) - 1
 	if t.pos > last || a.tasks[t.pos] != t {
-		return
+		return withdrawn
 	}
 	a.tasks[t.pos] = a.tasks[last]
 	a.tasks[t.pos].pos = t.pos
 	a.tasks = a.tasks[:last]
+	return withdrawn
 }
 
-// revoke asks the agent not to start a task, or to stop it. True: the start has
-// not left this process, and is withdrawn.
-func (a *agent) revoke(t *taskState) (withdrawn bool) {
-	if t.seq == 0 {
-		a.untrack(t)
-		a.placed = slices.DeleteFunc(a.placed, func(x *taskState) bool { return x == t })
-		a.credits++
-		return true
-	}
+// revoke asks the agent not to start a task, or to stop it.
+func (a *agent) revoke(t *taskState) {
 	if t.revoked {
-		return false
+		return
 	}
 	t.revoked = true
 	if a.session.IsUp() {
 		a.placed = slices.DeleteFunc(a.placed, func(x *taskState) bool { return x == t })
 		a.addRevoke(t)
 	}
-	return false
 }
 
 func (a *agent) addRevoke(t *taskState) {
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -6,6 +6,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
 // Options configure an Entry.
@@ -35,6 +36,13 @@
 	AgentLostAfter time.Duration
 	// RedialAfter is the least time between two attempts to reach an agent.
 	RedialAfter time.Duration
+	// Picker chooses agents for tasks; nil: late binding by credits.
+	Picker place.Picker
+	// DomainRoundTrip is the round trip to an agent in another failure domain,
+	// beyond the one to an agent in the entry's own.
+	DomainRoundTrip time.Duration
+	// MaxWaiting bounds the tasks that wait.
+	MaxWaiting int
 	// MaxJobs bounds the jobs without an answer, and the answers kept.
 	MaxJobs int
 	// MaxAnswerBytes bounds the results in the answers kept.
@@ -58,6 +66,10 @@
 	DefaultMaxAnswerBytes = 64 << 20
 	DefaultMaxSpent       = 1_000_000
 	DefaultMaxRecoveries  = 10_000
+	DefaultMaxWaiting     = 100_000
+	// DefaultMessageCost and DefaultSpreadCost are the default picker's.
+	DefaultMessageCost = time.Millisecond
+	DefaultSpreadCost  = 2 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -74,11 +86,15 @@
 	set(&o.RecoverWait, DefaultRecoverWait)
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
 	set(&o.RedialAfter, DefaultRedialAfter)
+	if o.Picker == nil {
+		o.Picker = &place.Credits{MessageCost: DefaultMessageCost, SpreadCost: DefaultSpreadCost}
+	}
 	bound := func(n *int, def int) {
 		if *n == 0 {
 			*n = def
 		}
 	}
+	bound(&o.MaxWaiting, DefaultMaxWaiting)
 	bound(&o.MaxJobs, DefaultMaxJobs)
 	bound(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	bound(&o.MaxSpent, DefaultMaxSpent)
@@ -128,7 +144,8 @@
 	ended       []*jobState // answered jobs, oldest first
 	answerBytes int
 	spent       *spent
-	queue       queue
+	policy      *policy
+	others      map[string]bool      // incarnations of the other entries
 	recoveries  map[string]*recovery // by job.Name
 	recovered   []*recovery          // ended ones, oldest first
 
@@ -141,6 +158,7 @@
 	opts = opts.withDefaults()
 	return &Entry{
 		opts:       opts,
+		policy:     newPolicy(opts),
 		byName:     make(map[string]*agent),
 		past:       make(map[string][]string),
 		jobs:       make(map[string]*jobState),
@@ -162,6 +180,17 @@
 	}
 }
 
+// Links is the number of agents with an open link.
+func (e *Entry) Links() int {
+	n := 0
+	for _, a := range e.agents {
+		if a.session.IsUp() {
+			n++
+		}
+	}
+	return n
+}
+
 // Drained reports whether every job has its answer.
 func (e *Entry) Drained() bool {
 	return len(e.deadlines) == 0 && len(e.recoveries) == len(e.recovered)
@@ -174,6 +203,7 @@
 	for _, a := range e.agents {
 		e.tickAgent(now, a)
 	}
+	e.check(now)
 	e.forgetOld(now)
 }
 
@@ -183,6 +213,7 @@
 	if len(e.deadlines) > 0 {
 		next = e.deadlines[0].deadline
 	}
+	next = link.Earlier(next, e.nextCheck())
 	for _, r := range e.recoveries {
 		next = link.Earlier(next, r.next())
 	}
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -10,6 +10,7 @@
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/job"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
 // phase is how far a task has come.
@@ -33,8 +34,9 @@
 	deadline time.Time
 	heapPos  int
 	tasks    []taskState
-	open     int  // tasks that have not ended
-	ran      bool // some task has run, or may have, and that won't change
+	queued   *place.Job // the tasks that wait
+	open     int        // tasks that have not ended
+	ran      bool       // some task has run, or may have, and that won't change
 	ending   *pb.Answer
 	answer   *pb.Answer
 	answered time.Time
@@ -51,6 +53,7 @@
 	seq     uint64 // of the frame that carried the start last; zero: none has
 	revoked bool
 	start   *pb.TaskStart
+	run     time.Duration // as estimated
 	result  *pb.TaskResult
 }
 
@@ -89,11 +92,12 @@
 	if v, ok := e.spent.find(period, name); ok {
 		return Answered, spentAnswer(j.Id, v)
 	}
-	if answer := e.admit(j); answer != nil {
+	queued, answer := e.admit(now, j, name)
+	if answer != nil {
 		e.spent.add(now, period, name, verdictOf(answer.Code))
 		return Answered, answer
 	}
-	e.accept(now, j, name, period, digest)
+	e.accept(now, j, name, period, digest, queued)
 	return Accepted, nil
 }
 
@@ -134,40 +138,48 @@
 	return Joined, nil
 }
 
-// admit returns the refusal of a new job, nil when it may run.
-func (e *Entry) admit(j *pb.Job) *pb.Answer {
-	c := e.opts.Contract(j.Contract)
+// admit returns a new job's tasks as the scheduler takes them, or why the job
+// must not run.
+func (e *Entry) admit(now time.Time, j *pb.Job, name string) (*place.Job, *pb.Answer) {
+	c := e.contract(now, j.Contract)
 	switch {
 	case e.leaving:
-		return refuse(j.Id, jobs.CodeLeaving, "the entry is shutting down", time.Second)
+		return nil, refuse(j.Id, jobs.CodeLeaving, "the entry is shutting down", time.Second)
 	case c == nil || c.Deleted:
-		return refuse(j.Id, jobs.CodeUnknownContract, "no such contract", 0)
+		return nil, refuse(j.Id, jobs.CodeUnknownContract, "no such contract", 0)
 	case len(j.Tasks) == 0 || len(j.Tasks) > jobs.MaxTasks:
-		return refuse(j.Id, jobs.CodeBadRequest, "a job has 1 to 160 tasks", 0)
-	case e.queue.waiting(j.Contract)+len(j.Tasks) > int(c.Waiting):
-		return refuse(j.Id, jobs.CodeQueueFull, "the contract's waiting limit is reached", time.Second)
+		return nil, refuse(j.Id, jobs.CodeBadRequest, "a job has 1 to 160 tasks", 0)
 	case len(e.deadlines) >= e.opts.MaxJobs:
-		return refuse(j.Id, jobs.CodeOverloaded, "the entry holds as many jobs as it can", time.Second)
+		return nil, refuse(j.Id, jobs.CodeOverloaded, "the entry holds as many jobs as it can", time.Second)
 	}
 	if j.TimeoutMs == 0 {
 		j.TimeoutMs = c.DefaultTimeoutMs
 	}
-	return nil
+	queued, request := e.plan(now, j, c)
+	queued.ID = name
+	if answer := e.refusal(now, j, request); answer != nil {
+		return nil, answer
+	}
+	return queued, nil
 }
 
-func (e *Entry) accept(now time.Time, j *pb.Job, name string, period, digest uint64) {
+func (e *Entry) accept(now time.Time, j *pb.Job, name string, period, digest uint64, queued *place.Job) {
 	js := &jobState{
 		name: name, job: j, digest: digest, open: len(j.Tasks), period: period,
 		deadline: now.Add(time.Duration(j.TimeoutMs) * time.Millisecond),
-		tasks:    make([]taskState, len(j.Tasks)),
+		tasks:    make([]taskState, len(j.Tasks)), queued: queued,
 	}
 	starts := make([]pb.TaskStart, len(j.Tasks))
 	for i, t := range j.Tasks {
 		s := &starts[i]
-		s.Task, s.Payload, s.MemoryBytes, s.CpuMillis = uint32(i), t.Payload, t.MemoryBytes, t.CpuMillis
+		s.Task, s.Payload, s.CpuMillis = uint32(i), t.Payload, t.CpuMillis
 		js.tasks[i] = taskState{job: js, index: uint32(i), start: s}
-		e.queue.push(e.opts.Contract(j.Contract), &js.tasks[i])
 	}
+	for _, w := range queued.Tasks {
+		starts[w.Number].MemoryBytes = w.Memory
+		js.tasks[w.Number].run = w.Run
+	}
+	e.policy.sched.Push(queued)
 	e.jobs[name] = js
 	heap.Push(&e.deadlines, js)
 }
@@ -235,23 +247,39 @@
 // whether every agent that may have started something has a link.
 func (e *Entry) revokeAll(js *jobState) (reachable bool) {
 	reachable = true
+	e.drop(js)
 	for i := range js.tasks {
 		t := &js.tasks[i]
-		switch t.phase {
-		case waiting:
-			e.queue.remove(t)
-		case sent:
-			if t.agent.revoke(t) {
-				t.phase = ended
-				js.open--
-				continue
-			}
-			reachable = reachable && t.agent.session.IsUp()
+		if t.phase != sent {
+			continue
 		}
+		if t.seq == 0 {
+			e.withdraw(t)
+			continue
+		}
+		t.agent.revoke(t)
+		reachable = reachable && t.agent.session.IsUp()
 	}
 	return reachable
 }
 
+// unspend gives back the credits of a start that is not sent after all.
+func (e *Entry) unspend(a *agent, t *taskState) {
+	if known := e.policy.sched.Pool.Agent(a.hello.Agent); known != nil && a.session.IsUp() {
+		e.policy.sched.Pool.Grant(known, known.Units(t.start.MemoryBytes))
+	}
+}
+
+// withdraw takes back a start that has not left this process.
+func (e *Entry) withdraw(t *taskState) {
+	a := t.agent
+	a.untrack(t)
+	e.unspend(a, t)
+	e.release(a, t)
+	t.phase = ended
+	t.job.open--
+}
+
 // answer ends a job. The answer is complete with every result, or has none.
 func (e *Entry) answer(now time.Time, js *jobState, a *pb.Answer) {
 	js.answer = a
@@ -335,7 +363,7 @@
 	t.agent, t.seq, t.revoked = nil, 0, false
 	if js.answer == nil && js.ending == nil {
 		t.phase = waiting
-		e.queue.push(e.opts.Contract(js.job.Contract), t)
+		e.policy.sched.PutBack(js.queued, place.Task{Number: t.index, Run: t.run, Memory: t.start.MemoryBytes})
 		return
 	}
 	t.phase = ended
--- a/dispatch/modelcheck/world.go
+++ b/dispatch/modelcheck/world.go
@@ -57,9 +57,12 @@
 // Check runs the schedule of the seed.
 func Check(seed uint64, trace bool) *Report {
 	w := &World{
-		rng:           rand.New(rand.NewPCG(seed, 1)),
-		profile:       profiles[seed%uint64(len(profiles))],
-		contract:      &pb.Contract{Name: "desk", Waiting: 1000, DefaultTimeoutMs: 1500, Class: pb.Class_CLASS_NORMAL},
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		profile: profiles[seed%uint64(len(profiles))],
+		contract: &pb.Contract{
+			Name: "desk", Class: pb.Class_CLASS_NORMAL, Weight: 1, Rate: 1000, Burst: 1000, Concurrency: 1000,
+			MemoryBytes: 1 << 40, Waiting: 1000, DefaultTimeoutMs: 1500,
+		},
 		byIncarnation: make(map[string]*entryProcess),
 		members:       make(map[string]string),
 		cuts:          make(map[string]bool),
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -72,7 +72,7 @@
 
 	mu      sync.Mutex // guards what follows, and serializes the core
 	core    *entry.Entry
-	links   map[string]*agentLink // by agent name
+	links   map[string]*agentLink        // by agent name
 	waiters map[string][]chan *pb.Answer // by job.Name
 	timer   *rpc.Timer
 }
@@ -134,6 +134,13 @@
 	return e.admin.Addr().String()
 }
 
+// Links is the number of agents with an open link.
+func (e *Entry) Links() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Links()
+}
+
 func (e *Entry) closeListeners() {
 	for _, l := range []net.Listener{e.callers, e.nodes, e.admin} {
 		if l != nil {
