--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -11,6 +12,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/cmd/internal/bench"
 	"github.com/papayahoist/papayahoist/cmd/internal/site"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 )
 
 var namespace = errorx.NewNamespace("demo")
@@ -102,6 +104,17 @@
 // Callers lists the entries' base URLs for callers.
 func (d *Demo) Callers() []string { return d.site.CallerURLs() }
 
+// Publish makes the first entry's callers' port reachable at a fixed address
+// until the returned function is called.
+func (d *Demo) Publish(address string) (end func(), err error) {
+	relay, err := site.NewRelayAt(address, 0)
+	if err != nil {
+		return nil, Start.Wrap(err, "address for callers")
+	}
+	relay.SetBackend(strings.TrimPrefix(d.Callers()[0], "http://"))
+	return relay.Close, nil
+}
+
 // Stop drains the site.
 func (d *Demo) Stop() { d.site.Stop() }
 
@@ -154,7 +167,9 @@
 	total := make(map[task]int)
 	for _, agent := range d.site.Agents() {
 		for key, count := range agent.Worker().Starts() {
-			total[task{job: key.Job, index: key.Index}] += count
+			// Endpoints know a job by contract and id.
+			_, id := job.SplitName(key.Job)
+			total[task{job: id, index: key.Index}] += count
 		}
 	}
 	return total
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/limit"
 	"github.com/papayahoist/papayahoist/dispatch/link"
@@ -32,6 +33,8 @@
 	Damping time.Duration
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
+	// Events takes what happens, for the time line, and stamps messages; nil: none.
+	Events *event.Ring
 }
 
 // Defaults of Options.
@@ -126,6 +129,9 @@
 	// not acknowledged every result dropped.
 	evicted, unacked homeSet
 
+	// dropped counts the records evicted since the last Ready
+	dropped int
+
 	leaving bool
 	ready   Ready
 }
@@ -137,6 +143,7 @@
 	downAt  time.Time // when the last link was lost
 	lost    bool      // without a link for PeerLostAfter
 
+	leaving    bool          // as last told, for operators
 	out        pb.AgentFrame // content of the next frame
 	dirty      bool
 	unacked    []sentNews
@@ -205,6 +212,7 @@
 	p.hello = hello
 	p.lost = false
 	p.session.Up(now, hello.Epoch, a.opts.Link)
+	a.recordPeer(now, event.LinkUp, p, "", hello.Epoch)
 	a.slots.Link(hello.Incarnation, now)
 	p.unacked = nil
 	p.out = pb.AgentFrame{Hello: a.opts.Hello, Leaving: a.leaving}
@@ -234,6 +242,7 @@
 	if p == nil || p.session.Epoch() != epoch || !p.session.IsUp() {
 		return
 	}
+	a.recordPeer(now, event.LinkDown, p, "the connection ended", epoch)
 	a.drop(now, p)
 	a.balance(now)
 }
@@ -255,6 +264,10 @@
 	if !p.session.Received(now, f.Seq, f.Ack, HasContent(f)) {
 		return
 	}
+	if !a.opts.Events.Observe(f.Clock, now) && f.Seq == 1 {
+		a.recordPeer(now, event.ClockRejected, p, "its clock is too far ahead", 0)
+	}
+	a.recordReceived(now, p, f)
 	a.acknowledged(p)
 	a.slots.SetWant(entry, int(f.Want))
 	if f.Returned > 0 || f.Recalled {
@@ -264,7 +277,7 @@
 		a.start(now, p, b)
 	}
 	for _, r := range f.Revokes {
-		a.revoke(p, r)
+		a.revoke(now, p, r)
 	}
 	for _, fe := range f.Fences {
 		a.fence(now, p, fe)
@@ -323,6 +336,7 @@
 				// A start sent again on a new link after the first arrived: running it
 				// twice is what this record prevents. The result, if any, was put on the
 				// new link when it came up.
+				a.recordTask(now, event.TaskDuplicate, p, refOf(b.Job, ts.Task), "started before")
 				a.slots.Unused(p.hello.Incarnation, units)
 				continue
 			}
@@ -342,10 +356,12 @@
 			why = job.RefusedNoSlot
 		}
 		if why != "" {
+			a.recordTask(now, event.TaskRefused, p, refOf(b.Job, ts.Task), why)
 			a.slots.Unused(p.hello.Incarnation, units)
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
 		}
+		a.recordTask(now, event.TaskStarted, p, refOf(b.Job, ts.Task), "")
 		a.run(now, p, b, ts, units)
 	}
 }
@@ -354,6 +370,11 @@
 	return place.Units(memory, a.opts.Hello.MemoryBytes, int(a.opts.Hello.Slots))
 }
 
+func refOf(name string, index uint32) TaskRef {
+	contract, id := job.SplitName(name)
+	return TaskRef{Contract: contract, Job: id, Task: index}
+}
+
 func refusal(index uint32, why string) *pb.TaskResult {
 	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Error: why}
 }
@@ -436,6 +457,7 @@
 	res.Task = ref.Task
 	t.result = res
 	rec.running--
+	a.recordEnd(now, rec, res)
 	a.running--
 	a.slots.End(rec.home, t.units)
 	a.resultBytes += len(res.Body)
@@ -474,7 +496,7 @@
 
 func (a *Agent) homeOf(rec *record) *peer { return a.peer(rec.home) }
 
-func (a *Agent) revoke(p *peer, r *pb.Revoke) {
+func (a *Agent) revoke(now time.Time, p *peer, r *pb.Revoke) {
 	rec := a.jobs[r.Job]
 	for _, index := range r.Tasks {
 		var t *task
@@ -485,9 +507,11 @@
 		case t == nil:
 			// The link is in order and older links are dropped: a start for this task
 			// can no longer arrive before the entry has seen this refusal.
+			a.recordTask(now, event.TaskRevoked, p, refOf(r.Job, index), "before it came")
 			a.addNews(p, r.Job, refusal(index, job.RefusedRevoked))
 		case t.result == nil && !t.stopping:
 			t.stopping = true
+			a.recordTask(now, event.TaskRevoked, p, rec.ref(index), "while it runs")
 			a.ready.Stop = append(a.ready.Stop, rec.ref(index))
 		}
 	}
@@ -522,6 +546,7 @@
 		}
 		rec.watch(p.hello.Incarnation)
 	}
+	a.recordFence(now, p, report)
 	p.out.Fenced = append(p.out.Fenced, report)
 	p.dirty = true
 }
@@ -580,6 +605,7 @@
 			a.retireAll(p.hello.Incarnation)
 		}
 		if p.session.Silent(now) {
+			a.recordPeer(now, event.PeerSuspected, p, "the link has gone silent", p.session.Epoch())
 			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
 			a.drop(now, p)
 		} else if p.session.Due(now) {
@@ -604,6 +630,7 @@
 // Leave stops the agent from taking new work and tells every entry.
 func (a *Agent) Leave(now time.Time) {
 	a.leaving = true
+	a.opts.Events.Record(now, event.Event{Kind: event.DrainBegun, Detail: "no new tasks", Value: uint64(a.running)})
 	for _, p := range a.peers {
 		a.slots.Unlink(p.hello.Incarnation)
 		p.dirty = p.session.IsUp()
@@ -641,6 +668,10 @@
 			a.flush(now, p)
 		}
 	}
+	if a.dropped > 0 {
+		a.opts.Events.Record(now, event.Event{Kind: event.RecordsEvicted, Value: uint64(a.dropped)})
+		a.dropped = 0
+	}
 	r := a.ready
 	a.ready = Ready{}
 	return r
@@ -659,6 +690,8 @@
 	}
 	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
 	f.Seq, f.Ack = p.session.Send(now, content)
+	a.recordSent(now, p, f)
+	f.Clock = a.opts.Events.Stamp(now)
 	if tasks := a.tasksOf(f.News); len(tasks) > 0 {
 		p.unacked = append(p.unacked, sentNews{seq: f.Seq, tasks: tasks})
 	}
--- a/dispatch/agent/records.go
+++ b/dispatch/agent/records.go
@@ -50,6 +50,7 @@
 		if rec.open > 0 {
 			a.unacked.add(rec.home)
 		}
+		a.dropped++
 		a.forget(rec)
 	}
 }
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/place"
 )
@@ -77,6 +78,7 @@
 	digest := digestOf(j)
 	name := job.Name(j.Contract, j.Id)
 	if js := e.jobs[name]; js != nil {
+		e.record(now, event.JobJoined, j.Id, j.Contract, "", len(j.Tasks))
 		return e.resubmit(js, j, digest)
 	}
 	id, err := job.Parse(j.Id)
@@ -94,9 +96,11 @@
 	}
 	queued, answer := e.admit(now, j, name)
 	if answer != nil {
+		e.recordRefusal(now, j, answer)
 		e.spent.add(now, period, name, verdictOf(answer.Code))
 		return Answered, answer
 	}
+	e.record(now, event.JobAccepted, j.Id, j.Contract, j.Kind, len(j.Tasks))
 	e.accept(now, j, name, period, digest, queued)
 	return Accepted, nil
 }
@@ -200,6 +204,7 @@
 		return nil, false
 	}
 	if js.answer == nil {
+		e.record(now, event.JobCancelled, jobID, contract, "", js.open)
 		e.endEarly(now, js, jobs.CodeCancelled, "cancelled by the caller")
 	}
 	return js.answer, true
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -186,6 +186,7 @@
 func (e *Entry) updateAgent(now time.Time, a *agent) *place.Agent {
 	name := a.hello.Agent
 	standing := e.policy.health.Standing(name, now)
+	e.recordStanding(now, a, standing)
 	if !a.session.IsUp() || a.leaving {
 		standing = place.Suspended
 	}
