Callers act only for contracts whose token they hold

Cause: any caller could submit, fetch and cancel under any contract. A denied request that brought its own id is answered "outcome unknown": the job may have run before the token changed, so "not run" would not be proven.

--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -16,6 +16,9 @@
 	"github.com/papayahoist/papayahoist/dispatch/job"
 )
 
+// bodyTimeout bounds how long a caller may take to send a body.
+const bodyTimeout = 10 * time.Second
+
 // callersHandler serves the callers' interface of api/jobs.
 func (e *Entry) callersHandler() http.Handler {
 	r := chi.NewRouter()
@@ -46,6 +49,8 @@
 
 func (e *Entry) handleSubmit(w http.ResponseWriter, r *http.Request) {
 	var in jobs.SubmitRequest
+	// A body that trickles in would hold a connection and its buffers for ever.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, jobs.MaxBody))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&in); err != nil {
@@ -60,10 +65,11 @@
 		writeError(w, refusal(in.ID, jobs.CodeBadRequest, msg))
 		return
 	}
-	if in.ID == "" {
+	fresh := in.ID == ""
+	if fresh {
 		in.ID = e.token() + "." + rand.Text()
 	}
-	e.respond(w, r, in.ID, request{job: toJob(&in), contract: in.Contract, wait: waitOf(in.WaitMillis)})
+	e.respond(w, r, in.ID, request{job: toJob(&in), contract: in.Contract, fresh: fresh, wait: waitOf(in.WaitMillis)})
 }
 
 func (e *Entry) check(in *jobs.SubmitRequest) string {
@@ -121,6 +127,10 @@
 
 // respond serves a request wherever the job's home is and writes the outcome.
 func (e *Entry) respond(w http.ResponseWriter, r *http.Request, id string, rq request) {
+	if denied := e.authorize(r, id, rq); denied != nil {
+		writeError(w, denied)
+		return
+	}
 	rp := e.route(r.Context(), id, rq)
 	switch {
 	case !rp.known:
--- a/node/entry/nodes.go
+++ b/node/entry/nodes.go
@@ -63,7 +63,9 @@
 	job           *pb.Job
 	contract      string
 	fetch, cancel bool
-	wait          time.Duration
+	// fresh tells that the id was made for this request: nothing ran under it.
+	fresh bool
+	wait  time.Duration
 }
 
 // reply carries the answer if there is one yet.
--- a/node/rpc/rpc.go
+++ b/node/rpc/rpc.go
@@ -14,6 +14,7 @@
 const (
 	dialTimeout       = time.Second
 	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
 )
 
 // NewServer returns a server that speaks HTTP/1.1 and HTTP/2 on one port.
@@ -22,7 +23,7 @@
 	p.SetHTTP1(true)
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, Protocols: &p, TLSConfig: tlsConfig, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: h, Protocols: &p, TLSConfig: tlsConfig, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // NewClient returns a client with connections of its own. A link takes a new one
