--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -15,6 +15,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	coreagent "github.com/papayahoist/papayahoist/dispatch/agent"
 	coreentry "github.com/papayahoist/papayahoist/dispatch/entry"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/node/agent"
 	"github.com/papayahoist/papayahoist/node/entry"
 	"github.com/papayahoist/papayahoist/node/metrics"
@@ -206,6 +207,10 @@
 	<-done
 }
 
+// entryEvents is how many events an entry keeps: more than an agent, for it
+// sees the work of all.
+const entryEvents = 1 << 16
+
 // Entry is one entry of a site.
 type Entry struct {
 	process
@@ -238,12 +243,14 @@
 		Entry: fmt.Sprintf("entry-%d", e.index), Incarnation: entry.NewIncarnation(),
 		Address: e.nodes.Address(), FailureDomain: s.domain(e.index),
 	}
+	core, registry := s.opts.EntryCore, s.registry()
+	core.Events = event.NewRing(event.Options{Process: hello.Entry, Size: entryEvents})
 	n, err := entry.New(entry.Options{
-		Hello: hello, CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0",
+		Hello: hello, CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0",
 		Contract: func(name string) *pb.Contract { return s.contracts[name] },
-		Peers:    s.peers, DrainTimeout: s.opts.DrainTimeout, Core: s.opts.EntryCore,
-		Metrics: metrics.NewEntry(s.registry(), metrics.Options{Role: "entry"}),
-		Logger:  s.opts.Logger.With("process", hello.Entry),
+		Peers:    s.peers, DrainTimeout: s.opts.DrainTimeout, Core: core,
+		Metrics: metrics.NewEntry(registry, metrics.Options{Role: "entry", Ring: core.Events}), Gatherer: registry,
+		Logger: s.opts.Logger.With("process", hello.Entry),
 	})
 	if err != nil {
 		return ErrSite.Wrap(err, "entry %d", e.index)
@@ -252,7 +259,10 @@
 	e.nodes.SetBackend(n.ListenAddress())
 	e.stateMu.Lock()
 	e.current = n
-	e.self = &pb.Peer{Entry: hello.Entry, Incarnation: hello.Incarnation, Address: hello.Address, FailureDomain: hello.FailureDomain}
+	e.self = &pb.Peer{
+		Entry: hello.Entry, Incarnation: hello.Incarnation, Address: hello.Address,
+		FailureDomain: hello.FailureDomain, OperatorAddress: n.OperatorsAddress(),
+	}
 	e.stateMu.Unlock()
 	e.start(s, n.Run, n.Kill)
 	return nil
@@ -268,6 +278,9 @@
 // CallersURL is where callers reach the entry.
 func (e *Entry) CallersURL() string { return "http://" + e.callers.Address() }
 
+// OperatorsAddress is where the running incarnation serves operators.
+func (e *Entry) OperatorsAddress() string { return e.peer().GetOperatorAddress() }
+
 // CallersRelay is between callers and the entry.
 func (e *Entry) CallersRelay() *Relay { return e.callers }
 
@@ -314,11 +327,13 @@
 	for _, e := range s.entries {
 		join = append(join, e.nodes.Address())
 	}
+	core, registry := s.opts.AgentCore, s.registry()
+	core.Events = event.NewRing(event.Options{Process: hello.Agent, Worker: hello.Worker})
 	n, err := agent.New(agent.Options{
-		Hello: hello, NodesListen: "127.0.0.1:0", Join: join, Endpoint: agent.HTTPEndpoint{Client: client},
-		DrainTimeout: s.opts.DrainTimeout, Core: s.opts.AgentCore,
-		Metrics: metrics.NewAgent(s.registry(), metrics.Options{Role: "agent"}),
-		Logger:  s.opts.Logger.With("process", hello.Agent),
+		Hello: hello, NodesListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0", Join: join, Endpoint: agent.HTTPEndpoint{Client: client},
+		DrainTimeout: s.opts.DrainTimeout, Core: core,
+		Metrics: metrics.NewAgent(registry, metrics.Options{Role: "agent", Ring: core.Events}), Gatherer: registry,
+		Logger: s.opts.Logger.With("process", hello.Agent),
 	})
 	if err != nil {
 		return ErrSite.Wrap(err, "agent %d", a.index)
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/limit"
 	"github.com/papayahoist/papayahoist/dispatch/link"
@@ -28,6 +29,8 @@
 	Damping time.Duration
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
+	// Events takes what happens, for the time line, and stamps messages; nil: none.
+	Events *event.Ring
 }
 
 // Defaults of Options.
@@ -114,6 +117,9 @@
 	fenceOrder []string
 	evicted    map[string]bool // homes with dropped records
 
+	// dropped counts the records evicted since the last Ready
+	dropped int
+
 	leaving bool
 	ready   Ready
 }
@@ -123,6 +129,7 @@
 	hello   *pb.EntryHello
 	session link.Session
 
+	leaving    bool          // as last told, for operators
 	out        pb.AgentFrame // content of the next frame
 	dirty      bool
 	unacked    []sentNews
@@ -186,6 +193,7 @@
 	}
 	p.hello = hello
 	p.session.Up(now, hello.Epoch, a.opts.Link)
+	a.recordPeer(now, event.LinkUp, p, "", hello.Epoch)
 	a.slots.Link(hello.Incarnation, now)
 	p.unacked = nil
 	p.out = pb.AgentFrame{Hello: a.opts.Hello, Leaving: a.leaving}
@@ -215,6 +223,7 @@
 	if p == nil || p.session.Epoch() != epoch || !p.session.IsUp() {
 		return
 	}
+	a.recordPeer(now, event.LinkDown, p, "the connection ended", epoch)
 	a.drop(p)
 	a.balance(now)
 }
@@ -235,6 +244,10 @@
 	if !p.session.Received(now, f.Seq, f.Ack, HasContent(f)) {
 		return
 	}
+	if !a.opts.Events.Observe(f.Clock, now) && f.Seq == 1 {
+		a.recordPeer(now, event.ClockRejected, p, "its clock is too far ahead", 0)
+	}
+	a.recordReceived(now, p, f)
 	a.acknowledged(p)
 	a.slots.SetWant(entry, int(f.Want))
 	if f.Returned > 0 || f.Recalled {
@@ -244,7 +257,7 @@
 		a.start(now, p, b)
 	}
 	for _, r := range f.Revokes {
-		a.revoke(p, r)
+		a.revoke(now, p, r)
 	}
 	for _, fe := range f.Fences {
 		a.fence(now, p, fe)
@@ -290,6 +303,7 @@
 				// A start sent again on a new link after the first arrived: running it
 				// twice is what this record prevents. The result, if any, was put on the
 				// new link when it came up.
+				a.recordTask(now, event.TaskDuplicate, p, TaskRef{b.Job, ts.Task}, b.Contract, "started before")
 				a.slots.Unused(p.hello.Incarnation, units)
 				continue
 			}
@@ -299,10 +313,12 @@
 			why = job.RefusedNoSlot
 		}
 		if why != "" {
+			a.recordTask(now, event.TaskRefused, p, TaskRef{b.Job, ts.Task}, b.Contract, why)
 			a.slots.Unused(p.hello.Incarnation, units)
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
 		}
+		a.recordTask(now, event.TaskStarted, p, TaskRef{b.Job, ts.Task}, b.Contract, "")
 		a.run(now, p, b, ts, units)
 	}
 }
@@ -387,6 +403,7 @@
 	}
 	res.Task = ref.Task
 	t.result = res
+	a.recordEnd(now, rec, res)
 	a.running--
 	a.slots.End(rec.home, t.units)
 	a.resultBytes += len(res.Body)
@@ -423,7 +440,7 @@
 
 func (a *Agent) homeOf(rec *record) *peer { return a.peer(rec.home) }
 
-func (a *Agent) revoke(p *peer, r *pb.Revoke) {
+func (a *Agent) revoke(now time.Time, p *peer, r *pb.Revoke) {
 	rec := a.jobs[r.Job]
 	for _, index := range r.Tasks {
 		var t *task
@@ -434,9 +451,11 @@
 		case t == nil:
 			// The link is in order and older links are dropped: a start for this task
 			// can no longer arrive before the entry has seen this refusal.
+			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, "", "before it came")
 			a.addNews(p, r.Job, refusal(index, job.RefusedRevoked))
 		case t.result == nil && !t.stopping:
 			t.stopping = true
+			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, rec.contract, "while it runs")
 			a.ready.Stop = append(a.ready.Stop, TaskRef{Job: r.Job, Task: index})
 		}
 	}
@@ -468,6 +487,7 @@
 		}
 		rec.watch(p.hello.Incarnation)
 	}
+	a.recordFence(now, p, report)
 	p.out.Fenced = append(p.out.Fenced, report)
 	p.dirty = true
 }
@@ -508,6 +528,7 @@
 func (a *Agent) Tick(now time.Time) {
 	for _, p := range a.peers {
 		if p.session.Silent(now) {
+			a.recordPeer(now, event.PeerSuspected, p, "the link has gone silent", p.session.Epoch())
 			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
 			a.drop(p)
 		} else if p.session.Due(now) {
@@ -529,6 +550,7 @@
 // Leave stops the agent from taking new work and tells every entry.
 func (a *Agent) Leave(now time.Time) {
 	a.leaving = true
+	a.opts.Events.Record(now, event.Event{Kind: event.DrainBegun, Detail: "no new tasks", Value: uint64(a.running)})
 	for _, p := range a.peers {
 		a.slots.Unlink(p.hello.Incarnation)
 		p.dirty = p.session.IsUp()
@@ -555,6 +577,10 @@
 			a.flush(now, p)
 		}
 	}
+	if a.dropped > 0 {
+		a.opts.Events.Record(now, event.Event{Kind: event.RecordsEvicted, Value: uint64(a.dropped)})
+		a.dropped = 0
+	}
 	r := a.ready
 	a.ready = Ready{}
 	return r
@@ -573,6 +599,8 @@
 	}
 	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
 	f.Seq, f.Ack = p.session.Send(now, content)
+	a.recordSent(now, p, f)
+	f.Clock = a.opts.Events.Stamp(now)
 	if tasks := a.tasksOf(f.News); len(tasks) > 0 {
 		p.unacked = append(p.unacked, sentNews{seq: f.Seq, tasks: tasks})
 	}
