Walk of a job through two faults; opening frames carry the clock

Cause: the first walk showed an agent's new link before the suspicion that led to it, and a start sent again whose result had come with the new link. Change: the opening frame of a link carries the sender's timestamp; an entry drops starts of ended tasks from a frame; restarted processes are named. Conclusion: the order in the time line is that of cause and effect.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -281,6 +281,13 @@
 // OperatorsAddress is where the running incarnation serves operators.
 func (e *Entry) OperatorsAddress() string { return e.peer().GetOperatorAddress() }
 
+// Links is the number of agents with an open link.
+func (e *Entry) Links() int {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	return e.current.Links()
+}
+
 // CallersRelay is between callers and the entry.
 func (e *Entry) CallersRelay() *Relay { return e.callers }
 
@@ -317,7 +324,7 @@
 func (a *Agent) Start() error {
 	s := a.site
 	hello := &pb.AgentHello{
-		Agent: fmt.Sprintf("agent-%02d", a.index), Incarnation: entry.NewIncarnation(), Address: a.relay.Address(),
+		Agent: a.Name(), Incarnation: entry.NewIncarnation(), Address: a.relay.Address(),
 		FailureDomain: s.domain(a.index / max(1, s.opts.WorkersPerRack)), Worker: fmt.Sprintf("worker-%02d", a.index),
 		Rack:  fmt.Sprintf("rack-%d", a.index/max(1, s.opts.WorkersPerRack)),
 		Slots: s.opts.Slots, Cores: s.opts.Cores, MemoryBytes: s.opts.MemoryBytes,
@@ -343,6 +350,9 @@
 	return nil
 }
 
+// Name is the agent's name, the same for every incarnation.
+func (a *Agent) Name() string { return fmt.Sprintf("agent-%02d", a.index) }
+
 // Relay is between entries and the agent.
 func (a *Agent) Relay() *Relay { return a.relay }
 
--- a/cmd/internal/timeline/text.go
+++ b/cmd/internal/timeline/text.go
@@ -32,7 +32,7 @@
 			_, _ = fmt.Fprintf(table, "%s UTC\n", e.Time.Format(time.DateOnly))
 		}
 		_, _ = fmt.Fprintf(table, "%s\t+%s\t%s\t%s\t%s\t%s\n", e.Time.Format(clockLayout),
-			e.Time.Sub(t.Events[0].Time), e.Process, e.Kind, subject(e), remarks(e))
+			e.Time.Sub(t.Events[0].Time), e.Process, e.Kind, subject(t, e), remarks(e))
 	}
 	return table.Flush()
 }
@@ -55,12 +55,28 @@
 				s.Process, s.Since.Format(clockLayout), s.Overwritten))
 		}
 	}
+	lines = append(lines, restarts(t)...)
 	if len(t.Events) == 0 {
 		lines = append(lines, fmt.Sprintf("no events match; %d processes answered", len(t.Sources)))
 	}
 	return lines
 }
 
+// restarts names the processes that others met before they started: the events
+// of their predecessors ended with them.
+func restarts(t *Timeline) []string {
+	var lines []string
+	met := map[string]bool{}
+	for _, e := range t.Events {
+		if e.Kind == event.ProcessStarted.String() && met[e.Process] {
+			lines = append(lines, fmt.Sprintf("RESTART  %s started at %s; what its predecessor recorded is gone",
+				e.Process, e.Time.Format(clockLayout)))
+		}
+		met[e.Peer] = true
+	}
+	return lines
+}
+
 // title names a missing process for people.
 func (m Missing) title() string {
 	if m.Worker != "" && m.Worker != m.Process {
@@ -69,12 +85,17 @@
 	return m.Process
 }
 
-// subject names the job or task that an event is about.
-func subject(e Event) string {
+// subject names the job or task that an event is about. In the time line of one
+// job its name is left out.
+func subject(t *Timeline, e Event) string {
+	job := e.Job
+	if job != "" && job == t.Filter.Job {
+		job = "job"
+	}
 	if e.Task != nil {
-		return fmt.Sprintf("%s#%d", e.Job, *e.Task)
+		return fmt.Sprintf("%s#%d", job, *e.Task)
 	}
-	return e.Job
+	return job
 }
 
 // remarks is the rest of an event in words.
@@ -104,21 +125,30 @@
 	return "with"
 }
 
+func count(n uint64, unit string) string {
+	if n == 1 {
+		return "1 " + unit
+	}
+	return fmt.Sprintf("%d %ss", n, unit)
+}
+
+// valueText is an event's value with its unit.
 func valueText(e Event) string {
 	if e.Value == 0 {
 		return ""
 	}
 	switch k, _ := event.ParseKind(e.Kind); k {
-	case event.JobAccepted:
-		if e.Value == 1 {
-			return "1 task"
-		}
-		return fmt.Sprintf("%d tasks", e.Value)
+	case event.JobAccepted, event.JobJoined, event.JobFenced, event.PeerGone, event.JobCancelled:
+		return count(e.Value, "task")
+	case event.CreditsGranted, event.CreditsRecalled, event.CreditsReturned, event.CreditsLost:
+		return count(e.Value, "credit")
+	case event.RecordsEvicted:
+		return count(e.Value, "record")
 	case event.JobAnswered, event.TaskResult:
 		return fmt.Sprintf("%d ms", e.Value)
 	case event.ConfigInForce, event.ConfigStale:
 		return fmt.Sprintf("revision %d", e.Value)
-	case event.LinkUp, event.LinkDown:
+	case event.LinkUp, event.LinkDown, event.PeerSuspected:
 		return fmt.Sprintf("epoch %d", e.Value)
 	}
 	return fmt.Sprint(e.Value)
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -336,6 +336,9 @@
 	}
 	a.out = pb.EntryFrame{}
 	a.dirty = false
+	// With a new link, the agent's first frame may bring the result of a task whose
+	// start was about to be sent again.
+	a.placed = slices.DeleteFunc(a.placed, func(t *taskState) bool { return t.phase != sent })
 	for _, t := range a.placed {
 		f.Starts = addStart(now, f.Starts, t)
 	}
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -51,6 +51,7 @@
 	ctx, end := context.WithCancel(ctx)
 	defer end()
 	l := &entryLink{epoch: hello.Epoch, out: rpc.NewQueue[*pb.AgentFrame](), end: end}
+	a.opts.Core.Events.Observe(first.Clock, time.Now())
 	if refused := a.linkUp(hello, l); refused != "" {
 		return stream.Send(&pb.AgentFrame{Hello: &pb.AgentHello{
 			Agent: a.opts.Hello.Agent, Incarnation: a.opts.Hello.Incarnation, Refused: refused,
--- a/node/entry/links.go
+++ b/node/entry/links.go
@@ -41,7 +41,7 @@
 	client := rpc.NewClient(e.opts.NodesTLS)
 	defer client.CloseIdleConnections()
 	stream := papayahoistv1connect.NewAgentServiceClient(client, rpc.URL(d.Address, e.opts.NodesTLS)).Link(ctx)
-	first, ok := openStream(stream, d.Hello, l)
+	first, ok := openStream(stream, &pb.EntryFrame{Hello: d.Hello, Clock: e.opts.Core.Events.Stamp(time.Now())}, l)
 	if !ok {
 		e.decide(func(now time.Time) {
 			e.core.LinkDown(now, d.Agent, l.epoch, first.GetHello().GetRefused() != "" &&
@@ -69,10 +69,10 @@
 
 // openStream exchanges the first frames. False: the link could not be opened, or
 // the agent has refused it, which the frame then tells.
-func openStream(stream *linkStream, hello *pb.EntryHello, l *agentLink) (*pb.AgentFrame, bool) {
+func openStream(stream *linkStream, opening *pb.EntryFrame, l *agentLink) (*pb.AgentFrame, bool) {
 	late := time.AfterFunc(linkOpenTimeout, l.end)
 	defer late.Stop()
-	if err := stream.Send(&pb.EntryFrame{Hello: hello}); err != nil {
+	if err := stream.Send(opening); err != nil {
 		return nil, false
 	}
 	first, err := stream.Receive()
