A leaving agent ends only when every entry has acknowledged that

Change: the frame that says so counts as content, the entry acknowledges it at once, and the agent is drained when all its content is acknowledged on every link; an entry without a link is waited for until it is taken for lost.

--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -142,6 +142,7 @@
 	session link.Session
 	downAt  time.Time // when the last link was lost
 	lost    bool      // without a link for PeerLostAfter
+	told    bool      // that the agent is leaving, on the link in use
 
 	leaving    bool          // as last told, for operators
 	out        pb.AgentFrame // content of the next frame
@@ -210,7 +211,7 @@
 		return "older than the link in use"
 	}
 	p.hello = hello
-	p.lost = false
+	p.lost, p.told = false, false
 	p.session.Up(now, hello.Epoch, a.opts.Link)
 	a.recordPeer(now, event.LinkUp, p, "", hello.Epoch)
 	a.slots.Link(hello.Incarnation, now)
@@ -637,14 +638,16 @@
 	}
 }
 
-// Drained reports whether nothing is left that an entry waits for. An entry that
-// has only lost its link is waited for: its results would be lost otherwise.
+// Drained reports whether nothing is left that an entry waits for. Each entry must
+// have acknowledged that this agent is leaving: a start that it sent before is
+// still on its way, and ending now would leave its outcome unknown. An entry that
+// has only lost its link is waited for too, or its results would be lost.
 func (a *Agent) Drained() bool {
 	if a.running > 0 {
 		return false
 	}
-	for _, rec := range a.jobs {
-		if home := a.homeOf(rec); rec.open > 0 && home != nil && !home.lost {
+	for _, p := range a.peers {
+		if !p.lost && !(p.session.IsUp() && p.told && p.session.Settled()) {
 			return false
 		}
 	}
@@ -688,7 +691,8 @@
 		f.Load = a.load()
 		p.loadSentAt = now
 	}
-	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
+	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0 || (a.leaving && !p.told)
+	p.told = a.leaving
 	f.Seq, f.Ack = p.session.Send(now, content)
 	a.recordSent(now, p, f)
 	f.Clock = a.opts.Events.Stamp(now)
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -259,6 +259,8 @@
 	for _, r := range f.Fenced {
 		e.fenceReport(now, a, r)
 	}
+	// The agent ends once this is acknowledged.
+	a.dirty = a.dirty || (f.Leaving && !a.leaving)
 	a.leaving = f.Leaving
 	if a.leaving {
 		e.policy.sched.Pool.SetCredits(known, 0)
@@ -270,7 +272,7 @@
 }
 
 func hasContent(f *pb.AgentFrame) bool {
-	return f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
+	return f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0 || f.Leaving
 }
 
 // giveBack returns credits that no waiting task needs; it answers even with
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -398,7 +398,7 @@
 		}
 		e.spent.add(now, js.period, js.name, v)
 		js.answer = spentAnswer(js.job.Id, v)
-		js.job.Tasks = nil
+		js.job = &pb.Job{Id: js.job.Id, Contract: js.job.Contract, Kind: js.job.Kind}
 		js.dropped = true
 		e.finishDrop(now, js)
 	}
--- a/dispatch/link/link.go
+++ b/dispatch/link/link.go
@@ -116,6 +116,9 @@
 	return s.sent, s.received
 }
 
+// Settled reports whether the peer has acknowledged all content.
+func (s *Session) Settled() bool { return s.peerAcked >= s.needsAck }
+
 // Due reports whether a frame must go out now even without content.
 func (s *Session) Due(now time.Time) bool {
 	if !s.up {
--- a/dispatch/modelcheck/process.go
+++ b/dispatch/modelcheck/process.go
@@ -14,6 +14,7 @@
 type process struct {
 	name, incarnation string
 	alive             bool
+	endedAt           time.Time
 	leaving           bool
 	pausedUntil       time.Time
 	disturbed         bool // was ever paused
@@ -45,6 +46,7 @@
 	// A silent direction swallows frames; a broken one is reported to both ends.
 	silentToAgent, silentToEntry, broken bool
 	open                                 bool // the agent's first frame has arrived
+	openedAt                             time.Time
 }
 
 // openTimeout is how long the driver waits for a link to open.
@@ -246,7 +248,7 @@
 	w.deliver(&c.toEntry, func() {
 		w.run(&c.entry.process, func() {
 			if first {
-				c.open = true
+				c.open, c.openedAt = true, w.now
 				c.entry.core.LinkUp(w.now, name, c.epoch)
 			}
 			c.entry.core.Step(w.now, name, c.epoch, f)
