A revoked task whose record was dropped is not reported as not run

Change: an agent that has dropped unacknowledged records of a home answers the revocation of a task it does not know with "outcome unknown". The model check also watches what agents say they fenced, starts of answered jobs, and that nothing is held at the end; a profile with full tables and long pauses.

--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -347,9 +347,7 @@
 			// had not acknowledged. This start may belong to one of them; running it
 			// could be the second time.
 			a.slots.Unused(p.hello.Incarnation, units)
-			a.addNews(p, b.Job, &pb.TaskResult{
-				Task: ts.Task, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: "the agent has dropped its record of the task",
-			})
+			a.addNews(p, b.Job, recordDropped(ts.Task))
 			continue
 		}
 		why := a.refuse(p, b, ts)
@@ -376,6 +374,10 @@
 	return TaskRef{Contract: contract, Job: id, Task: index}
 }
 
+func recordDropped(index uint32) *pb.TaskResult {
+	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: "the agent has dropped its record of the task"}
+}
+
 func refusal(index uint32, why string) *pb.TaskResult {
 	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Error: why}
 }
@@ -505,6 +507,9 @@
 			t = rec.tasks[index]
 		}
 		switch {
+		case t == nil && a.unacked.has(p.hello.Incarnation):
+			// It may be one of those whose record was dropped: "not run" can't be said.
+			a.addNews(p, r.Job, recordDropped(index))
 		case t == nil:
 			// The link is in order and older links are dropped: a start for this task
 			// can no longer arrive before the entry has seen this refusal.
@@ -657,11 +662,20 @@
 // Size is what an Agent holds in memory.
 type Size struct {
 	Tasks, ResultBytes, Fences int
+	// Held counts the tasks that can't be evicted: they run, or their home has yet
+	// to acknowledge the result.
+	Held int
 }
 
 // Size returns the sizes that Options bound.
 func (a *Agent) Size() Size {
-	return Size{Tasks: a.tasks, ResultBytes: a.resultBytes, Fences: len(a.fences)}
+	s := Size{Tasks: a.tasks, ResultBytes: a.resultBytes, Fences: len(a.fences)}
+	for _, rec := range a.jobs {
+		if rec.running > 0 || !a.unwanted(rec) {
+			s.Held += len(rec.tasks)
+		}
+	}
+	return s
 }
 
 // Ready returns what has to be done since the last call.
--- a/dispatch/modelcheck/check.go
+++ b/dispatch/modelcheck/check.go
@@ -21,7 +21,7 @@
 	answer            *pb.Answer // the home's, or the recovery's
 	notRun, cancelled bool
 	// recovered: some entry took the home for gone, rightly or not. sealed holds
-	// the agent processes that can't start anything of the job any more.
+	// the agent processes that said to have fenced the job.
 	recovered bool
 	sealed    map[*agentProcess]bool
 }
@@ -40,7 +40,7 @@
 		w.violation("task %s/%d started %d times", shortID(r.Job), r.Task, t.started[r.Task])
 	}
 	if t.sealed[a] {
-		w.violation("task %s/%d started at %s after its recovery was answered", shortID(r.Job), r.Task, a.name)
+		w.violation("task %s/%d started at %s behind its fence", shortID(r.Job), r.Task, a.name)
 	}
 	if t.notRun {
 		w.violation("task %s/%d started after \"not run\"", shortID(r.Job), r.Task)
@@ -75,22 +75,22 @@
 			w.judgeUnknown(e, t)
 		}
 	}
-	if e != t.home && a.Code == string(jobs.CodeHomeLost) && !t.home.alive {
-		w.seal(e, t)
-	}
 	w.checkAnswer(e, a)
 }
 
-// seal notes which agents must have fenced the job: those that the answering
-// entry has an open link to, since it waits for their reports, where the job's
-// home has ended and fences have room.
-func (w *World) seal(e *entryProcess, t *jobTruth) {
-	if w.profile.maxFences() > 0 || w.now.Sub(t.home.endedAt) < time.Second {
-		return
+// checkFrame looks at what an entry sends: nothing of a job that it has answered.
+func (w *World) checkFrame(e *entryProcess, f *pb.EntryFrame) {
+	for _, b := range f.Starts {
+		if t := w.jobs[b.Job]; t != nil && t.home == e && t.answer != nil {
+			w.violation("%s sends a start of %s, which it has answered", e.name, shortID(t.job.Id))
+		}
 	}
-	t.sealed = make(map[*agentProcess]bool)
-	for _, a := range w.agents {
-		if c := e.links[a.name]; c != nil && c.open && c.agent == a && !c.silentToAgent && !c.silentToEntry && w.now.Sub(c.openedAt) > time.Second {
+}
+
+// noteFences notes what an agent says that it has fenced.
+func (w *World) noteFences(a *agentProcess, f *pb.AgentFrame) {
+	for _, r := range f.Fenced {
+		if t := w.jobs[r.Job]; t != nil && !r.Evicted && !r.HomeAlive {
 			t.sealed[a] = true
 		}
 	}
@@ -194,6 +194,11 @@
 
 // checkEnd checks what must hold once all has settled.
 func (w *World) checkEnd() {
+	for _, a := range w.agents {
+		if n := a.core.Size().Held; n > 0 && a.alive {
+			w.violation("%s still holds %d tasks that nobody waits for", a.name, n)
+		}
+	}
 	if !w.profile.onlyLinks() || len(w.report.Violations) > 0 {
 		return
 	}
--- a/dispatch/modelcheck/process.go
+++ b/dispatch/modelcheck/process.go
@@ -14,7 +14,6 @@
 type process struct {
 	name, incarnation string
 	alive             bool
-	endedAt           time.Time
 	leaving           bool
 	pausedUntil       time.Time
 	disturbed         bool // was ever paused
@@ -46,7 +45,6 @@
 	// A silent direction swallows frames; a broken one is reported to both ends.
 	silentToAgent, silentToEntry, broken bool
 	open                                 bool // the agent's first frame has arrived
-	openedAt                             time.Time
 }
 
 // openTimeout is how long the driver waits for a link to open.
@@ -122,7 +120,8 @@
 	})
 	w.agents[i] = p
 	w.tracef("%s starts as %s", p.name, short(p.incarnation))
-	w.announce(p)
+	// It may take a while until a new process knows whom to tell.
+	w.after(w.between(0, 400), func() { w.announce(p) })
 }
 
 // announce makes an agent known to the entries without a link to it, for as
@@ -228,6 +227,7 @@
 }
 
 func (w *World) sendToAgent(c *connection, f *pb.EntryFrame) {
+	w.checkFrame(c.entry, f)
 	if c.agent == nil || c.silentToAgent || w.chance(w.profile.loss) {
 		return
 	}
@@ -240,6 +240,7 @@
 }
 
 func (w *World) sendToEntry(c *connection, f *pb.AgentFrame) {
+	w.noteFences(c.agent, f)
 	if c.silentToEntry || w.chance(w.profile.loss) {
 		return
 	}
@@ -248,7 +249,7 @@
 	w.deliver(&c.toEntry, func() {
 		w.run(&c.entry.process, func() {
 			if first {
-				c.open, c.openedAt = true, w.now
+				c.open = true
 				c.entry.core.LinkUp(w.now, name, c.epoch)
 			}
 			c.entry.core.Step(w.now, name, c.epoch, f)
--- a/dispatch/modelcheck/profile.go
+++ b/dispatch/modelcheck/profile.go
@@ -9,7 +9,8 @@
 	loss, duplicate, slow float64
 	// Faults per schedule, at most.
 	silent, breaks, cuts, pauses, agentCrashes, entryCrashes, leaves, outages int
-	small                                                                     bool
+	// small tables, and pauses that outlast the peers' patience.
+	small, long bool
 }
 
 var profiles = []Profile{
@@ -23,6 +24,7 @@
 	{Name: "planned stop", leaves: 2, silent: 1, slow: 0.05},
 	{Name: "store outage and entry crash", outages: 1, entryCrashes: 2},
 	{Name: "full tables", small: true, silent: 2, entryCrashes: 1, pauses: 2, cuts: 1},
+	{Name: "full tables and long pauses", small: true, long: true, pauses: 3},
 	{Name: "all", loss: 0.005, duplicate: 0.02, slow: 0.05, silent: 3, breaks: 2, cuts: 1, pauses: 2,
 		agentCrashes: 1, entryCrashes: 1, leaves: 1, outages: 1},
 }
@@ -128,7 +130,11 @@
 	if !p.alive {
 		return
 	}
-	p.pausedUntil = w.now.Add(w.between(50, 2500))
+	pause := w.between(50, 2500)
+	if w.profile.long {
+		pause = w.between(1500, 3000)
+	}
+	p.pausedUntil = w.now.Add(pause)
 	p.disturbed = true
 	w.tracef("%s pauses until %v", p.name, p.pausedUntil.Sub(w.now))
 }
@@ -154,7 +160,7 @@
 			w.breakLink(c)
 		}
 	}
-	w.after(w.between(50, 1500), func() { w.startAgent(i) })
+	w.after(w.between(5, 1000), func() { w.startAgent(i) })
 }
 
 func (w *World) crashEntry() { w.endEntry(w.rng.IntN(numEntries), "crashes") }
@@ -164,7 +170,7 @@
 	if !e.alive {
 		return
 	}
-	e.alive, e.endedAt = false, w.now
+	e.alive = false
 	w.tracef("%s %s", e.name, how)
 	for _, name := range w.agentNames() {
 		if c := e.links[name]; c != nil && c.agent != nil && w.chance(0.7) {
