--- /dev/null
+++ b/dispatch/internal/capacity/capacity_test.go
@@ -0,0 +1,146 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+)
+
+const entriesPerCell = 3
+
+// TestCellServes keeps the benchmarks honest: the cell that they measure answers
+// every job completely.
+func TestCellServes(t *testing.T) {
+	c := newCell(entriesPerCell, 10, 4)
+	for i := range 40 {
+		c.submit(i, 3, 4)
+		c.advance(20 * time.Millisecond)
+	}
+	c.advance(2 * time.Second)
+	if got := c.answers[pb.Outcome_OUTCOME_COMPLETE]; got != 40 {
+		t.Errorf("%d of 40 jobs complete; outcomes %v", got, c.answers)
+	}
+	if c.frames == 0 || c.entryTime == 0 || c.agentDur == 0 {
+		t.Error("nothing was measured")
+	}
+}
+
+// BenchmarkIdle lets a minute pass in a cell without work and reports the cost
+// of a second.
+func BenchmarkIdle(b *testing.B) {
+	for _, agents := range []int{11, 50, 100, 200, 400, 1000} {
+		b.Run(fmt.Sprintf("entries=3/agents=%d", agents), func(b *testing.B) {
+			c := newCell(entriesPerCell, agents, 41)
+			c.advance(20 * time.Second)
+			c.reset()
+			var seconds float64
+			for b.Loop() {
+				c.advance(time.Minute)
+				seconds += time.Minute.Seconds()
+			}
+			b.ReportMetric(float64(c.entryTime.Nanoseconds())/seconds/entriesPerCell, "entry-ns/s")
+			b.ReportMetric(float64(c.agentDur.Nanoseconds())/seconds/float64(agents), "agent-ns/s")
+			b.ReportMetric(float64(c.bytes)/seconds/entriesPerCell, "entry-B/s")
+			b.ReportMetric(float64(c.bytes)/seconds/float64(agents), "agent-B/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkJobs sends jobs at a rate that keeps half of the slots busy and
+// reports the cost of a task.
+func BenchmarkJobs(b *testing.B) {
+	for _, agents := range []int{11, 100, 400} {
+		for _, tasks := range []int{1, 16, 160} {
+			b.Run(fmt.Sprintf("agents=%d/tasks=%d", agents, tasks), func(b *testing.B) {
+				benchJobs(b, agents, tasks, 41)
+			})
+		}
+	}
+}
+
+// BenchmarkContracts sweeps the number of contracts in force.
+func BenchmarkContracts(b *testing.B) {
+	for _, n := range []int{1, 41, 410} {
+		b.Run(fmt.Sprintf("contracts=%d", n), func(b *testing.B) { benchJobs(b, 100, 1, n) })
+	}
+}
+
+func benchJobs(b *testing.B, agents, tasks, contractCount int) {
+	const load = 0.5
+	c := newCell(entriesPerCell, agents, contractCount)
+	tasksPerSecond := load * float64(agents*slots) / taskRun.Seconds()
+	gap := time.Duration(float64(tasks) / tasksPerSecond * float64(time.Second))
+	jobs := 0
+	step := func() {
+		c.submit(jobs, tasks, contractCount)
+		jobs++
+		c.advance(gap)
+	}
+	// What comes with new links and first estimates is over by then.
+	for warm := c.now.Add(3 * time.Second); c.now.Before(warm); {
+		step()
+	}
+	c.reset()
+	first := jobs
+	for b.Loop() {
+		step()
+	}
+	sent := float64((jobs - first) * tasks)
+	b.ReportMetric(float64(c.entryTime.Nanoseconds())/sent, "entry-ns/task")
+	b.ReportMetric(float64(c.agentDur.Nanoseconds())/sent, "agent-ns/task")
+	b.ReportMetric(float64(c.frames)/sent, "frames/task")
+	b.ReportMetric(float64(c.bytes)/sent, "B/task")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkMemory reports the live heap per agent, per contract, per job in
+// flight, and per answered job that the entry still remembers.
+func BenchmarkMemory(b *testing.B) {
+	b.Run("agent-at-entry", func(b *testing.B) {
+		perUnit(b, 400, func(n int) any { return newCell(1, n, 1) })
+	})
+	b.Run("contract-at-entry", func(b *testing.B) {
+		perUnit(b, 400, func(n int) any { return newCell(1, 1, n) })
+	})
+	for _, tasks := range []int{1, 16} {
+		b.Run(fmt.Sprintf("job-in-flight/tasks=%d", tasks), func(b *testing.B) {
+			perUnit(b, 2000, func(n int) any {
+				c := newCell(1, 1, 1)
+				for i := range n {
+					c.submit(i, tasks, 1)
+				}
+				return c
+			})
+		})
+		b.Run(fmt.Sprintf("job-remembered/tasks=%d", tasks), func(b *testing.B) {
+			perUnit(b, 2000, func(n int) any {
+				c := newCell(1, 100, 1)
+				for i := range n {
+					c.submit(i, tasks, 1)
+					c.advance(taskRun)
+				}
+				c.advance(time.Second)
+				return c
+			})
+		})
+	}
+}
+
+// perUnit reports the growth of the heap from no unit to n units, per unit.
+func perUnit(b *testing.B, n int, build func(n int) any) {
+	var grown float64
+	for b.Loop() {
+		small := build(1)
+		before := heapBytes()
+		large := build(n + 1)
+		grown += heapBytes() - before
+		runtime.KeepAlive(small)
+		runtime.KeepAlive(large)
+	}
+	b.ReportMetric(grown/float64(b.N)/float64(n), "B/unit")
+	b.ReportMetric(0, "ns/op")
+}
