--- a/dispatch/agent/events.go
+++ b/dispatch/agent/events.go
@@ -13,9 +13,9 @@
 }
 
 // recordTask keeps an event about a task and the entry that sent it.
-func (a *Agent) recordTask(now time.Time, kind event.Kind, p *peer, ref TaskRef, contract, detail string) {
+func (a *Agent) recordTask(now time.Time, kind event.Kind, p *peer, ref TaskRef, detail string) {
 	a.opts.Events.Record(now, event.Event{
-		Kind: kind, Job: ref.Job, Task: ref.Task, Contract: contract, Peer: p.hello.Entry, Detail: detail,
+		Kind: kind, Job: ref.Job, Task: ref.Task, Contract: ref.Contract, Peer: p.hello.Entry, Detail: detail,
 	})
 }
 
@@ -23,7 +23,7 @@
 // still known.
 func (a *Agent) recordEnd(now time.Time, rec *record, res *pb.TaskResult) {
 	ev := event.Event{
-		Kind: event.TaskResult, Job: rec.job, Task: res.Task, Contract: rec.contract,
+		Kind: event.TaskResult, Job: rec.id, Task: res.Task, Contract: rec.contract,
 		Detail: endText(res), Value: uint64(res.RunMillis),
 	}
 	if home := a.homeOf(rec); home != nil {
