--- a/dispatch/internal/capacity/capacity_test.go
+++ b/dispatch/internal/capacity/capacity_test.go
@@ -97,6 +97,46 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// BenchmarkRestart replaces agents by new incarnations and reports what each
+// costs an entry, from the announcement to the credits.
+func BenchmarkRestart(b *testing.B) {
+	for _, agents := range []int{11, 100, 400} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			c := newCell(entriesPerCell, agents, 41)
+			restarts := 0
+			for b.Loop() {
+				c.restart(restarts%agents, restarts)
+				restarts++
+			}
+			b.ReportMetric(float64(c.entryTime.Nanoseconds())/float64(restarts)/entriesPerCell, "entry-ns/restart")
+			b.ReportMetric(float64(c.bytes)/float64(restarts)/entriesPerCell, "B/restart")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkDomainLost cuts a third of the agents off, each running tasks, and
+// reports what an entry spends until it has given them all up.
+func BenchmarkDomainLost(b *testing.B) {
+	for _, agents := range []int{33, 99, 399} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			var spent time.Duration
+			for b.Loop() {
+				c := newCell(entriesPerCell, agents, 1)
+				for i := range agents * slots / 2 {
+					c.submit(i, 1, 1)
+				}
+				c.reset()
+				c.loseDomain()
+				c.advance(15 * time.Second)
+				spent += c.entryTime
+			}
+			b.ReportMetric(float64(spent.Milliseconds())/float64(b.N)/entriesPerCell, "entry-ms")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 // BenchmarkMemory reports the live heap per agent, per contract, per job in
 // flight, and per answered job that the entry still remembers.
 func BenchmarkMemory(b *testing.B) {
@@ -109,10 +149,13 @@
 	for _, tasks := range []int{1, 16} {
 		b.Run(fmt.Sprintf("job-in-flight/tasks=%d", tasks), func(b *testing.B) {
 			perUnit(b, 2000, func(n int) any {
-				c := newCell(1, 1, 1)
+				c := newCell(1, 200, 1)
 				for i := range n {
 					c.submit(i, tasks, 1)
 				}
+				if len(c.answers) > 0 {
+					b.Fatalf("jobs were answered at once: %v", c.answers)
+				}
 				return c
 			})
 		})
@@ -124,6 +167,9 @@
 					c.advance(taskRun)
 				}
 				c.advance(time.Second)
+				if c.answers[pb.Outcome_OUTCOME_COMPLETE] != n {
+					b.Fatalf("not all %d jobs are complete: %v", n, c.answers)
+				}
 				return c
 			})
 		})
--- a/dispatch/internal/capacity/cell_test.go
+++ b/dispatch/internal/capacity/cell_test.go
@@ -47,6 +47,7 @@
 type agentNode struct {
 	core *agent.Agent
 	name string
+	lost bool
 }
 
 // run is a task at an endpoint.
@@ -116,20 +117,38 @@
 	return c
 }
 
-func (c *cell) addAgent(i int) {
+func (c *cell) addAgent(i int) { c.agents = append(c.agents, c.startAgent(i, i)) }
+
+// restart replaces an agent by a new process.
+func (c *cell) restart(i, incarnation int) {
+	c.agents[i] = c.startAgent(i, 1_000_000+incarnation)
+	for _, e := range c.entries {
+		c.serveEntry(e)
+	}
+	c.carry()
+}
+
+// loseDomain makes a third of the agents vanish; the entries notice by silence.
+func (c *cell) loseDomain() {
+	for i := 0; i < len(c.agents); i += 3 {
+		c.agents[i].lost = true
+	}
+}
+
+func (c *cell) startAgent(i, incarnation int) *agentNode {
 	hello := &pb.AgentHello{
-		Agent: fmt.Sprint("agent-", i), Incarnation: fmt.Sprintf("%032x", i), Address: "10.0.1.1:7411",
+		Agent: fmt.Sprint("agent-", i), Incarnation: fmt.Sprintf("%032x", incarnation), Address: "10.0.1.1:7411",
 		FailureDomain: fmt.Sprint("domain-", i%3), Worker: fmt.Sprint("worker-", i), Rack: fmt.Sprint("rack-", i/3),
 		Slots: slots, Cores: 16, MemoryBytes: 32 * gib,
 	}
 	n := &agentNode{name: hello.Agent, core: agent.New(agent.Options{
 		Hello: hello, Events: event.NewRing(event.Options{Process: hello.Agent, Size: 64}),
 	})}
-	c.agents = append(c.agents, n)
 	c.byName[n.name] = n
 	for _, e := range c.entries {
-		e.core.AgentSeen(c.now, hello, false, false)
+		c.onEntry(func() { e.core.AgentSeen(c.now, hello, false, false) })
 	}
+	return n
 }
 
 func (c *cell) reset() {
@@ -166,6 +185,10 @@
 	})
 	for _, d := range ready.Dials {
 		a := c.byName[d.Agent]
+		if a.lost {
+			continue
+		}
+		c.count(&pb.EntryFrame{Hello: d.Hello})
 		if refused := a.core.LinkUp(c.now, d.Hello); refused == "" {
 			e.core.LinkUp(c.now, d.Agent, d.Hello.Epoch)
 			c.inFlight = append(c.inFlight, func() { c.serveAgent(a); c.serveEntry(e) })
@@ -174,18 +197,24 @@
 	for _, out := range ready.Frames {
 		c.count(out.Frame)
 		a := c.byName[out.Agent]
+		if a.lost {
+			continue
+		}
 		c.inFlight = append(c.inFlight, func() {
 			c.onAgent(func() { a.core.Step(c.now, e.id, out.Epoch, out.Frame) })
 			c.serveAgent(a)
 		})
 	}
 	for _, answer := range ready.Answers {
-		c.answers[answer.Outcome]++
+		c.answers[answer.Answer.Outcome]++
 	}
 }
 
 // serveAgent does what a driver does after each input.
 func (c *cell) serveAgent(a *agentNode) {
+	if a.lost {
+		return
+	}
 	var ready agent.Ready
 	c.onAgent(func() {
 		ready = a.core.Ready(c.now)
@@ -231,7 +260,9 @@
 			next = earliest(next, e.core.Next())
 		}
 		for _, a := range c.agents {
-			next = earliest(next, a.core.Next())
+			if !a.lost {
+				next = earliest(next, a.core.Next())
+			}
 		}
 		if len(c.running) > 0 {
 			next = earliest(next, c.running[0].until)
@@ -266,6 +297,9 @@
 		c.serveAgent(r.at)
 	}
 	for _, a := range c.agents {
+		if a.lost {
+			continue
+		}
 		if next := a.core.Next(); !next.IsZero() && !next.After(c.now) {
 			c.onAgent(func() { a.core.Tick(c.now) })
 			c.serveAgent(a)
