Waste counted at one end of a link only

Change: an agent counts refused and duplicate starts, an entry forwarded jobs; credit frames are told by their kind.

--- a/node/metrics/labels.go
+++ b/node/metrics/labels.go
@@ -127,15 +127,19 @@
 
 var directionNames = [directionCount]string{"sent", "received"}
 
-// wasteReasons names the events that stand for a message that need not have
-// been sent.
-var wasteReasons = map[event.Kind]string{
-	event.TaskRefused:     "refused_start",
-	event.TaskResent:      "resent_start",
-	event.TaskDuplicate:   "duplicate_start",
-	event.CreditsReturned: "returned_credits",
-	event.JobForwarded:    "forwarded_job",
-}
+// The events that stand for a message that need not have been sent. Both ends of
+// a link record most events; each message is counted at one end only, so that
+// sums over the processes are right. Frames that only move credits or keep a link
+// alive are told by their kind.
+var (
+	entryWaste = map[event.Kind]string{
+		event.JobForwarded: "forwarded_job",
+	}
+	agentWaste = map[event.Kind]string{
+		event.TaskRefused:   "refused_start",
+		event.TaskDuplicate: "duplicate_start",
+	}
+)
 
 // movements names the events that move credits; their values are the credits.
 var movements = map[event.Kind]string{
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -90,10 +90,11 @@
 		f.counterFunc("events_total", "Events recorded, by kind.",
 			func() float64 { n, _ := r.Count(k); return float64(n) }, "kind", k.String())
 	}
-	for k, reason := range wasteReasons {
-		if agent && entryEvents[k] {
-			continue
-		}
+	waste := entryWaste
+	if agent {
+		waste = agentWaste
+	}
+	for k, reason := range waste {
 		f.counterFunc("messages_wasted_total", "Messages that need not have been sent.",
 			func() float64 { n, _ := r.Count(k); return float64(n) }, "reason", reason)
 	}
