Client: a job refused as not run is tried again under a new id

Cause: "not run" now stays true for an id, as the interface says of it, so an attempt under the same id can only hear the same word; a delayed copy of the first request could otherwise run the job after the caller gave up on it. Change: the client makes a new id after a refusal with a time to come back; with an id of the caller's own it hands the refusal out. The test row "refused for a while" expected the same id again and was wrong under that promise; it is replaced by TestRefusedForAWhile, which checks the wait, both ids, the answer, and the caller's own id.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -181,7 +181,6 @@
 		{"another job's answer", []step{otherJob, complete(0, 1)}, 2, 0, backoffBase},
 		{"balancer's error page", []step{status(http.StatusBadGateway, "<html>"), complete(0, 1)}, 2, 0, backoffBase},
 		{"home changed after a lost answer", []step{reset, moved(reset), moved(complete(0, 1))}, 3, 0, 3 * backoffBase},
-		{"refused for a while", []step{refuse(429, rateLimited), complete(0, 1)}, 2, 400 * time.Millisecond, 450 * time.Millisecond},
 		{"home unreachable for a while", []step{refuse(503, refusedWithoutProof), complete(0, 1)}, 2, 100 * time.Millisecond, 150 * time.Millisecond},
 		{"long job", []step{running, running, complete(0, 1)}, 3, 2 * DefaultWait, 2 * DefaultWait},
 		{"long job, then silence", []step{running, silent, complete(0, 1)}, 3, 2*DefaultWait + DefaultSilence, 2*DefaultWait + DefaultSilence + backoffBase},
@@ -206,6 +205,33 @@
 	}
 }
 
+// An entry refuses a job for a while. "Not run" stays true for its id, whatever
+// request is still on its way, so the caller's next attempt takes a new one. With
+// an id of the caller's own there is no next attempt.
+func TestRefusedForAWhile(t *testing.T) {
+	f := &fake{steps: []step{refuse(429, rateLimited), complete(0, 1)}}
+	answer, took, err := run(t, f, Job{Timeout: 20 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(f.seen) != 2 || f.seen[0].ID == f.seen[1].ID {
+		t.Fatalf("requests %+v, want two under different ids", f.seen)
+	}
+	want := &Answer{ID: f.seen[1].ID, Results: results(0, 1)}
+	if diff := cmp.Diff(want, answer); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	checkOneJob(t, f.seen[1:])
+	if took < 400*time.Millisecond || took > 450*time.Millisecond {
+		t.Errorf("took %s, want 400 ms as the entry said", took)
+	}
+
+	f = &fake{steps: []step{refuse(429, rateLimited), complete(0, 1)}}
+	if _, _, err = run(t, f, Job{ID: "home-1.mine"}); !errorx.IsOfType(err, NotRun) || len(f.seen) != 1 {
+		t.Errorf("%d requests and error %v, want one and not run", len(f.seen), err)
+	}
+}
+
 // checkOneJob checks that every request was about the same job, and every
 // submission the same to the byte.
 func checkOneJob(t *testing.T, all []seen) {
--- a/client/submit.go
+++ b/client/submit.go
@@ -29,9 +29,13 @@
 		if err == nil || job.ID != "" || !renewable(err) {
 			return answer, err
 		}
-		// The hint is for those who come back to the entry that gave it.
-		c.leaveEntry()
-		if c.pause(ctx, attempt, 0) != nil {
+		hint := RetryAfterOf(err)
+		if homeGone(err) {
+			// The hint is for those who come back to the entry that gave it.
+			hint = 0
+			c.leaveEntry()
+		}
+		if c.pause(ctx, attempt, hint) != nil {
 			return nil, err
 		}
 	}
@@ -39,7 +43,9 @@
 
 // renewable says that an id is of no use any more, and that nothing ran or will
 // under it: its job may be sent under another one.
-func renewable(err error) bool { return homeGone(err) || neverSent(err) }
+func renewable(err error) bool {
+	return homeGone(err) || neverSent(err) || (errorx.IsOfType(err, NotRun) && RetryAfterOf(err) > 0)
+}
 
 // timeoutOf is the timeout that the entry is told, zero for the contract's.
 func timeoutOf(ctx context.Context, job Job) time.Duration {
@@ -211,7 +217,8 @@
 		s.word = OutcomeUnknown.Wrap(s.word, "submission").WithProperty(propertyJob, s.id)
 	}
 	hint := time.Duration(refusal.RetryAfterMillis) * time.Millisecond
-	again := hint > 0 && refusal.Outcome != jobs.OutcomeFailed && !homeGone(s.word)
+	// "Not run" stays true for the id: asking again under it gets the same word.
+	again := hint > 0 && refusal.Outcome != jobs.OutcomeFailed && refusal.Outcome != jobs.OutcomeNotRun
 	return verdict{err: s.word, final: !again, hint: hint}
 }
 
