Only a job's home acknowledges its results; redials back off with jitter

Also: each entry dialled an agent that can't be reached every 250 ms, all in step. Change: only frames to the home carry acknowledgements of results; redials double from 250 ms to 2 s with jitter, randomness passed in.

--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -719,18 +719,21 @@
 	f.Seq, f.Ack = p.session.Send(now, content)
 	a.recordSent(now, p, f)
 	f.Clock = a.opts.Events.Stamp(now)
-	if tasks := a.tasksOf(f.News); len(tasks) > 0 {
+	if tasks := a.tasksOf(p, f.News); len(tasks) > 0 {
 		p.unacked = append(p.unacked, sentNews{seq: f.Seq, tasks: tasks})
 	}
 	a.ready.Frames = append(a.ready.Frames, Out{Entry: p.hello.Incarnation, Epoch: p.session.Epoch(), Frame: f})
 }
 
-// tasksOf lists the recorded tasks that news is about; refusals have no record.
-func (a *Agent) tasksOf(news []*pb.TaskNews) []*task {
+// tasksOf lists the recorded tasks of a home that news is about; refusals have no
+// record. Only the home's acknowledgement counts: with that of an entry that
+// gathers results, the record would be evicted, and the home, back from a pause,
+// would have the task run again.
+func (a *Agent) tasksOf(home *peer, news []*pb.TaskNews) []*task {
 	var out []*task
 	for _, n := range news {
 		rec := a.jobs[n.Job]
-		if rec == nil {
+		if rec == nil || rec.home != home.hello.Incarnation {
 			continue
 		}
 		for _, res := range n.Results {
--- a/dispatch/agent/agent_test.go
+++ b/dispatch/agent/agent_test.go
@@ -218,3 +218,34 @@
 		})
 	}
 }
+
+// A home is paused, and another entry gathers the job's results and acknowledges
+// them. Were that taken for the home's word, the agent would drop the record for
+// new work, and the home, awake again, would have the task run a second time.
+func TestOnlyHomeAcknowledges(t *testing.T) {
+	p := newPeer(t, agent.Options{MaxRecords: 1})
+	id := home + "-0.x"
+	name := job.Name("c", id)
+	p.link(home)
+	p.startTask(name, false)
+	p.agent.LinkDown(p.now, home, p.epoch)
+
+	p.link(other)
+	p.send(other, &pb.EntryFrame{Fences: []*pb.Fence{{Job: name}}})
+	p.end(id, pb.Outcome_OUTCOME_COMPLETE)
+	if diff := cmp.Diff([]pb.Outcome{pb.Outcome_OUTCOME_COMPLETE}, p.outcomes(name)); diff != "" {
+		t.Fatalf("outcomes told to the gathering entry (-want +got):\n%s", diff)
+	}
+	p.send(other, &pb.EntryFrame{
+		Ack:    uint64(len(p.heard)),
+		Starts: []*pb.StartBatch{{Job: job.Name("c", other+"-0.y"), TimeoutMs: 60_000, Tasks: []*pb.TaskStart{{}}}},
+	})
+	if len(p.runs) != 1 {
+		t.Errorf("%d runs, want the new start refused for want of room", len(p.runs))
+	}
+	p.link(home)
+	p.startTask(name, true)
+	if len(p.runs) != 1 {
+		t.Errorf("%d runs, want none for the start sent again", len(p.runs))
+	}
+}
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -17,6 +17,7 @@
 	session link.Session
 	epoch   uint64 // of the last link asked for
 	dialing bool
+	failed  int       // attempts since the last link
 	dialAt  time.Time // when the next attempt may start
 	downAt  time.Time // when the last link was lost
 	gone    bool      // given up; back when it announces itself
@@ -90,7 +91,8 @@
 	e.epoch++
 	a.epoch = e.epoch
 	a.dialing = true
-	a.dialAt = now.Add(e.opts.RedialAfter)
+	a.dialAt = now.Add(e.backoff(a.failed))
+	a.failed++
 	h := &pb.EntryHello{
 		Entry: e.opts.Hello.Entry, Incarnation: e.opts.Hello.Incarnation, Address: e.opts.Hello.Address,
 		FailureDomain: e.opts.Hello.FailureDomain, AgentIncarnation: a.hello.Incarnation, Epoch: a.epoch,
@@ -99,6 +101,18 @@
 	e.ready.Dials = append(e.ready.Dials, Dial{Agent: a.hello.Agent, Address: a.hello.Address, Hello: h})
 }
 
+// backoff is the pause after the given number of failed attempts, drawn from the
+// upper half of a bound that doubles: a switch that fails would otherwise have
+// every entry dial every agent behind it in step, over and over.
+func (e *Entry) backoff(failed int) time.Duration {
+	bound := e.opts.RedialAfter
+	for i := 0; i < failed && bound < e.opts.RedialMax; i++ {
+		bound *= 2
+	}
+	bound = min(bound, e.opts.RedialMax)
+	return bound/2 + time.Duration(e.opts.Random()*float64(bound)/2)
+}
+
 // LinkUp takes in that the link asked for with the epoch is open. Every start
 // without a result goes out again: it, its refusal or its result may have been
 // lost with the old link, and the agent knows which of its starts it took. A
@@ -108,7 +122,7 @@
 	if a == nil || a.epoch != epoch || !a.dialing {
 		return
 	}
-	a.dialing = false
+	a.dialing, a.failed = false, 0
 	a.session.Up(now, epoch, e.opts.Link)
 	e.recordPeer(now, event.LinkUp, a, "", epoch)
 	a.wanted = 0
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -35,8 +35,11 @@
 	// AgentLostAfter is when an agent without a link is given up, and the outcome
 	// of what was sent to it is unknown.
 	AgentLostAfter time.Duration
-	// RedialAfter is the least time between two attempts to reach an agent.
-	RedialAfter time.Duration
+	// RedialAfter is the longest time until a second attempt to reach an agent; it
+	// doubles with each further one up to RedialMax.
+	RedialAfter, RedialMax time.Duration
+	// Random gives numbers in [0, 1), for jitter; nil: none.
+	Random func() float64
 	// Picker chooses agents for tasks; nil: late binding by credits.
 	Picker place.Picker
 	// DomainRoundTrip is the round trip to an agent in another failure domain,
@@ -65,6 +68,7 @@
 	DefaultRecoverWait    = 2 * time.Second
 	DefaultAgentLostAfter = 10 * time.Second
 	DefaultRedialAfter    = 250 * time.Millisecond
+	DefaultRedialMax      = 2 * time.Second
 	DefaultMaxJobs        = 200_000
 	DefaultMaxAnswerBytes = 64 << 20
 	DefaultMaxSpent       = 1_000_000
@@ -89,6 +93,10 @@
 	set(&o.RecoverWait, DefaultRecoverWait)
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
 	set(&o.RedialAfter, DefaultRedialAfter)
+	set(&o.RedialMax, DefaultRedialMax)
+	if o.Random == nil {
+		o.Random = func() float64 { return 1 }
+	}
 	if o.Picker == nil {
 		o.Picker = &place.Credits{MessageCost: DefaultMessageCost, SpreadCost: DefaultSpreadCost}
 	}
--- a/dispatch/modelcheck/caller.go
+++ b/dispatch/modelcheck/caller.go
@@ -39,6 +39,10 @@
 		Id: home.core.Token(w.now).String() + ".j" + strconv.Itoa(i), Contract: "desk", Kind: "gauge",
 		TimeoutMs: uint32(300 + w.rng.IntN(1700)),
 	}
+	if w.profile.long {
+		// Long enough to outlive a pause.
+		j.TimeoutMs += 3000
+	}
 	for t := range 1 + w.rng.IntN(4) {
 		j.Tasks = append(j.Tasks, &pb.Task{Payload: []byte(fmt.Sprintf("%d/%d", i, t))})
 	}
--- a/dispatch/modelcheck/process.go
+++ b/dispatch/modelcheck/process.go
@@ -98,7 +98,7 @@
 		Hello: &pb.EntryHello{Entry: p.name, Incarnation: p.incarnation}, Started: w.now, Link: linkOptions,
 		Contract:  func(string) *pb.Contract { return w.contract },
 		AnswerTTL: answerTTL, TokenTTL: tokenTTL, AgentLostAfter: agentLostAfter,
-		RedialAfter: 50 * time.Millisecond, RecoverWait: 500 * time.Millisecond, MaxJobs: w.profile.maxJobs(),
+		RedialAfter: 50 * time.Millisecond, RedialMax: 200 * time.Millisecond, Random: w.rng.Float64, RecoverWait: 500 * time.Millisecond, MaxJobs: w.profile.maxJobs(),
 	})
 	w.entries[i] = p
 	w.byIncarnation[p.incarnation] = p
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -134,6 +135,7 @@
 	}
 	e.opts.Core.Hello = opts.Hello
 	e.opts.Core.Started = time.Now()
+	e.opts.Core.Random = rand.Float64
 	e.opts.Core.Contract = opts.Contract
 	e.core = entry.New(e.opts.Core)
 	e.timer = rpc.NewTimer(e.tick)
