--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -115,6 +115,9 @@
 	return relay.Close, nil
 }
 
+// Operators is the address of the first entry's operators' port.
+func (d *Demo) Operators() string { return d.site.Entries()[0].OperatorsAddress() }
+
 // Stop drains the site.
 func (d *Demo) Stop() { d.site.Stop() }
 
--- a/cmd/internal/timeline/collect.go
+++ b/cmd/internal/timeline/collect.go
@@ -172,7 +172,7 @@
 }
 
 // aroundMargin is how long before and after a job its surroundings matter.
-const aroundMargin = 5 * time.Second
+const aroundMargin = time.Second
 
 // askAround adds the events without a job of the processes that the job met.
 func (c *collection) askAround() {
--- a/cmd/internal/timeline/text.go
+++ b/cmd/internal/timeline/text.go
@@ -46,10 +46,10 @@
 	if t.Dropped > 0 {
 		lines = append(lines, fmt.Sprintf("CUT      %d older events left out for the limit", t.Dropped))
 	}
+	if limited := limitedSources(t); len(limited) > 0 {
+		lines = append(lines, "CUT      older events left out for the limit by "+strings.Join(limited, ", "))
+	}
 	for _, s := range t.Sources {
-		if s.Limited {
-			lines = append(lines, fmt.Sprintf("CUT      %s left out older events for its limit", s.Process))
-		}
 		if s.Overwritten > 0 && !s.Since.Before(t.Filter.From) {
 			lines = append(lines, fmt.Sprintf("BEGINS   %s remembers nothing before %s (%d events overwritten)",
 				s.Process, s.Since.Format(clockLayout), s.Overwritten))
@@ -62,6 +62,16 @@
 	return lines
 }
 
+func limitedSources(t *Timeline) []string {
+	var names []string
+	for _, s := range t.Sources {
+		if s.Limited {
+			names = append(names, s.Process)
+		}
+	}
+	return names
+}
+
 // restarts names the processes that others met before they started: the events
 // of their predecessors ended with them.
 func restarts(t *Timeline) []string {
