--- a/dispatch/entry/events.go
+++ b/dispatch/entry/events.go
@@ -5,6 +5,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
@@ -49,14 +50,13 @@
 }
 
 // recordAnswers keeps the answers that Ready hands out.
-func (e *Entry) recordAnswers(now time.Time, answers []*pb.Answer) {
-	for _, a := range answers {
-		contract, took := "", time.Duration(0)
-		if js := e.jobs[a.Job]; js != nil {
-			contract = js.job.Contract
+func (e *Entry) recordAnswers(now time.Time, answers []Ended) {
+	for _, ended := range answers {
+		a, took := ended.Answer, time.Duration(0)
+		if js := e.jobs[job.Name(ended.Contract, a.Job)]; js != nil {
 			took = now.Sub(js.deadline.Add(-time.Duration(js.job.TimeoutMs) * time.Millisecond))
 		}
-		e.record(now, event.JobAnswered, a.Job, contract, outcomeText(a), int(took.Milliseconds()))
+		e.record(now, event.JobAnswered, a.Job, ended.Contract, outcomeText(a), int(took.Milliseconds()))
 	}
 }
 
@@ -91,11 +91,11 @@
 	}
 	for _, r := range f.Revokes {
 		for _, index := range r.Tasks {
-			e.opts.Events.Record(now, event.Event{Kind: event.TaskRevoked, Job: r.Job, Task: index, Peer: a.hello.Agent})
+			e.recordNamed(now, r.Job, event.Event{Kind: event.TaskRevoked, Task: index, Peer: a.hello.Agent})
 		}
 	}
 	for _, fence := range f.Fences {
-		e.opts.Events.Record(now, event.Event{Kind: event.JobFenced, Job: fence.Job, Peer: a.hello.Agent})
+		e.recordNamed(now, fence.Job, event.Event{Kind: event.JobFenced, Peer: a.hello.Agent})
 	}
 	if f.Returned > 0 {
 		e.recordPeer(now, event.CreditsReturned, a, "", uint64(f.Returned))
@@ -119,24 +119,27 @@
 		}
 	}
 	for _, r := range f.Fenced {
-		e.opts.Events.Record(now, event.Event{
-			Kind: event.JobFenced, Job: r.Job, Peer: a.hello.Agent, Value: uint64(len(r.Results)), Detail: fenceText(r),
+		e.recordNamed(now, r.Job, event.Event{
+			Kind: event.JobFenced, Peer: a.hello.Agent, Value: uint64(len(r.Results)), Detail: fenceText(r),
 		})
 	}
 }
 
-func (e *Entry) recordResult(now time.Time, a *agent, jobID string, res *pb.TaskResult) {
+func (e *Entry) recordResult(now time.Time, a *agent, name string, res *pb.TaskResult) {
 	ev := event.Event{
-		Kind: event.TaskResult, Job: jobID, Task: res.Task, Peer: a.hello.Agent,
+		Kind: event.TaskResult, Task: res.Task, Peer: a.hello.Agent,
 		Detail: resultText(res), Value: uint64(res.RunMillis),
 	}
 	if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
 		ev.Kind = event.TaskRefused
 		ev.Detail = res.Error
 	}
-	if js := e.jobs[jobID]; js != nil {
-		ev.Contract = js.job.Contract
-	}
+	e.recordNamed(now, name, ev)
+}
+
+// recordNamed keeps an event about a job that is given by its job.Name.
+func (e *Entry) recordNamed(now time.Time, name string, ev event.Event) {
+	ev.Contract, ev.Job = job.SplitName(name)
 	e.opts.Events.Record(now, ev)
 }
 
@@ -150,6 +153,8 @@
 
 func fenceText(r *pb.FenceReport) string {
 	switch {
+	case r.HomeAlive:
+		return "not fenced, the home has a link here"
 	case r.Evicted:
 		return "records dropped, more may have run here"
 	case len(r.Running) > 0:
--- a/dispatch/entry/place.go
+++ b/dispatch/entry/place.go
@@ -2,10 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/papayahoist/papayahoist/api/jobs"
-	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
-	"github.com/papayahoist/papayahoist/dispatch/job"
 )
 
 // place sends waiting tasks to agents that have granted credits, and tells the
@@ -13,7 +9,6 @@
 func (e *Entry) place(now time.Time) {
 	for p, ok := e.policy.sched.Next(now); ok; p, ok = e.policy.sched.Next(now) {
 		js, a := e.jobs[p.Job.ID], e.byName[p.Agent.ID]
-		js.touched = true
 		for i := range p.Tasks {
 			a.track(&js.tasks[p.Tasks[i].Number])
 		}
@@ -36,19 +31,3 @@
 		a.wanted = n
 	}
 }
-
-// refused takes in that an agent has not started a task and never will.
-func (e *Entry) refused(now time.Time, t *taskState, res *pb.TaskResult) {
-	if res.Error == job.RefusedFenced {
-		// Another entry took this one for dead and is gathering the job's results;
-		// starting the task elsewhere could contradict what it tells the caller.
-		t.phase = ended
-		t.job.open--
-		if t.job.answer == nil {
-			e.revokeAll(t.job)
-			e.answer(now, t.job, unknown(t.job.job.Id, jobs.CodeHomeLost, "another entry took over the job's recovery"))
-		}
-		return
-	}
-	e.requeue(t)
-}
