--- a/node/rpc/rpc.go
+++ b/node/rpc/rpc.go
@@ -14,7 +14,10 @@
 const (
 	dialTimeout       = time.Second
 	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 16 << 10
+	// pingAfter exceeds the heartbeat of links, so that a link costs no pings.
+	pingAfter      = 15 * time.Second
+	pingTimeout    = 5 * time.Second
+	maxHeaderBytes = 16 << 10
 )
 
 // NewServer returns a server that speaks HTTP/1.1 and HTTP/2 on one port.
@@ -23,7 +26,7 @@
 	p.SetHTTP1(true)
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, Protocols: &p, TLSConfig: tlsConfig, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{HTTP2: keepAlive(), Handler: h, Protocols: &p, TLSConfig: tlsConfig, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // NewClient returns a client with connections of its own. A link takes a new one
@@ -39,9 +42,21 @@
 		},
 		TLSClientConfig: tlsConfig,
 		Protocols:       &p,
+		HTTP2:           keepAlive(),
 	}}
 }
 
+// keepAlive has a connection closed that has gone silent, and the goroutines that
+// write to it with it. Links notice silence themselves, and sooner; without pings
+// what they leave behind would stay until the system gives the connection up.
+func keepAlive() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		SendPingTimeout:  pingAfter,
+		PingTimeout:      pingTimeout,
+		WriteByteTimeout: pingTimeout,
+	}
+}
+
 // URL returns the base URL of a node address.
 func URL(address string, tlsConfig *tls.Config) string {
 	if tlsConfig != nil {
