--- a/cmd/internal/bench/ideal.go
+++ b/cmd/internal/bench/ideal.go
@@ -1,12 +1,13 @@
 package bench
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 func sortPlan(plan []JobPlan) {
-	slices.SortStableFunc(plan, func(a, b JobPlan) int { return int(a.At - b.At) })
+	slices.SortStableFunc(plan, func(a, b JobPlan) int { return cmp.Compare(a.At, b.At) })
 }
 
 // Ideal is the least response time that any dispatcher could give the job on an
