Agents hear of every entry over their links

Cause: an agent asked for the list of entries only when it announced itself, so one that had joined before the entries knew each other, or before an entry started, never met the others; their callers were answered with 'deadline exceeded'. Seen with two entries and an agent as separate processes. Change: entries tell linked agents who lives, on a new link and when it changes; agents drop unlinked entries that are no longer named, and announce themselves at a balancer's address every 30 s instead of every 500 ms once they are linked. Conclusion: agents follow the entries without new settings.

--- a/cmd/papayahoist/contract_change.go
+++ b/cmd/papayahoist/contract_change.go
@@ -129,7 +129,8 @@
 		}
 	}
 	for name, holds := range agents {
-		if holds < revision {
+		// Agents that hold no contracts take them from entries with each task.
+		if holds > 0 && holds < revision {
 			missing = append(missing, name)
 		}
 	}
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -127,9 +127,9 @@
 	e.recordPeer(now, event.LinkUp, a, "", epoch)
 	a.wanted = 0
 	known := e.updateAgent(now, a)
-	a.out = pb.EntryFrame{}
+	a.out = pb.EntryFrame{Peers: e.peers}
 	a.placed = nil
-	a.dirty = len(a.tasks) > 0
+	a.dirty = len(a.tasks) > 0 || len(e.peers) > 0
 	for _, t := range a.tasks {
 		if t.revoked {
 			a.addRevoke(t)
@@ -144,6 +144,17 @@
 	}
 }
 
+// TellPeers takes in the entries that live and tells every agent. The link's
+// next epoch tells them again, so that a frame lost with its link does no harm.
+func (e *Entry) TellPeers(peers []*pb.Peer) {
+	e.peers = peers
+	for _, a := range e.agents {
+		if a.session.IsUp() {
+			a.out.Peers, a.dirty = peers, true
+		}
+	}
+}
+
 // LinkDown takes in that a link was lost or could not be opened. Refused tells
 // that the process there is another one, and the agent's own has ended.
 func (e *Entry) LinkDown(now time.Time, name string, epoch uint64, refused bool) {
@@ -333,7 +344,7 @@
 	f := &pb.EntryFrame{
 		Revokes: a.out.Revokes, Fences: a.out.Fences, Finished: a.out.Finished,
 		Returned: a.out.Returned, Recalled: a.out.Recalled, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
-		Ended: e.over,
+		Ended: e.over, Peers: a.out.Peers,
 	}
 	a.out = pb.EntryFrame{}
 	a.dirty = false
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -157,6 +157,7 @@
 	spent       *spent
 	policy      *policy
 	others      map[string]bool      // incarnations of the other entries
+	peers       []*pb.Peer           // the entries that live, as agents were last told
 	recoveries  map[string]*recovery // by job.Name
 	recovered   []*recovery          // ended ones, oldest first
 
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -95,6 +96,10 @@
 			return
 		}
 		a.opts.Metrics.Message(metrics.EntryFrameKind(f), metrics.Received, proto.Size(f))
+		if len(f.Peers) > 0 {
+			a.learn(f.Peers)
+			a.forget(f.Peers)
+		}
 		a.decide(func(now time.Time) { a.core.Step(now, hello.Incarnation, hello.Epoch, f) })
 	}
 }
@@ -116,14 +121,24 @@
 const (
 	announceEvery   = 500 * time.Millisecond
 	announceTimeout = time.Second
+	// joinEvery is how often a linked agent announces itself at an address behind
+	// which it knows no entry, such as the balancer's. That finds entries of which
+	// no linked one knows.
+	joinEvery = 30 * time.Second
 )
 
 // announceLoop makes the agent known to each entry that has no link to it.
 func (a *Agent) announceLoop() {
 	t := time.NewTicker(announceEvery)
 	defer t.Stop()
+	var joined time.Time
 	for {
-		for _, address := range a.unlinked() {
+		now := time.Now()
+		join := now.Sub(joined) >= joinEvery
+		if join {
+			joined = now
+		}
+		for _, address := range a.unlinked(join) {
 			a.announce(address, false, false)
 		}
 		select {
@@ -134,12 +149,15 @@
 	}
 }
 
-func (a *Agent) unlinked() []string {
+// unlinked lists the addresses to announce at: those of entries without a link,
+// and, without any link or when join is set, those with no known entry behind.
+func (a *Agent) unlinked(join bool) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	join = join || len(a.links) == 0
 	var out []string
 	for address, incarnation := range a.known {
-		if incarnation == "" || a.links[incarnation] == nil {
+		if incarnation == "" && join || incarnation != "" && a.links[incarnation] == nil {
 			out = append(out, address)
 		}
 	}
@@ -161,15 +179,35 @@
 		a.log.Debug("announce failed", "entry", address, "err", err)
 		return
 	}
+	a.learn(resp.Msg.Peers)
+}
+
+// learn takes in the entries that another one names. The announcements to come
+// make the agent known to them.
+func (a *Agent) learn(peers []*pb.Peer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, p := range resp.Msg.Peers {
-		if _, ok := a.known[p.Address]; !ok {
+	for _, p := range peers {
+		if p.Address != "" && a.known[p.Address] == "" {
 			a.known[p.Address] = p.Incarnation
 		}
 	}
 }
 
+// forget drops entries without a link that a linked one doesn't name any more.
+// Entries are replaced all the time, and an agent that kept announcing itself to
+// each that ever was would spend its time waiting for dead addresses.
+func (a *Agent) forget(living []*pb.Peer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for address, incarnation := range a.known {
+		named := slices.ContainsFunc(living, func(p *pb.Peer) bool { return p.Address == address })
+		if !named && a.links[incarnation] == nil && !slices.Contains(a.opts.Join, address) {
+			delete(a.known, address)
+		}
+	}
+}
+
 // relink asks an entry for a new link over a new connection: the one in use has
 // gone silent, and only the entry opens links.
 func (a *Agent) relink(incarnation string) {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -104,6 +104,7 @@
 	links   map[string]*agentLink        // by agent name
 	waiters map[string][]chan *pb.Answer // by job.Name
 	heard   map[string]uint64            // clock of the last state, by entry incarnation
+	told    []string                     // the entries that agents were told of
 	timer   *rpc.Timer
 }
 
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -51,10 +52,21 @@
 	})
 }
 
-// SetPeers tells which other entries may start tasks, by incarnation, and the
-// names of all contracts in force.
-func (e *Entry) SetPeers(others, contracts []string) {
+// SetPeers tells which entries live, this one among them, and the names of all
+// contracts in force. Agents hear of a change of the entries.
+func (e *Entry) SetPeers(peers []*pb.Peer, contracts []string) {
+	var others, told []string
+	for _, p := range peers {
+		told = append(told, p.Address+" "+p.Incarnation)
+		if p.Incarnation != e.opts.Hello.Incarnation {
+			others = append(others, p.Incarnation)
+		}
+	}
 	e.decide(func(now time.Time) {
+		if !slices.Equal(told, e.told) {
+			e.told = told
+			e.core.TellPeers(peers)
+		}
 		heard := make(map[string]uint64, len(others))
 		for _, incarnation := range others {
 			heard[incarnation] = e.heard[incarnation]
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -90,17 +90,11 @@
 
 // peersChanged tells the driver who may start tasks, of which contracts.
 func (e *Entry) peersChanged(peers []*pb.Peer) {
-	var others []string
-	for _, p := range peers {
-		if p.Incarnation != e.self.Incarnation {
-			others = append(others, p.Incarnation)
-		}
-	}
 	var contracts []string
 	for _, c := range e.config.Snapshot().All() {
 		contracts = append(contracts, c.Name)
 	}
-	e.SetPeers(others, contracts)
+	e.SetPeers(peers, contracts)
 }
 
 // ready holds callers back until the contracts are known: an entry without them
