Site runs whole processes with a stand-in store

Cause: demo and load tool ran the drivers with contracts and peers handed over in memory, so that membership, the store and the division of contracts between entries were not in what they measured. Change: cmd/internal/site starts entries and agents through node/process from settings, and a stand-in store behind a relay that holds the contracts; exchanges that an entry begins are counted.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -15,11 +15,8 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	coreagent "github.com/papayahoist/papayahoist/dispatch/agent"
 	coreentry "github.com/papayahoist/papayahoist/dispatch/entry"
-	"github.com/papayahoist/papayahoist/dispatch/event"
-	"github.com/papayahoist/papayahoist/node/agent"
-	"github.com/papayahoist/papayahoist/node/entry"
-	"github.com/papayahoist/papayahoist/node/metrics"
-	"github.com/papayahoist/papayahoist/platform/endpoint"
+	"github.com/papayahoist/papayahoist/node/process"
+	"github.com/papayahoist/papayahoist/node/settings"
 	standin "github.com/papayahoist/papayahoist/platform/standin/endpoint"
 )
 
@@ -53,11 +50,11 @@
 // Site is a running site. Its methods are safe for concurrent use, but one part
 // must not be stopped and started by two callers at once.
 type Site struct {
-	opts      Options
-	contracts map[string]*pb.Contract
-	entries   []*Entry
-	agents    []*Agent
-	wg        sync.WaitGroup
+	opts    Options
+	store   *Store
+	entries []*Entry
+	agents  []*Agent
+	wg      sync.WaitGroup
 
 	mu         sync.Mutex
 	registries []*prometheus.Registry // of every incarnation so far
@@ -74,9 +71,10 @@
 
 // Start brings up the site. It ends with Stop.
 func Start(opts Options) (*Site, error) {
-	s := &Site{opts: opts, contracts: make(map[string]*pb.Contract)}
-	for _, c := range opts.Contracts {
-		s.contracts[c.Name] = c
+	s := &Site{opts: opts}
+	var err error
+	if s.store, err = newStore(opts); err != nil {
+		return nil, err
 	}
 	for i := range opts.Entries {
 		e, err := s.newEntry(i)
@@ -108,6 +106,7 @@
 		e.callers.Close()
 		e.nodes.Close()
 	}
+	s.store.close()
 	s.wg.Wait()
 }
 
@@ -129,19 +128,30 @@
 // Agents lists the agents.
 func (s *Site) Agents() []*Agent { return s.agents }
 
-// Linked reports whether every agent has a link to every entry.
+// Linked reports whether every agent has a link to every entry, and every entry
+// has the contracts.
 func (s *Site) Linked() bool {
 	for _, e := range s.entries {
-		e.stateMu.Lock()
-		n := e.current.Links()
-		e.stateMu.Unlock()
-		if n < len(s.agents) {
+		n := e.running()
+		if n.Links() < len(s.agents) || n.Config().Snapshot().Len() < len(s.opts.Contracts) {
 			return false
 		}
 	}
 	return true
 }
 
+// join lists the nodes' addresses of the entries started so far.
+func (s *Site) join() []string {
+	var all []string
+	for _, e := range s.entries {
+		all = append(all, e.nodes.Address())
+	}
+	return all
+}
+
+// Store is the stand-in of the platform's key-value service.
+func (s *Site) Store() *Store { return s.store }
+
 // CallerURLs lists where callers reach the entries.
 func (s *Site) CallerURLs() []string {
 	var out []string
@@ -155,30 +165,20 @@
 	return s.opts.FailureDomains[i%len(s.opts.FailureDomains)]
 }
 
-func (s *Site) peers() []*pb.Peer {
-	var out []*pb.Peer
-	for _, e := range s.entries {
-		if p := e.peer(); p != nil {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
-// process is the part that entries and agents share: one run after another.
-type process struct {
+// runner is the part that entries and agents share: one run after another.
+type runner struct {
 	mu     sync.Mutex
 	cancel context.CancelFunc
 	kill   func()
 	done   chan struct{}
 }
 
-func (p *process) start(s *Site, run func(context.Context) error, kill func()) {
+func (r *runner) start(s *Site, run func(context.Context) error, kill func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	p.mu.Lock()
-	p.cancel, p.kill, p.done = cancel, kill, done
-	p.mu.Unlock()
+	r.mu.Lock()
+	r.cancel, r.kill, r.done = cancel, kill, done
+	r.mu.Unlock()
 	s.wg.Go(func() {
 		defer close(done)
 		if err := run(ctx); err != nil {
@@ -188,10 +188,10 @@
 }
 
 // Stop ends the process as an operator would: it drains first.
-func (p *process) Stop() {
-	p.mu.Lock()
-	cancel, done := p.cancel, p.done
-	p.mu.Unlock()
+func (r *runner) Stop() {
+	r.mu.Lock()
+	cancel, done := r.cancel, r.done
+	r.mu.Unlock()
 	if cancel != nil {
 		cancel()
 		<-done
@@ -199,29 +199,31 @@
 }
 
 // Kill ends the process at once, without a word to anyone.
-func (p *process) Kill() {
-	p.mu.Lock()
-	kill, done := p.kill, p.done
-	p.mu.Unlock()
+func (r *runner) Kill() {
+	r.mu.Lock()
+	kill, done := r.kill, r.done
+	r.mu.Unlock()
 	kill()
 	<-done
 }
 
+// loopback lets the kernel choose a port.
+const loopback = "127.0.0.1:0"
+
 // entryEvents is how many events an entry keeps: more than an agent, for it
 // sees the work of all.
 const entryEvents = 1 << 16
 
 // Entry is one entry of a site.
 type Entry struct {
-	process
+	runner
 	site    *Site
 	index   int
 	callers *Relay
 	nodes   *Relay
 
 	stateMu sync.Mutex
-	current *entry.Entry
-	self    *pb.Peer
+	current *process.Entry
 }
 
 func (s *Site) newEntry(i int) (*Entry, error) {
@@ -239,18 +241,15 @@
 // Start runs a new incarnation of the entry.
 func (e *Entry) Start() error {
 	s := e.site
-	hello := &pb.EntryHello{
-		Entry: fmt.Sprintf("entry-%d", e.index), Incarnation: entry.NewIncarnation(),
-		Address: e.nodes.Address(), FailureDomain: s.domain(e.index),
-	}
-	core, registry := s.opts.EntryCore, s.registry()
-	core.Events = event.NewRing(event.Options{Process: hello.Entry, Size: entryEvents})
-	n, err := entry.New(entry.Options{
-		Hello: hello, CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0",
-		Contract: func(name string) *pb.Contract { return s.contracts[name] },
-		Peers:    s.peers, DrainTimeout: s.opts.DrainTimeout, Core: core,
-		Metrics: metrics.NewEntry(registry, metrics.Options{Role: "entry", Ring: core.Events}), Gatherer: registry,
-		Logger: s.opts.Logger.With("process", hello.Entry),
+	o := settings.DefaultEntry()
+	o.Name, o.FailureDomain = e.Name(), s.domain(e.index)
+	o.CallersListen, o.NodesListen, o.OperatorsListen = loopback, loopback, loopback
+	o.NodesAddress = e.nodes.Address()
+	o.StoreAddresses = []string{s.store.Address()}
+	o.Join = s.join()
+	o.DrainTimeout = s.opts.DrainTimeout
+	n, err := process.NewEntry(process.EntryOptions{
+		Settings: o, Core: s.opts.EntryCore, Events: entryEvents, Registry: s.registry(), Logger: s.opts.Logger,
 	})
 	if err != nil {
 		return ErrSite.Wrap(err, "entry %d", e.index)
@@ -259,27 +258,26 @@
 	e.nodes.SetBackend(n.ListenAddress())
 	e.stateMu.Lock()
 	e.current = n
-	e.self = &pb.Peer{
-		Entry: hello.Entry, Incarnation: hello.Incarnation, Address: hello.Address,
-		FailureDomain: hello.FailureDomain, OperatorAddress: n.OperatorsAddress(),
-	}
 	e.stateMu.Unlock()
 	e.start(s, n.Run, n.Kill)
 	return nil
 }
 
-// peer is the entry as others know it.
-func (e *Entry) peer() *pb.Peer {
+// running is the incarnation that runs, or ran last.
+func (e *Entry) running() *process.Entry {
 	e.stateMu.Lock()
 	defer e.stateMu.Unlock()
-	return e.self
+	return e.current
 }
 
+// Name is the entry's name, the same for every incarnation.
+func (e *Entry) Name() string { return fmt.Sprintf("entry-%d", e.index) }
+
 // CallersURL is where callers reach the entry.
 func (e *Entry) CallersURL() string { return "http://" + e.callers.Address() }
 
 // OperatorsAddress is where the running incarnation serves operators.
-func (e *Entry) OperatorsAddress() string { return e.peer().GetOperatorAddress() }
+func (e *Entry) OperatorsAddress() string { return e.running().Peer().GetOperatorAddress() }
 
 // Links is the number of agents with an open link.
 func (e *Entry) Links() int {
@@ -296,7 +294,7 @@
 
 // Agent is one agent of a site with its worker.
 type Agent struct {
-	process
+	runner
 	site   *Site
 	index  int
 	relay  *Relay
@@ -323,24 +321,17 @@
 // Start runs a new incarnation of the agent beside the same endpoint.
 func (a *Agent) Start() error {
 	s := a.site
-	hello := &pb.AgentHello{
-		Agent: a.Name(), Incarnation: entry.NewIncarnation(), Address: a.relay.Address(),
-		FailureDomain: s.domain(a.index / max(1, s.opts.WorkersPerRack)), Worker: fmt.Sprintf("worker-%02d", a.index),
-		Rack:  fmt.Sprintf("rack-%d", a.index/max(1, s.opts.WorkersPerRack)),
-		Slots: s.opts.Slots, Cores: s.opts.Cores, MemoryBytes: s.opts.MemoryBytes,
-	}
-	client := endpoint.New(a.listen.Addr().String(), endpoint.Options{Connections: int(s.opts.Connections)})
-	var join []string
-	for _, e := range s.entries {
-		join = append(join, e.nodes.Address())
-	}
-	core, registry := s.opts.AgentCore, s.registry()
-	core.Events = event.NewRing(event.Options{Process: hello.Agent, Worker: hello.Worker})
-	n, err := agent.New(agent.Options{
-		Hello: hello, NodesListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0", Join: join, Endpoint: agent.HTTPEndpoint{Client: client},
-		DrainTimeout: s.opts.DrainTimeout, Core: core,
-		Metrics: metrics.NewAgent(registry, metrics.Options{Role: "agent", Ring: core.Events}), Gatherer: registry,
-		Logger: s.opts.Logger.With("process", hello.Agent),
+	rack := a.index / max(1, s.opts.WorkersPerRack)
+	o := settings.DefaultAgent()
+	o.Name, o.Worker, o.Rack = a.Name(), fmt.Sprintf("worker-%02d", a.index), fmt.Sprintf("rack-%d", rack)
+	o.FailureDomain = s.domain(rack)
+	o.NodesListen, o.OperatorsListen = loopback, loopback
+	o.NodesAddress = a.relay.Address()
+	o.EndpointAddress, o.Join = a.listen.Addr().String(), s.join()
+	o.Slots, o.Connections, o.Cores, o.MemoryBytes = s.opts.Slots, s.opts.Connections, s.opts.Cores, s.opts.MemoryBytes
+	o.DrainTimeout = s.opts.DrainTimeout
+	n, err := process.NewAgent(process.AgentOptions{
+		Settings: o, Core: s.opts.AgentCore, Registry: s.registry(), Logger: s.opts.Logger,
 	})
 	if err != nil {
 		return ErrSite.Wrap(err, "agent %d", a.index)
--- a/cmd/papayahoist/demo.go
+++ b/cmd/papayahoist/demo.go
@@ -36,7 +36,7 @@
 	c.options.Progress = c.env.Progress
 	c.options.Log = c.env.Err
 	start := time.Now()
-	c.env.Progress("starting 3 entries, and 11 endpoints with their agents in 3 failure domains")
+	c.env.Progress("starting a stand-in store, 3 entries, and 11 endpoints with their agents in 3 failure domains")
 	running, err := demo.New(c.env.Context, c.options)
 	if err != nil {
 		return err
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -165,7 +165,7 @@
 	}
 	e.membership = membership.New(membership.Options{
 		Self: e.self, Store: client, Config: e.config, Join: b.o.Settings.Join,
-		Exchanger: membership.NewConnect(b.tls.nodes),
+		Exchanger: countedExchanger{membership.NewConnect(b.tls.nodes), b.metrics},
 		Extend:    e.ExtendState, Received: e.StateReceived, OnPeers: e.peersChanged,
 		Logger: b.log,
 	})
