Door: the store's announcements decide who leaves; recovery says failed

A recovery that had found a failed task answered "outcome unknown" though the job can only have failed. Change: no permits; an entry counts another out only when a whole list, read after that one was heard last, lacks it, and serves only while its own announcement holds and those listed before it have let it.

--- a/dispatch/door/door.go
+++ b/dispatch/door/door.go
@@ -1,6 +1,7 @@
 package door
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,9 +11,6 @@
 
 // Options of a Door. The zero value of a field stands for its default.
 type Options struct {
-	// Permit is how long one echo lets an entry serve; several exchanges long.
-	// Default 30 s.
-	Permit time.Duration
 	// Skew bounds how far the clocks of callers and entries are apart. Default 2 s.
 	Skew time.Duration
 	// KeyTTL is how long after its first sending a key may start a job.
@@ -22,20 +20,18 @@
 
 // Defaults of Options.
 const (
-	DefaultPermit = 30 * time.Second
 	DefaultSkew   = 2 * time.Second
 	DefaultKeyTTL = 15 * time.Minute
 )
 
-func (o Options) withDefaults() Options {
-	set := func(d *time.Duration, def time.Duration) {
-		if *d == 0 {
-			*d = def
-		}
+// WithDefaults returns the options with zero fields set.
+func (o Options) WithDefaults() Options {
+	if o.Skew == 0 {
+		o.Skew = DefaultSkew
+	}
+	if o.KeyTTL == 0 {
+		o.KeyTTL = DefaultKeyTTL
 	}
-	set(&o.Permit, DefaultPermit)
-	set(&o.Skew, DefaultSkew)
-	set(&o.KeyTTL, DefaultKeyTTL)
 	return o
 }
 
@@ -46,68 +42,70 @@
 	members map[string]*member
 
 	announcedUntil time.Time
-	listed         bool      // since the announcement last began
-	since          time.Time // from when on keys can be vouched for
+	listedAt       time.Time // first list of the announcement; zero: none yet
+	since          time.Time // from when on keys can be vouched for; zero: not yet
 }
 
 // member is another entry process.
 type member struct {
-	stamp   time.Time // the last it sent, to be echoed
-	letMe   time.Time // the latest own time that it has echoed
-	letIt   time.Time // when its time was last echoed to it
-	ended   time.Time // proven to start nothing from then on; zero: not
-	heardOf time.Time
+	stamp time.Time // the last time that it sent, to be echoed
+	heard time.Time // when it was heard last
+	// asked: it must let this entry; letMe is the latest own time it has echoed.
+	asked bool
+	letMe time.Time
+	// left is when its announcement was gone; zero: it may serve.
+	left time.Time
 }
 
 // New returns the door of the entry with the incarnation.
 func New(self string, opts Options) *Door {
-	return &Door{opts: opts.withDefaults(), self: self, members: make(map[string]*member)}
+	return &Door{opts: opts.WithDefaults(), self: self, members: make(map[string]*member)}
 }
 
-// Announced takes in that the announcement holds until the given time. It is
-// counted from before the call that renewed it.
-func (d *Door) Announced(now, until time.Time) {
+// Announced takes in that the announcement holds until the given time, counted
+// from before the call that renewed it. True asks for the list.
+func (d *Door) Announced(now, until time.Time) (list bool) {
 	if !now.Before(d.announcedUntil) {
-		// It may have lapsed, and others joined who don't know this entry.
-		d.listed = false
+		// It may have lapsed, and the others have counted this entry out.
+		d.listedAt, d.since = time.Time{}, time.Time{}
 	}
 	d.announcedUntil = until
+	return d.listedAt.IsZero()
 }
 
-// Listed takes in the whole list of entries, read after the announcement.
-func (d *Door) Listed(now time.Time, incarnations []string) {
-	first := !d.listed
-	for _, inc := range incarnations {
-		m := d.member(now, inc)
-		if m != nil && first {
-			// It was there before, and must let this entry first.
-			m.letMe = time.Time{}
+// Listed takes in the whole list of announced entries; readAt is from before the
+// call that read it, and after Announced. Call it also when an announcement is
+// said to be gone.
+func (d *Door) Listed(now, readAt time.Time, incarnations []string) {
+	for inc, m := range d.members {
+		// One heard since may have announced itself after the list was read.
+		if m.left.IsZero() && m.heard.Before(readAt) && !slices.Contains(incarnations, inc) {
+			m.left = now
 		}
 	}
+	first := d.listedAt.IsZero()
 	if first {
-		d.listed = true
-		d.since = now
+		d.listedAt = now
 	}
-}
-
-// Ended takes in that an entry process is proven to start nothing any more.
-func (d *Door) Ended(now time.Time, incarnation string) {
-	if m := d.members[incarnation]; m != nil && m.ended.IsZero() {
-		m.ended = now
+	for _, inc := range incarnations {
+		if m := d.member(inc); m != nil && first {
+			m.asked = true
+		}
 	}
+	d.settle(now)
 }
 
-// member returns an entry, which is a newcomer if it was not known: it has to be
-// let by this one before it serves, so until then no let of its is needed.
-func (d *Door) member(now time.Time, incarnation string) *member {
+// member returns an entry and counts it in.
+func (d *Door) member(incarnation string) *member {
 	if incarnation == d.self || incarnation == "" {
 		return nil
 	}
 	m := d.members[incarnation]
 	if m == nil {
-		m = &member{letMe: now, heardOf: now}
+		m = &member{}
 		d.members[incarnation] = m
 	}
+	m.left = time.Time{}
 	return m
 }
 
@@ -117,65 +115,47 @@
 	Stamp time.Time
 }
 
-// State is what to send to another entry: the time, and the echoes of all that
-// were heard. Sending it lets those entries serve.
+// State is what to send to the other entries: the time, and the echoes of those
+// that are counted in.
 func (d *Door) State(now time.Time) (stamp time.Time, echoes []Echo) {
 	for inc, m := range d.members {
-		if m.stamp.IsZero() || !m.ended.IsZero() {
-			continue
+		if m.left.IsZero() && !m.stamp.IsZero() {
+			echoes = append(echoes, Echo{Entry: inc, Stamp: m.stamp})
 		}
-		m.letIt = now
-		echoes = append(echoes, Echo{Entry: inc, Stamp: m.stamp})
 	}
-	slices.SortFunc(echoes, func(a, b Echo) int { return cmpString(a.Entry, b.Entry) })
+	slices.SortFunc(echoes, func(a, b Echo) int { return cmp.Compare(a.Entry, b.Entry) })
 	return now, echoes
 }
 
-func cmpString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Heard takes in another entry's State.
 func (d *Door) Heard(now time.Time, from string, stamp time.Time, echoes []Echo) {
-	m := d.member(now, from)
+	m := d.member(from)
 	if m == nil {
 		return
 	}
+	m.heard = now
 	if stamp.After(m.stamp) {
 		m.stamp = stamp
 	}
 	for _, e := range echoes {
-		if e.Entry != d.self || !e.Stamp.After(m.letMe) {
-			continue
+		if e.Entry == d.self && e.Stamp.After(m.letMe) {
+			m.letMe = e.Stamp
 		}
-		if !now.Before(m.letMe.Add(d.opts.Permit)) && m.ended.IsZero() {
-			// Meanwhile it may have taken over keys of this entry.
-			d.since = now
-		}
-		m.letMe = e.Stamp
 	}
+	d.settle(now)
 }
 
-// left is when an entry has surely stopped to serve; zero: it may still.
-func (d *Door) left(now time.Time, m *member) time.Time {
-	if !m.ended.IsZero() {
-		return m.ended
-	}
-	if m.letIt.IsZero() {
-		// Never let by this entry, so it has not served since this one joined, unless
-		// it was there before.
-		return time.Time{}
+// settle begins to vouch once every entry that was there before lets this one.
+func (d *Door) settle(now time.Time) {
+	if !d.since.IsZero() || d.listedAt.IsZero() {
+		return
 	}
-	if end := m.letIt.Add(d.opts.Permit); !now.Before(end) {
-		return end
+	for _, m := range d.members {
+		if m.asked && m.left.IsZero() && !m.letMe.After(d.listedAt) {
+			return
+		}
 	}
-	return time.Time{}
+	d.since = now
 }
 
 // Verdict says who is home to a key.
@@ -199,32 +179,20 @@
 	from := firstSent.Add(-d.opts.Skew)
 	names := []string{d.self}
 	for inc, m := range d.members {
-		if left := d.left(now, m); left.IsZero() || left.After(from) {
+		switch {
+		case m.left.IsZero() || m.left.After(from):
 			names = append(names, inc)
-		} else if now.Sub(left) > d.opts.KeyTTL+d.opts.Permit {
+		case now.Sub(m.left) > d.opts.KeyTTL+d.opts.Skew:
 			delete(d.members, inc)
 		}
 	}
 	slices.Sort(names)
 	home := rendezvous.New(names, xxhash.Sum64String).Lookup(key)
 	switch {
-	case home != d.self && d.left(now, d.members[home]).IsZero():
+	case home != d.self && d.members[home].left.IsZero():
 		return Other, home
-	case home != d.self || !d.serves(now) || from.Before(d.since):
+	case home != d.self || d.since.IsZero() || from.Before(d.since) || !now.Before(d.announcedUntil):
 		return Unsure, ""
 	}
 	return Mine, d.self
 }
-
-// serves reports whether every entry lets this one.
-func (d *Door) serves(now time.Time) bool {
-	if !d.listed || !now.Before(d.announcedUntil) {
-		return false
-	}
-	for _, m := range d.members {
-		if d.left(now, m).IsZero() && !now.Before(m.letMe.Add(d.opts.Permit)) {
-			return false
-		}
-	}
-	return true
-}
--- a/dispatch/door/door_test.go
+++ b/dispatch/door/door_test.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	permit   = 3 * time.Second
 	skew     = 200 * time.Millisecond
 	leaseTTL = 4 * time.Second
 	step     = 50 * time.Millisecond
@@ -48,6 +47,8 @@
 	echoes []door.Echo
 	peers  map[string]bool
 	asks   bool
+	list   []string // of the store, in place of a state
+	read   time.Time
 }
 
 func (w *world) clock(p *process) time.Time { return w.now.Add(p.off) }
@@ -57,7 +58,7 @@
 		name: fmt.Sprintf("e%d", len(w.processes)), alive: true, known: map[string]bool{},
 		off: time.Duration(w.rng.Int64N(int64(skew/2))) - skew/4,
 	}
-	p.door = door.New(p.name, door.Options{Permit: permit, Skew: skew, KeyTTL: time.Minute})
+	p.door = door.New(p.name, door.Options{Skew: skew, KeyTTL: time.Minute})
 	w.processes = append(w.processes, p)
 }
 
@@ -81,7 +82,8 @@
 			p.known[o.name] = true
 		}
 	}
-	p.door.Listed(w.clock(p), list)
+	at := w.now.Add(time.Duration(w.rng.Int64N(int64(4 * step))))
+	w.inbox = append(w.inbox, message{at: at, to: p, list: list, read: w.clock(p)})
 }
 
 func (w *world) send(p *process, to *process, asks bool) {
@@ -106,6 +108,8 @@
 		case !m.to.alive:
 		case w.now.Before(m.at) || !w.up(m.to):
 			later = append(later, m)
+		case m.list != nil:
+			m.to.door.Listed(w.clock(m.to), m.read, m.list)
 		default:
 			m.to.door.Heard(w.clock(m.to), m.from, m.stamp, m.echoes)
 			for name := range m.peers {
@@ -131,7 +135,7 @@
 func (w *world) fault() {
 	p := w.processes[w.rng.IntN(len(w.processes))]
 	q := w.processes[w.rng.IntN(len(w.processes))]
-	d := time.Duration(w.rng.Int64N(int64(3 * permit)))
+	d := time.Duration(w.rng.Int64N(int64(2 * leaseTTL)))
 	switch w.rng.IntN(6) {
 	case 0:
 		p.until = w.now.Add(d)
@@ -214,7 +218,7 @@
 		}
 		served += len(w.started)
 	}
-	// Faults come every few seconds and outlast the permits. What is served all the
+	// Faults come every few seconds and outlast the leases. What is served all the
 	// same shows that the check has something to look at.
 	if served < 25_000 {
 		t.Errorf("%d of %d keys served, want 25,000", served, 400*300)
--- a/dispatch/entry/recover.go
+++ b/dispatch/entry/recover.go
@@ -28,6 +28,7 @@
 	missing  int
 	// alive: some agent hears from the home. other: the job has another body.
 	alive, other bool
+	failed       *pb.TaskResult // a task that ran and failed; then the job has too
 
 	answer *pb.Answer
 	keep   time.Time // when the answer is dropped
@@ -129,6 +130,9 @@
 	for _, res := range results {
 		i := int(res.Task)
 		delete(r.running, res.Task)
+		if res.Outcome == pb.Outcome_OUTCOME_FAILED {
+			r.failed = res
+		}
 		if i >= len(r.results) || r.results[i] != nil || res.Outcome != pb.Outcome_OUTCOME_COMPLETE {
 			continue
 		}
@@ -154,6 +158,9 @@
 	case r.missing == 0:
 		a := &pb.Answer{Job: r.job.Id, Outcome: pb.Outcome_OUTCOME_COMPLETE, Results: r.results}
 		e.endRecovery(now, r, a, e.opts.AnswerTTL)
+	case r.failed != nil:
+		a := &pb.Answer{Job: r.job.Id, Outcome: pb.Outcome_OUTCOME_FAILED, Code: string(jobs.CodeTaskFailed), Message: r.failed.Error}
+		e.endRecovery(now, r, a, e.opts.AnswerTTL)
 	case r.pending() || len(r.running) > 0:
 	case r.alive:
 		e.endRecovery(now, r, AskAgain(r.job.Id, "the job's home can't be reached from here, but it lives"), unknownTTL)
