Keys of the callers' own are served

Change: an id without a home token goes to the key's home, which starts it if it can vouch for it; else the caller hears "outcome unknown". Entries carry the door's times on the exchanges they make anyway; membership tells it of the announcement, and reads the list once after announcing and when an entry's announcement is gone. No store call per job; one list per start of an entry and per end of another.

--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/door"
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/link"
@@ -51,6 +52,8 @@
 	MaxJobs int
 	// MaxAnswerBytes bounds the results in the answers kept.
 	MaxAnswerBytes int
+	// Door is for ids that are keys of the callers' own.
+	Door door.Options
 	// MaxSpent bounds the ids remembered as not to be started again; beyond it
 	// the oldest tokens expire early.
 	MaxSpent int
@@ -89,6 +92,8 @@
 	set(&o.AnswerTTL, DefaultAnswerTTL)
 	set(&o.TokenTTL, DefaultTokenTTL)
 	set(&o.TokenPeriod, min(job.TokenPeriod, o.TokenTTL/4))
+	set(&o.Door.KeyTTL, o.TokenTTL)
+	o.Door = o.Door.WithDefaults()
 	set(&o.RevokeWait, DefaultRevokeWait)
 	set(&o.RecoverWait, DefaultRecoverWait)
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
@@ -155,6 +160,7 @@
 	ended       []*jobState // answered jobs, oldest first
 	answerBytes int
 	spent       *spent
+	door        *door.Door
 	policy      *policy
 	others      map[string]bool      // incarnations of the other entries
 	recoveries  map[string]*recovery // by job.Name
@@ -175,6 +181,7 @@
 		past:       make(map[string][]string),
 		jobs:       make(map[string]*jobState),
 		spent:      newSpent(opts.Started, opts),
+		door:       door.New(opts.Hello.Incarnation, opts.Door),
 		recoveries: make(map[string]*recovery),
 	}
 }
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -82,6 +82,9 @@
 		return e.resubmit(js, j, digest)
 	}
 	id, err := job.Parse(j.Id)
+	if err == nil && !id.HasHome() {
+		return e.submitKey(now, j, name, digest)
+	}
 	if err != nil || id.Home.Incarnation != e.opts.Hello.Incarnation {
 		return Answered, otherJob(j.Id, jobs.CodeBadRequest, "the id does not name this entry")
 	}
@@ -100,9 +103,13 @@
 		e.spent.add(now, period, name, verdictOf(answer.Code))
 		return Answered, answer
 	}
+	e.takeIn(now, j, name, period, digest, queued)
+	return Accepted, nil
+}
+
+func (e *Entry) takeIn(now time.Time, j *pb.Job, name string, period, digest uint64, queued *place.Job) {
 	e.record(now, event.JobAccepted, j.Id, j.Contract, j.Kind, len(j.Tasks))
 	e.accept(now, j, name, period, digest, queued)
-	return Accepted, nil
 }
 
 func spentAnswer(id string, v verdict) *pb.Answer {
@@ -396,7 +403,11 @@
 		if js.answer.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
 			v = verdictOf(js.answer.Code)
 		}
-		e.spent.add(now, js.period, js.name, v)
+		if js.period == keyPeriod {
+			e.spent.addKey(now, js.name, v)
+		} else {
+			e.spent.add(now, js.period, js.name, v)
+		}
 		js.answer = spentAnswer(js.job.Id, v)
 		js.job = &pb.Job{Id: js.job.Id, Contract: js.job.Contract, Kind: js.job.Kind}
 		js.dropped = true
--- /dev/null
+++ b/node/entry/keys_test.go
@@ -0,0 +1,117 @@
+package entry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/papayahoist/papayahoist/api/jobs"
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/node/entry"
+)
+
+// member is an entry with what the store and exchanges would tell it.
+type member struct {
+	*entry.Entry
+	incarnation string
+}
+
+func (m member) state() *pb.PeerState {
+	s := &pb.PeerState{Self: &pb.Peer{Incarnation: m.incarnation}}
+	m.ExtendState(s)
+	return s
+}
+
+// meet announces entries, has each read the list, and exchange states until each
+// lets the others.
+func meet(members ...member) {
+	var all []string
+	for _, m := range members {
+		m.Announced(time.Now().Add(time.Hour))
+		all = append(all, m.incarnation)
+	}
+	for _, m := range members {
+		m.Listed(time.Now(), all)
+	}
+	for range 3 {
+		for _, from := range members {
+			for _, to := range members {
+				if from != to {
+					to.StateReceived(from.state())
+				}
+			}
+		}
+	}
+}
+
+func submitKey(t *testing.T, e *entry.Entry, key string, firstSent time.Time) (int, jobs.Error) {
+	body, err := json.Marshal(jobs.SubmitRequest{
+		ID: key, Contract: "desk", Kind: "stamp", FirstSentUnixMillis: firstSent.UnixMilli(),
+		Tasks: []jobs.Task{{Payload: []byte("x")}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+e.CallersAddress()+jobs.PathJobs, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out jobs.Error
+	if resp.StatusCode != http.StatusOK {
+		if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return resp.StatusCode, out
+}
+
+// A caller that has only keys of its own sends each to both entries, since it
+// believes the first answer lost. A key that ran twice would be two certificates
+// for one serial.
+func TestKeysOfTheCallersOwn(t *testing.T) {
+	s := newSite(t)
+	var members []member
+	var known atomic.Pointer[[]*pb.Peer]
+	known.Store(&[]*pb.Peer{})
+	peers := func() []*pb.Peer { return *known.Load() }
+	ep := newHeldEndpoint()
+	close(ep.released)
+	for _, name := range []string{"e1", "e2"} {
+		e := s.entry(name, peers)
+		s.agent(e, "", ep)
+		members = append(members, member{Entry: e, incarnation: strings.TrimSuffix(token(t, e), "-0")})
+	}
+	if status, out := submitKey(t, members[0].Entry, "early", time.Now()); status == http.StatusOK || out.Outcome != jobs.OutcomeUnknown {
+		t.Errorf("status %d, %+v before the entries have met, want outcome unknown", status, out)
+	}
+	var all []*pb.Peer
+	for _, m := range members {
+		all = append(all, &pb.Peer{Incarnation: m.incarnation, Address: m.NodesAddress()})
+	}
+	known.Store(&all)
+	meet(members...)
+	// A key counts when it was first sent after the meeting, by a skew of clocks.
+	// This caller's clock is ahead by nearly as much.
+	sent := time.Now().Add(doorSkew + 10*time.Millisecond)
+	for sent.After(time.Now().Add(doorSkew)) {
+		token(t, members[0].Entry)
+	}
+	for _, key := range []string{"serial-1", "serial-2", "serial-3", "serial-4"} {
+		for _, m := range members {
+			if status, out := submitKey(t, m.Entry, key, sent); status != http.StatusOK {
+				t.Errorf("%s: status %d, %+v", key, status, out)
+			}
+		}
+	}
+	if n := ep.starts.Load(); n != 4 {
+		t.Errorf("%d starts of 4 keys", n)
+	}
+	if status, out := submitKey(t, members[0].Entry, "no-time", time.UnixMilli(0)); status == http.StatusOK || out.Outcome != jobs.OutcomeUnknown {
+		t.Errorf("status %d, %+v without the time of the first sending, want outcome unknown", status, out)
+	}
+}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/door"
 	"github.com/papayahoist/papayahoist/node/metrics"
 )
 
@@ -31,7 +32,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state.Shares = e.core.ShareState()
-	state.Clock = e.opts.Core.Events.Stamp(time.Now())
+	now := time.Now()
+	state.Clock = e.opts.Core.Events.Stamp(now)
+	stamp, echoes := e.core.Door().State(now)
+	state.DoorUnixNs = stamp.UnixNano()
+	for _, echo := range echoes {
+		state.DoorEchoes = append(state.DoorEchoes, &pb.DoorEcho{Entry: echo.Entry, UnixNs: echo.Stamp.UnixNano()})
+	}
 }
 
 // StateReceived takes in what another entry told. Exchanges overlap, so that an
@@ -42,6 +49,7 @@
 	sender := state.GetSelf().GetIncarnation()
 	e.decide(func(now time.Time) {
 		e.opts.Core.Events.Observe(state.Clock, now)
+		e.doorHeard(now, state)
 		last, known := e.heard[sender]
 		if !known || state.Shares == nil || state.Clock <= last {
 			return
@@ -51,6 +59,33 @@
 	})
 }
 
+func (e *Entry) doorHeard(now time.Time, state *pb.PeerState) {
+	if state.DoorUnixNs == 0 {
+		return
+	}
+	echoes := make([]door.Echo, 0, len(state.DoorEchoes))
+	for _, echo := range state.DoorEchoes {
+		echoes = append(echoes, door.Echo{Entry: echo.Entry, Stamp: time.Unix(0, echo.UnixNs)})
+	}
+	e.core.Door().Heard(now, state.GetSelf().GetIncarnation(), time.Unix(0, state.DoorUnixNs), echoes)
+}
+
+// Announced tells that the entry's announcement at the store holds until then,
+// counted from before the call. True asks for Listed.
+func (e *Entry) Announced(until time.Time) (list bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Door().Announced(time.Now(), until)
+}
+
+// Listed tells all entries that the store names, read in a call that began at
+// readAt.
+func (e *Entry) Listed(readAt time.Time, incarnations []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.Door().Listed(time.Now(), readAt, incarnations)
+}
+
 // SetPeers tells which other entries may start tasks, by incarnation, and the
 // names of all contracts in force.
 func (e *Entry) SetPeers(others, contracts []string) {
--- a/node/entry/route.go
+++ b/node/entry/route.go
@@ -6,6 +6,7 @@
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/door"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 )
@@ -19,7 +20,7 @@
 		return reply{answer: refusal(id, jobs.CodeBadRequest, err.Error()), known: true}
 	}
 	if !parsed.HasHome() {
-		return reply{answer: refusal(id, jobs.CodeBadRequest, "the id does not start with a home token"), known: true}
+		return e.routeKey(ctx, rq)
 	}
 	if parsed.Home.Incarnation == e.opts.Hello.Incarnation {
 		return e.serveLocal(ctx, rq)
@@ -50,6 +51,25 @@
 	return nil
 }
 
+// routeKey serves a request for an id that is a key of the caller's own.
+func (e *Entry) routeKey(ctx context.Context, rq request) reply {
+	var verdict door.Verdict
+	var home string
+	rq.job.Contract = rq.contract
+	e.decide(func(now time.Time) { verdict, home = e.core.KeyHome(now, rq.job) })
+	switch verdict {
+	case door.Mine:
+		return e.serveLocal(ctx, rq)
+	case door.Other:
+		if p := e.findPeer(home); p != nil {
+			if rp, what := e.forward(ctx, p, rq); what == homeReplied {
+				return rp
+			}
+		}
+	}
+	return reply{answer: entry.KeyUnknown(rq.job.Id), known: true}
+}
+
 func (e *Entry) recover(ctx context.Context, rq request, homeEnded bool) reply {
 	var w chan *pb.Answer
 	name := job.Name(rq.contract, rq.job.Id)
--- a/node/entry/silence_test.go
+++ b/node/entry/silence_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -16,6 +17,7 @@
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/agent"
+	"github.com/papayahoist/papayahoist/dispatch/door"
 	coreentry "github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	nodeagent "github.com/papayahoist/papayahoist/node/agent"
@@ -109,6 +111,8 @@
 	}
 }
 
+const doorSkew = time.Second
+
 var quickLink = link.Options{
 	AckDelay: 20 * time.Millisecond, AckTimeout: 100 * time.Millisecond,
 	Heartbeat: 50 * time.Millisecond, HeartbeatTimeout: 200 * time.Millisecond,
@@ -139,6 +143,8 @@
 	t   *testing.T
 	ctx context.Context
 	wg  sync.WaitGroup
+	// agents counts them, for their names.
+	agents int
 }
 
 func newSite(t *testing.T) *site {
@@ -157,7 +163,7 @@
 		Hello:         &pb.EntryHello{Entry: name, Incarnation: entry.NewIncarnation()},
 		CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0",
 		Contract: func(string) *pb.Contract { return contract }, Peers: peers,
-		Core:   coreentry.Options{Link: quickLink},
+		Core:   coreentry.Options{Link: quickLink, Door: door.Options{Skew: doorSkew}},
 		Logger: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
@@ -168,8 +174,9 @@
 }
 
 func (s *site) agent(e *entry.Entry, at string, ep nodeagent.Endpoint) *nodeagent.Agent {
+	s.agents++
 	a, err := nodeagent.New(nodeagent.Options{
-		Hello:    &pb.AgentHello{Agent: "a", Incarnation: entry.NewIncarnation(), Slots: 4, Address: at},
+		Hello:    &pb.AgentHello{Agent: fmt.Sprint("a", s.agents), Incarnation: entry.NewIncarnation(), Slots: 4, Address: at},
 		Join:     []string{e.NodesAddress()},
 		Endpoint: ep, NodesListen: "127.0.0.1:0", Core: agent.Options{Link: quickLink},
 		Logger: slog.New(slog.DiscardHandler),
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -47,6 +47,12 @@
 	// Extend adds to the state that is sent; Received is given the state of
 	// others. Both may be nil, and must not block.
 	Extend, Received func(*pb.PeerState)
+	// Announced is told until when the announcement holds, counted from before the
+	// call that renewed it; true asks for a call of Listed with all entries that
+	// the store names, read in a call that began at readAt. Listed is also called
+	// when the store names one no more. Both may be nil.
+	Announced func(until time.Time) (list bool)
+	Listed    func(readAt time.Time, incarnations []string)
 	// OnPeers is given the members after each change, this entry first; it must
 	// not block, nor call the membership but for Peers. Nil: nobody is told.
 	OnPeers func([]*pb.Peer)
@@ -67,6 +73,7 @@
 
 	wake  chan struct{}
 	leave chan struct{}
+	again chan struct{} // asks for the store's list of entries
 
 	mu  sync.Mutex // serializes the set
 	set *member.Set
@@ -91,7 +98,7 @@
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 	m := &Membership{
-		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}),
+		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}), again: make(chan struct{}, 1),
 		set: member.New(o.Self, o.Join, o.Random, o.Member),
 	}
 	m.self.Store(o.Self)
--- a/node/membership/store.go
+++ b/node/membership/store.go
@@ -90,6 +90,7 @@
 	if e.Deleted {
 		incarnation := strings.TrimPrefix(e.Item.Key, EntriesPrefix)
 		m.update(func(now time.Time, s *member.Set) { s.Withdrawn(now, incarnation) })
+		m.relist()
 		return
 	}
 	for _, p := range m.appendPeer(nil, e.Item) {
@@ -97,6 +98,15 @@
 	}
 }
 
+// relist has the list read again by announce; one reading serves all that is
+// asked meanwhile.
+func (m *Membership) relist() {
+	select {
+	case m.again <- struct{}{}:
+	default:
+	}
+}
+
 // Waits between attempts to announce. The upper one spreads the return of all
 // entries after an outage.
 const (
@@ -112,23 +122,67 @@
 	for {
 		wait := m.opts.LeaseTTL / 3
 		wait = wait*9/10 + time.Duration(m.opts.Random()*float64(wait)/10)
+		began := time.Now()
 		if err := a.renew(ctx); err != nil {
 			failed++
 			wait = retry.Backoff(minAnnounceWait, maxAnnounceWait, failed, m.opts.Random())
 		} else {
 			failed = 0
+			m.announced(ctx, began)
 		}
+		if !m.untilRenewal(ctx, wait) {
+			break
+		}
+	}
+	if ctx.Err() == nil {
+		a.withdraw(ctx)
+	}
+}
+
+// untilRenewal waits, and reads the list where that is asked for. False: the
+// announcement ends.
+func (m *Membership) untilRenewal(ctx context.Context, wait time.Duration) bool {
+	due := time.After(wait)
+	for {
 		select {
-		case <-time.After(wait):
+		case <-due:
+			return true
+		case <-m.again:
+			m.list(ctx)
 		case <-m.leave:
-			a.withdraw(ctx)
-			return
+			return false
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
 
+// announced passes on that the announcement was renewed by a call that began
+// then. The margin is for clocks that run at different rates.
+func (m *Membership) announced(ctx context.Context, began time.Time) {
+	if m.opts.Announced != nil && m.opts.Announced(began.Add(m.opts.LeaseTTL*9/10)) {
+		m.list(ctx)
+	}
+}
+
+// list reads which entries the store names and passes that on.
+func (m *Membership) list(ctx context.Context) {
+	if m.opts.Listed == nil {
+		return
+	}
+	readAt := time.Now()
+	items, _, err := m.opts.Store.List(ctx, EntriesPrefix)
+	if err != nil {
+		m.log.Debug("entries not listed", "err", err)
+		return
+	}
+	incarnations := make([]string, 0, len(items))
+	for _, item := range items {
+		incarnations = append(incarnations, strings.TrimPrefix(item.Key, EntriesPrefix))
+	}
+	m.opts.Listed(readAt, incarnations)
+}
+
 // announcement is this entry's key in the store.
 type announcement struct {
 	m       *Membership
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -173,6 +173,7 @@
 		Self: e.self, Store: client, Config: e.config, Join: b.o.Settings.Join,
 		Exchanger: membership.NewConnect(b.tls.nodes),
 		Extend:    e.ExtendState, Received: e.StateReceived, OnPeers: e.peersChanged,
+		Announced: e.Announced, Listed: e.Listed,
 		Logger: b.log,
 	})
 	e.config.OnChange(func(newer []*pb.Contract, _ *contract.Snapshot) {
