Site leaves contracts' revisions to the store

Cause: a site was given contracts that carried a revision, which the store took for a change of a contract that it doesn't hold. Change: revisions are cleared. Conclusion: none.

--- a/cmd/internal/site/store.go
+++ b/cmd/internal/site/store.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/papayahoist/papayahoist/dispatch/contract"
 	"github.com/papayahoist/papayahoist/node/config"
 	"github.com/papayahoist/papayahoist/platform/standin/kv"
@@ -45,6 +47,9 @@
 func (s *Store) write(o Options) error {
 	editor := config.NewEditor(etcdv3.New("http://"+s.Address(), etcdv3.Options{}), config.EditorOptions{})
 	for _, c := range o.Contracts {
+		// The store gives the revision.
+		c = proto.CloneOf(c)
+		c.Revision = 0
 		_, err := editor.Apply(context.Background(), contract.Change{
 			Contract: c, ID: "site-" + c.Name, By: "site", At: time.Now(),
 		})
