member: who may still start tasks, and when an entry is fenced

Cause: parts of contracts of a crashed entry must become free without a store, and never while it may start tasks.

--- a/dispatch/member/set.go
+++ b/dispatch/member/set.go
@@ -17,6 +17,12 @@
 	// DeadAfter and DeadFailures bound when a member is dropped.
 	DeadAfter    time.Duration
 	DeadFailures int
+	// GoneAfter is when an entry that is not heard may be taken to start nothing
+	// any more; see Starters. It must exceed DeadAfter by what clocks and pauses
+	// may differ.
+	GoneAfter time.Duration
+	// LeaseTTL is that of the announcements in the store.
+	LeaseTTL time.Duration
 	// RetryDead is the time between attempts at a candidate that doesn't answer.
 	RetryDead time.Duration
 	// Forget is when a candidate that doesn't answer is given up, unless the
@@ -36,6 +42,8 @@
 	DefaultExchange     = 2 * time.Second
 	DefaultDeadAfter    = 8 * time.Second
 	DefaultDeadFailures = 3
+	DefaultGoneAfter    = 16 * time.Second
+	DefaultLeaseTTL     = time.Minute
 	DefaultRetryDead    = 5 * time.Second
 	DefaultForget       = 10 * time.Minute
 	DefaultDamping      = 2 * time.Second
@@ -56,6 +64,8 @@
 	}
 	set(&o.Exchange, DefaultExchange)
 	set(&o.DeadAfter, DefaultDeadAfter)
+	set(&o.GoneAfter, DefaultGoneAfter)
+	set(&o.LeaseTTL, DefaultLeaseTTL)
 	set(&o.RetryDead, DefaultRetryDead)
 	set(&o.Forget, DefaultForget)
 	set(&o.Damping, DefaultDamping)
@@ -86,7 +96,9 @@
 	nextAsk  time.Time
 	heard    time.Time // last proof of life; zero: none yet
 	failures int
-	since    time.Time // first known, or last named by the store or a member
+	since    time.Time // last named by the store or a member
+	first    time.Time // first known
+	gone     bool      // taken to start nothing any more; see Starters
 
 	member   bool
 	joinedAt time.Time // when it last became a member
@@ -109,6 +121,9 @@
 	joinAt     time.Time
 	joinNext   int
 	storeReach bool
+	reachedAt  time.Time // since when the store can be reached
+	lostAt     time.Time // since when it can't be reached
+	leaseUntil time.Time // until when this entry's own lease is certainly in force
 
 	peers []*pb.Peer // members, rebuilt on change
 }
@@ -139,8 +154,12 @@
 // Store tells whether the store can be reached.
 func (s *Set) Store(now time.Time, reached bool) {
 	if s.storeReach && !reached {
+		s.lostAt = now
 		s.joinAt = now.Add(s.spread(s.options.Join))
 	}
+	if reached && !s.storeReach {
+		s.reachedAt = now
+	}
 	s.storeReach = reached
 }
 
@@ -186,7 +205,7 @@
 	}
 	e := s.entries[p.Incarnation]
 	if e == nil {
-		e = &entry{peer: p, nextAsk: now}
+		e = &entry{peer: p, nextAsk: now, first: now}
 		s.entries[p.Incarnation] = e
 	}
 	e.since = now
@@ -214,9 +233,14 @@
 	if e == nil {
 		return
 	}
-	if e.heard.IsZero() || now.Sub(e.heard) >= s.options.DeadAfter {
+	if said.Ended {
+		s.end(now, said.Incarnation)
+		return
+	}
+	if e.upSince.IsZero() || now.Sub(e.heard) >= s.options.DeadAfter {
 		e.upSince = now
 	}
+	e.gone = false
 	changed := !proto.Equal(e.peer, said)
 	e.peer, e.covered, e.heard = said, state.ConfigRevision, now
 	e.asking, e.failures = false, 0
@@ -296,7 +320,7 @@
 	var asks []Ask
 	for incarnation, e := range s.entries {
 		s.judge(now, e)
-		if !e.member && !e.stored && now.Sub(e.since) >= s.options.Forget {
+		if !e.member && e.gone && !e.stored && now.Sub(e.since) >= s.options.Forget {
 			delete(s.entries, incarnation)
 			continue
 		}
@@ -323,7 +347,7 @@
 	}
 	e.member = false
 	e.flaps++
-	e.heard = time.Time{}
+	e.upSince = time.Time{}
 	e.since = now
 	s.rebuild()
 }
