--- a/dispatch/entry/shares.go
+++ b/dispatch/entry/shares.go
@@ -36,6 +36,13 @@
 	e.applyShares(now)
 }
 
+// Fence keeps the entry from starting anything, or lets it go on: others may have
+// taken its parts of the contracts.
+func (e *Entry) Fence(now time.Time, fenced bool) {
+	e.policy.shares.SetFenced(fenced)
+	e.applyShares(now)
+}
+
 // demand tells the shares what this entry could use of each contract.
 func (e *Entry) demand() {
 	for name := range e.policy.contracts {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -19,6 +19,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/node/membership"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
@@ -30,6 +31,8 @@
 	ErrStart = Errors.NewType("start")
 	// ErrLeaving makes an entry not ready that shuts down.
 	ErrLeaving = Errors.NewType("leaving")
+	// ErrJoining makes an entry not ready that has just started.
+	ErrJoining = Errors.NewType("joining")
 )
 
 // Options configure an Entry.
@@ -38,6 +41,10 @@
 	Hello *pb.EntryHello
 	// Listen addresses, IP and port.
 	CallersListen, NodesListen, OperatorsListen string
+	// Membership finds the other entries and keeps contracts in force. Its Self,
+	// Exchanger and Hooks are filled in here, and so are Contract, Contracts, Peers
+	// and StoreError below. Nil: those are the caller's to give.
+	Membership *membership.Options
 	// Contract returns the contract in force; it must not block.
 	Contract func(name string) *pb.Contract
 	// Peers returns the living entries; it must not block.
@@ -85,6 +92,7 @@
 	cancel  context.CancelFunc
 	killed  atomic.Bool
 	leaving atomic.Bool
+	members *membership.Membership // nil without Options.Membership
 
 	mu      sync.Mutex // guards what follows, and serializes the core
 	core    *entry.Entry
@@ -128,8 +136,10 @@
 	}
 	e.opts.Core.Hello = opts.Hello
 	e.opts.Core.Started = time.Now()
-	e.opts.Core.Contract = opts.Contract
+	e.joinOthers()
+	e.opts.Core.Contract = e.opts.Contract
 	e.core = entry.New(e.opts.Core)
+	e.core.Fence(time.Now(), e.members != nil)
 	e.timer = rpc.NewTimer(e.tick)
 	opts.Metrics.SetState(e.metricsState)
 	e.recordProcess(event.ProcessStarted, opts.Version)
@@ -186,6 +196,7 @@
 	for i, s := range servers {
 		go func() { failed <- rpc.Serve(s, listeners[i]) }()
 	}
+	leaveOthers := e.keepMembership()
 	e.log.Info("serving", "callers", e.CallersAddress(), "nodes", e.NodesAddress())
 	var err error
 	select {
@@ -194,6 +205,7 @@
 	case err = <-failed:
 	}
 	e.stop(servers)
+	leaveOthers()
 	if err != nil {
 		return ErrStart.Wrap(err, "serve")
 	}
@@ -209,6 +221,9 @@
 	e.log.Info("draining", "limit", e.opts.DrainTimeout)
 	e.leaving.Store(true)
 	e.decide(e.core.Leave)
+	if e.members != nil {
+		e.members.Leave()
+	}
 	limit := time.Now().Add(e.opts.DrainTimeout)
 	for time.Now().Before(limit) {
 		e.mu.Lock()
--- a/node/entry/nodes.go
+++ b/node/entry/nodes.go
@@ -64,6 +64,19 @@
 	return connect.NewResponse(resp), nil
 }
 
+// Exchange answers another entry's state with this one's.
+func (s *nodesService) Exchange(_ context.Context, req *connect.Request[pb.PeerState]) (*connect.Response[pb.PeerState], error) {
+	if s.e.members == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, ErrStart.New("the entry keeps no membership"))
+	}
+	if req.Msg.GetSelf().GetIncarnation() == "" || req.Msg.Self.Address == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, ErrStart.New("an entry tells its incarnation and address"))
+	}
+	answer := s.e.members.Serve(req.Msg)
+	s.e.countExchange(req.Msg, answer)
+	return connect.NewResponse(answer), nil
+}
+
 // request is what a caller wants of one job, at whichever entry it arrived.
 type request struct {
 	job           *pb.Job
--- a/node/entry/operators.go
+++ b/node/entry/operators.go
@@ -39,6 +39,9 @@
 	if e.leaving.Load() {
 		return ErrLeaving.New("the entry is shutting down")
 	}
+	if e.members != nil && !e.members.Settled() {
+		return ErrJoining.New("the entry has not found the others and the contracts yet")
+	}
 	return nil
 }
 
--- a/node/entry/route.go
+++ b/node/entry/route.go
@@ -41,6 +41,9 @@
 }
 
 func (e *Entry) findPeer(incarnation string) *pb.Peer {
+	if e.members != nil {
+		return e.members.Find(incarnation)
+	}
 	for _, p := range e.opts.Peers() {
 		if p.Incarnation == incarnation {
 			return p
--- a/node/membership/exchange.go
+++ b/node/membership/exchange.go
@@ -12,12 +12,19 @@
 // maxContracts bounds the contracts in one message. Who lacks more asks again.
 const maxContracts = 200
 
+// maxSenders bounds the processes whose last state is remembered; far more than
+// live at a time.
+const maxSenders = 1000
+
 // state is what this entry tells another that is covered up to a revision.
 func (m *Membership) state(covered uint64) *pb.PeerState {
+	m.sending.Lock()
+	defer m.sending.Unlock()
+	m.sequence++
 	contracts, upTo := m.opts.Config.Snapshot().Since(covered, maxContracts)
-	state := &pb.PeerState{Self: m.self.Load(), Peers: m.Peers(), Contracts: contracts, ConfigSince: covered, ConfigRevision: upTo}
-	if m.opts.Extend != nil {
-		m.opts.Extend(state)
+	state := &pb.PeerState{Self: m.self.Load(), Peers: m.Peers(), Contracts: contracts, ConfigSince: covered, ConfigRevision: upTo, Sequence: m.sequence}
+	if m.opts.Hooks != nil {
+		m.opts.Hooks.Extend(state)
 	}
 	return state
 }
@@ -31,10 +38,30 @@
 // take takes in another entry's state; asked as for member.Set.Heard.
 func (m *Membership) take(asked string, state *pb.PeerState) {
 	m.opts.Config.Apply(state.Contracts, state.ConfigSince, state.ConfigRevision)
-	m.update(func(now time.Time, s *member.Set) { s.Heard(now, asked, state) })
-	if m.opts.Received != nil {
-		m.opts.Received(state)
+	m.update(func(now time.Time, s *member.Set) {
+		s.Heard(now, asked, state)
+		// Without the store, one entry that is in names the others.
+		m.settled = m.settled || (!m.reached && len(s.Members()) > 0)
+	})
+	m.received(state)
+}
+
+// received hands a state to the hooks unless a later one has overtaken it.
+func (m *Membership) received(state *pb.PeerState) {
+	if m.opts.Hooks == nil {
+		return
+	}
+	m.receiving.Lock()
+	defer m.receiving.Unlock()
+	from := state.GetSelf().GetIncarnation()
+	if state.Sequence <= m.latest[from] {
+		return
+	}
+	if len(m.latest) >= maxSenders {
+		clear(m.latest)
 	}
+	m.latest[from] = state.Sequence
+	m.opts.Hooks.Received(state)
 }
 
 // exchange makes the exchanges that are due until the context ends.
@@ -51,9 +78,22 @@
 		for _, a := range m.due(timer) {
 			wg.Go(func() { m.ask(ctx, a) })
 		}
+		m.tellStarters()
 	}
 }
 
+func (m *Membership) tellStarters() {
+	if m.opts.Hooks == nil {
+		return
+	}
+	m.mu.Lock()
+	now := time.Now()
+	starters := m.set.Starters(now)
+	fenced := !m.settled || m.set.Fenced(now)
+	m.mu.Unlock()
+	m.opts.Hooks.Starters(starters, fenced)
+}
+
 // due returns the exchanges to make and sets the timer for the next.
 func (m *Membership) due(timer *time.Timer) []member.Ask {
 	m.mu.Lock()
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -22,6 +22,20 @@
 	Exchange(ctx context.Context, address string, state *pb.PeerState) (*pb.PeerState, error)
 }
 
+// Hooks are an entry's decisions, as far as they have to do with other entries.
+// The methods must not block, nor call the Membership but for Peers.
+type Hooks interface {
+	// Extend adds to a state that is sent. States go out in the order of calls.
+	Extend(state *pb.PeerState)
+	// Received is given the states of others; those of one sender in the order in
+	// which it made them, older ones are left out.
+	Received(state *pb.PeerState)
+	// Starters names the other entries that may start tasks; fenced tells that
+	// this one must not, since others may have taken its parts of contracts. It is
+	// called at least once in each interval of exchanges.
+	Starters(others []string, fenced bool)
+}
+
 // Options of a Membership. The zero value of a field stands for its default
 // unless said otherwise.
 type Options struct {
@@ -43,10 +57,9 @@
 	Follow   follow.Options
 	// ExchangeTimeout bounds one exchange. Default 1 s.
 	ExchangeTimeout time.Duration
-	// Extend adds to the state that is sent; Received is given the state of
-	// others. Both may be nil, and must not block.
-	Extend, Received func(*pb.PeerState)
-	Logger           *slog.Logger
+	// Hooks connect the entry's decisions. Nil: none.
+	Hooks  Hooks
+	Logger *slog.Logger
 	// Random gives numbers in [0, 1), concurrently. Default: math/rand/v2.
 	Random func() float64
 }
@@ -64,10 +77,19 @@
 	wake  chan struct{}
 	leave chan struct{}
 
-	mu  sync.Mutex // serializes the set
+	sending  sync.Mutex // orders the states sent
+	sequence uint64
+
+	receiving sync.Mutex // orders the states received
+	latest    map[string]uint64
+
+	mu  sync.Mutex // serializes the set, and guards what follows
 	set *member.Set
-	// reached is whether the store answers, for log lines of its changes.
-	reached bool
+	// reached is whether the store answers, storeError why it doesn't.
+	reached    bool
+	storeError string
+	// settled is set once this entry knows of all that may have started before it.
+	settled bool
 }
 
 // New returns a membership that knows no other entry.
@@ -75,6 +97,7 @@
 	if o.LeaseTTL == 0 {
 		o.LeaseTTL = time.Minute
 	}
+	o.Member.LeaseTTL = o.LeaseTTL
 	if o.ExchangeTimeout == 0 {
 		o.ExchangeTimeout = time.Second
 	}
@@ -86,7 +109,8 @@
 	}
 	m := &Membership{
 		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}),
-		set: member.New(o.Self, o.Join, o.Random, o.Member),
+		set: member.New(o.Self, o.Join, o.Random, o.Member), latest: map[string]uint64{},
+		storeError: "not reached yet", settled: o.Store == nil && len(o.Join) == 0,
 	}
 	m.self.Store(o.Self)
 	m.peers.Store(&[]*pb.Peer{})
@@ -104,6 +128,21 @@
 	return m.set.Find(incarnation)
 }
 
+// StoreError tells why the store can't be used, empty if it can.
+func (m *Membership) StoreError() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.storeError
+}
+
+// Settled reports whether this entry has found those that were there before it.
+// Until then it is fenced: it could take for free what another holds.
+func (m *Membership) Settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.settled
+}
+
 // Run keeps the membership until the context ends. It returns when all that it
 // started has ended.
 func (m *Membership) Run(ctx context.Context) {
@@ -125,11 +164,27 @@
 	left.Leaving = true
 	m.self.Store(left)
 	close(m.leave)
+	m.tellAll()
+}
+
+// End tells the other entries that this one starts nothing any more, so that
+// they may take its parts of the contracts at once. It waits for them.
+func (m *Membership) End() {
+	ended := proto.CloneOf(m.self.Load())
+	ended.Leaving, ended.Ended = true, true
+	m.self.Store(ended)
+	m.tellAll().Wait()
+}
+
+// tellAll exchanges with every member now.
+func (m *Membership) tellAll() *sync.WaitGroup {
+	var wg sync.WaitGroup
 	for _, p := range m.Peers() {
-		if p.Incarnation != left.Incarnation {
-			go m.ask(context.Background(), member.Ask{Address: p.Address, Incarnation: p.Incarnation})
+		if p.Incarnation != m.opts.Self.Incarnation {
+			wg.Go(func() { m.ask(context.Background(), member.Ask{Address: p.Address, Incarnation: p.Incarnation}) })
 		}
 	}
+	return &wg
 }
 
 // update runs one input of the set and publishes what came of it.
@@ -161,7 +216,10 @@
 		if reached != m.reached {
 			m.log.Info("store", "reached", reached, "err", err)
 		}
-		m.reached = reached
+		m.reached, m.storeError = reached, ""
+		if err != nil {
+			m.storeError = err.Error()
+		}
 		s.Store(now, reached)
 	})
 }
--- a/node/membership/store.go
+++ b/node/membership/store.go
@@ -37,7 +37,12 @@
 	}
 	m.opts.Config.Apply(contracts, 0, uint64(at))
 	m.followed = at
-	m.update(func(now time.Time, s *member.Set) { s.Listed(now, peers) })
+	m.update(func(now time.Time, s *member.Set) {
+		s.Listed(now, peers)
+		for _, p := range peers {
+			m.seeSelf(p)
+		}
+	})
 	m.storeReached(true, nil)
 }
 
@@ -93,7 +98,19 @@
 		return
 	}
 	for _, p := range m.appendPeer(nil, e.Item) {
-		m.update(func(now time.Time, s *member.Set) { s.Announced(now, p) })
+		m.update(func(now time.Time, s *member.Set) {
+			s.Announced(now, p)
+			m.seeSelf(p)
+		})
+	}
+}
+
+// seeSelf notes that the store showed this entry's own announcement: it has then
+// shown all that were announced before. Of two entries that start together at
+// least one so knows of the other.
+func (m *Membership) seeSelf(p *pb.Peer) {
+	if p.Incarnation == m.opts.Self.Incarnation {
+		m.settled = true
 	}
 }
 
@@ -139,8 +156,12 @@
 
 // renew renews the lease, or announces anew where it has lapsed.
 func (a *announcement) renew(ctx context.Context) error {
+	sent := time.Now()
 	if a.written {
 		err := a.m.opts.Store.KeepAlive(ctx, a.lease)
+		if err == nil {
+			a.held(sent)
+		}
 		if !store.IsLeaseGone(err) {
 			return err
 		}
@@ -153,7 +174,16 @@
 		}
 		a.lease = lease
 	}
-	return a.write(ctx)
+	err := a.write(ctx)
+	if err == nil {
+		a.held(sent)
+	}
+	return err
+}
+
+// held notes that the lease lasts for its whole time from a moment on.
+func (a *announcement) held(from time.Time) {
+	a.m.update(func(_ time.Time, s *member.Set) { s.Lease(from) })
 }
 
 func (a *announcement) write(ctx context.Context) error {
@@ -181,7 +211,7 @@
 		return err
 	}
 	a.lease, a.written = item.Lease, true
-	return nil
+	return a.m.opts.Store.KeepAlive(ctx, a.lease)
 }
 
 // withdraw ends the announcement; if that fails the lease lapses by itself.
