--- a/cmd/internal/bench/report.go
+++ b/cmd/internal/bench/report.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	"github.com/papayahoist/papayahoist/client"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 	standin "github.com/papayahoist/papayahoist/platform/standin/endpoint"
 )
 
@@ -98,11 +99,14 @@
 		ends: make(map[standin.TaskKey]time.Time), ended: make(map[string]int),
 	}
 	for _, a := range r.site.Agents() {
+		// Endpoints know a job by contract and id.
 		for k, n := range a.Worker().Starts() {
+			_, k.Job = job.SplitName(k.Job)
 			s.starts[k] += n
 			s.byJob[k.Job]++
 		}
 		for k := range a.Worker().Ends() {
+			_, k.Job = job.SplitName(k.Job)
 			s.ended[k.Job]++
 		}
 	}
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -12,6 +12,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/cmd/internal/bench"
 	"github.com/papayahoist/papayahoist/cmd/internal/site"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 )
 
 var namespace = errorx.NewNamespace("demo")
@@ -166,7 +167,9 @@
 	total := make(map[task]int)
 	for _, agent := range d.site.Agents() {
 		for key, count := range agent.Worker().Starts() {
-			total[task{job: key.Job, index: key.Index}] += count
+			// Endpoints know a job by contract and id.
+			_, id := job.SplitName(key.Job)
+			total[task{job: id, index: key.Index}] += count
 		}
 	}
 	return total
--- a/dispatch/member/set.go
+++ b/dispatch/member/set.go
@@ -43,7 +43,7 @@
 	DefaultDeadAfter    = 8 * time.Second
 	DefaultDeadFailures = 3
 	DefaultGoneAfter    = 16 * time.Second
-	DefaultLeaseTTL     = time.Minute
+	DefaultLeaseTTL     = 30 * time.Second
 	DefaultRetryDead    = 5 * time.Second
 	DefaultForget       = 10 * time.Minute
 	DefaultDamping      = 2 * time.Second
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// joined tells the balancer to wait: a fresh entry does not know the contracts yet,
+// or holds no part of any, and its callers would wait for nothing.
+func (e *Entry) joined() error {
+	if e.members == nil {
+		return nil
+	}
+	if !e.members.Settled() {
+		return ErrJoining.New("the entry has not found the others and the contracts yet")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.core.HoldsParts() {
+		return ErrJoining.New("the entry holds no part of any contract yet")
+	}
+	return nil
+}
+
 // contractsChanged counts how long changes took to come into force.
 func (e *Entry) contractsChanged(newer []*pb.Contract, _ *contract.Snapshot) {
 	now := time.Now()
@@ -85,8 +102,18 @@
 	h.e.decide(func(time.Time) { state.Shares = h.e.core.ShareState() })
 }
 
+// Agents implements membership.Hooks.
+func (h hooks) Agents() []*pb.AgentHello {
+	h.e.mu.Lock()
+	defer h.e.mu.Unlock()
+	return h.e.core.Agents()
+}
+
 // Received implements membership.Hooks.
 func (h hooks) Received(state *pb.PeerState) {
+	if len(state.Agents) > 0 {
+		h.e.decide(func(now time.Time) { h.e.core.AgentsHeard(now, state.Agents) })
+	}
 	if state.Shares != nil {
 		h.e.decide(func(now time.Time) { h.e.core.SharesSeen(now, state.Shares) })
 	}
--- a/node/entry/members_test.go
+++ b/node/entry/members_test.go
@@ -17,6 +17,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/agent"
 	"github.com/papayahoist/papayahoist/dispatch/contract"
+	"github.com/papayahoist/papayahoist/dispatch/member"
 	nodeagent "github.com/papayahoist/papayahoist/node/agent"
 	"github.com/papayahoist/papayahoist/node/config"
 	"github.com/papayahoist/papayahoist/node/entry"
@@ -81,7 +82,10 @@
 	e, err := entry.New(entry.Options{
 		Hello:         &pb.EntryHello{Entry: fmt.Sprintf("e%d", f.started), Incarnation: entry.NewIncarnation(), FailureDomain: "a"},
 		CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0",
-		Membership:   &membership.Options{Store: f.client(), Config: holder},
+		Membership: &membership.Options{
+			Store: f.client(), Config: holder, LeaseTTL: 2 * time.Second,
+			Member: member.Options{Exchange: 100 * time.Millisecond, DeadAfter: time.Second, GoneAfter: 2 * time.Second},
+		},
 		DrainTimeout: time.Second, Logger: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
@@ -131,7 +135,7 @@
 // submit sends a job of some tasks to an entry and returns status and error.
 func (f *fleet) submit(e *fleetEntry, tasks int) (int, jobs.Error) {
 	f.t.Helper()
-	in := jobs.SubmitRequest{Contract: "desk", Kind: "gauge", TimeoutMillis: 20_000, Tasks: make([]jobs.Task, tasks)}
+	in := jobs.SubmitRequest{Contract: "desk", Kind: "gauge", TimeoutMillis: 1_000, Tasks: make([]jobs.Task, tasks)}
 	body, err := json.Marshal(in)
 	if err != nil {
 		f.t.Fatal(err)
--- a/node/membership/exchange.go
+++ b/node/membership/exchange.go
@@ -23,6 +23,7 @@
 	m.sequence++
 	contracts, upTo := m.opts.Config.Snapshot().Since(covered, maxContracts)
 	state := &pb.PeerState{Self: m.self.Load(), Peers: m.Peers(), Contracts: contracts, ConfigSince: covered, ConfigRevision: upTo, Sequence: m.sequence}
+	state.WantsAgents = m.opts.Hooks != nil && !m.hasAgents.Load()
 	if m.opts.Hooks != nil {
 		m.opts.Hooks.Extend(state)
 	}
@@ -32,7 +33,11 @@
 // Serve answers an exchange that another entry began.
 func (m *Membership) Serve(state *pb.PeerState) *pb.PeerState {
 	m.take("", state)
-	return m.state(state.ConfigRevision)
+	answer := m.state(state.ConfigRevision)
+	if state.WantsAgents && m.opts.Hooks != nil {
+		answer.Agents = m.opts.Hooks.Agents()
+	}
+	return answer
 }
 
 // take takes in another entry's state; asked as for member.Set.Heard.
@@ -53,6 +58,9 @@
 	}
 	m.receiving.Lock()
 	defer m.receiving.Unlock()
+	if len(state.Agents) > 0 {
+		m.hasAgents.Store(true)
+	}
 	from := state.GetSelf().GetIncarnation()
 	if state.Sequence <= m.latest[from] {
 		return
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -27,6 +27,8 @@
 type Hooks interface {
 	// Extend adds to a state that is sent. States go out in the order of calls.
 	Extend(state *pb.PeerState)
+	// Agents lists the agents that this entry knows.
+	Agents() []*pb.AgentHello
 	// Received is given the states of others; those of one sender in the order in
 	// which it made them, older ones are left out.
 	Received(state *pb.PeerState)
@@ -50,8 +52,9 @@
 	Join []string
 	// Exchanger is required.
 	Exchanger Exchanger
-	// LeaseTTL is that of the announcement. It is renewed after a third.
-	// Default 60 s.
+	// LeaseTTL is that of the announcement. It is renewed after half of it: more
+	// often would cost store calls at rest, and a lapsed lease drops no entry that
+	// is heard. Default 30 s.
 	LeaseTTL time.Duration
 	Member   member.Options
 	Follow   follow.Options
@@ -71,6 +74,8 @@
 	self atomic.Pointer[pb.Peer]
 
 	peers atomic.Pointer[[]*pb.Peer]
+	// hasAgents is set once another entry has told of agents.
+	hasAgents atomic.Bool
 	// followed is how far the store's changes are known; only the reader uses it.
 	followed store.Revision
 
@@ -95,7 +100,7 @@
 // New returns a membership that knows no other entry.
 func New(o Options) *Membership {
 	if o.LeaseTTL == 0 {
-		o.LeaseTTL = time.Minute
+		o.LeaseTTL = member.DefaultLeaseTTL
 	}
 	o.Member.LeaseTTL = o.LeaseTTL
 	if o.ExchangeTimeout == 0 {
--- a/node/membership/store.go
+++ b/node/membership/store.go
@@ -127,7 +127,7 @@
 	a := announcement{m: m, key: EntriesPrefix + m.opts.Self.Incarnation}
 	failed := 0
 	for {
-		wait := m.opts.LeaseTTL / 3
+		wait := m.opts.LeaseTTL / 2
 		wait = wait*9/10 + time.Duration(m.opts.Random()*float64(wait)/10)
 		if err := a.renew(ctx); err != nil {
 			failed++
