--- a/client/client_test.go
+++ b/client/client_test.go
@@ -100,6 +100,16 @@
 	return func(f *fake, _ *http.Request) (*http.Response, error) { return f.reply(status, e), nil }
 }
 
+// posted answers like next if the whole job was sent, and knows nothing otherwise.
+func posted(next step) step {
+	return func(f *fake, r *http.Request) (*http.Response, error) {
+		if r.Method != http.MethodPost {
+			return f.reply(http.StatusNotFound, jobs.Error{Code: jobs.CodeTaskFailed, Outcome: jobs.OutcomeFailed}), nil
+		}
+		return next(f, r)
+	}
+}
+
 func status(code int, body string) step {
 	return func(f *fake, _ *http.Request) (*http.Response, error) { return f.text(code, body), nil }
 }
@@ -136,6 +146,7 @@
 }
 
 var (
+	homeSilent  = jobs.Error{Code: jobs.CodeHomeLost, Message: "home is silent", Outcome: jobs.OutcomeUnknown, RetryAfterMillis: 100}
 	leaving     = jobs.Error{Code: jobs.CodeLeaving, Outcome: jobs.OutcomeNotRun, RetryAfterMillis: 1000}
 	homeLost    = jobs.Error{Code: jobs.CodeHomeLost, Outcome: jobs.OutcomeNotRun, Message: "home is gone"}
 	rateLimited = jobs.Error{Code: jobs.CodeRateLimited, Outcome: jobs.OutcomeNotRun, Message: "later", RetryAfterMillis: 400}
@@ -184,6 +195,7 @@
 		{"home unreachable for a while", []step{refuse(503, refusedWithoutProof), complete(0, 1)}, 2, 100 * time.Millisecond, 150 * time.Millisecond},
 		{"long job", []step{running, running, complete(0, 1)}, 3, 2 * DefaultWait, 2 * DefaultWait},
 		{"long job, then silence", []step{running, silent, complete(0, 1)}, 3, 2*DefaultWait + DefaultSilence, 2*DefaultWait + DefaultSilence + backoffBase},
+		{"accepted, then its home lost", []step{running, refuse(502, homeSilent), posted(complete(0, 1))}, 3, DefaultWait + 100*time.Millisecond, DefaultWait + 150*time.Millisecond},
 		{"accepted, then forgotten", []step{running, refuse(404, jobs.Error{Code: jobs.CodeNotFound}), complete(0, 1)}, 3, DefaultWait, DefaultWait + backoffBase},
 	}
 	for _, test := range tests {
--- a/client/submit.go
+++ b/client/submit.go
@@ -217,6 +217,9 @@
 		s.word = OutcomeUnknown.Wrap(s.word, "submission").WithProperty(propertyJob, s.id)
 	}
 	hint := time.Duration(refusal.RetryAfterMillis) * time.Millisecond
+	// A home that doesn't reply leaves its job's results to be gathered, which
+	// takes the whole job.
+	s.accepted = false
 	// "Not run" stays true for the id: asking again under it gets the same word.
 	again := hint > 0 && refusal.Outcome != jobs.OutcomeFailed && refusal.Outcome != jobs.OutcomeNotRun
 	return verdict{err: s.word, final: !again, hint: hint}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -20,7 +21,6 @@
 	"github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
-	"github.com/papayahoist/papayahoist/node/membership"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 	"github.com/papayahoist/papayahoist/platform/retry"
@@ -33,8 +33,6 @@
 	ErrStart = Errors.NewType("start")
 	// ErrLeaving makes an entry not ready that shuts down.
 	ErrLeaving = Errors.NewType("leaving")
-	// ErrJoining makes an entry not ready that has just started.
-	ErrJoining = Errors.NewType("joining")
 )
 
 // Options configure an Entry.
@@ -43,14 +41,17 @@
 	Hello *pb.EntryHello
 	// Listen addresses, IP and port.
 	CallersListen, NodesListen, OperatorsListen string
-	// Membership finds the other entries and keeps contracts in force. Its Self,
-	// Exchanger and Hooks are filled in here, and so are Contract, Contracts, Peers
-	// and StoreError below. Nil: those are the caller's to give.
-	Membership *membership.Options
 	// Contract returns the contract in force; it must not block.
 	Contract func(name string) *pb.Contract
 	// Peers returns the living entries; it must not block.
 	Peers func() []*pb.Peer
+	// FindPeer returns the entry with an incarnation that may be reached, nil for
+	// none; it must not block. Nil: Peers are searched.
+	FindPeer func(incarnation string) *pb.Peer
+	// Exchange answers another entry's exchange of state; nil: none is served.
+	Exchange func(*pb.PeerState) *pb.PeerState
+	// Ready returns why the entry can't serve yet, or nil; nil: it always can.
+	Ready func() error
 	// Contracts lists those in force, for operators; it must not block. Nil: those
 	// that callers have used are listed.
 	Contracts func() []*pb.Contract
@@ -97,12 +98,13 @@
 	clients        *rpc.Clients // for other entries
 	forwardRetries *retry.Policy
 	leaving        atomic.Bool
-	members        *membership.Membership // nil without Options.Membership
 
 	mu      sync.Mutex // guards what follows, and serializes the core
 	core    *entry.Entry
 	links   map[string]*agentLink        // by agent name
 	waiters map[string][]chan *pb.Answer // by job.Name
+	heard   map[string]uint64            // clock of the last state, by entry incarnation
+	told    []string                     // the entries that agents were told of
 	timer   *rpc.Timer
 }
 
@@ -142,10 +144,9 @@
 	}
 	e.opts.Core.Hello = opts.Hello
 	e.opts.Core.Started = time.Now()
-	e.joinOthers()
-	e.opts.Core.Contract = e.opts.Contract
+	e.opts.Core.Random = rand.Float64
+	e.opts.Core.Contract = opts.Contract
 	e.core = entry.New(e.opts.Core)
-	e.core.Fence(time.Now(), e.members != nil)
 	e.timer = rpc.NewTimer(e.tick)
 	opts.Metrics.SetState(e.metricsState)
 	e.recordProcess(event.ProcessStarted, opts.Version)
@@ -202,7 +203,6 @@
 	for i, s := range servers {
 		go func() { failed <- rpc.Serve(s, listeners[i]) }()
 	}
-	leaveOthers := e.keepMembership()
 	e.log.Info("serving", "callers", e.CallersAddress(), "nodes", e.NodesAddress())
 	var err error
 	select {
@@ -211,7 +211,6 @@
 	case err = <-failed:
 	}
 	e.stop(servers)
-	leaveOthers()
 	if err != nil {
 		return ErrStart.Wrap(err, "serve")
 	}
@@ -229,9 +228,6 @@
 	e.log.Info("draining", "limit", e.opts.DrainTimeout)
 	e.leaving.Store(true)
 	e.decide(e.core.Leave)
-	if e.members != nil {
-		e.members.Leave()
-	}
 	limit := time.Now().Add(e.opts.DrainTimeout)
 	for time.Now().Before(limit) {
 		e.mu.Lock()
--- a/node/entry/operators.go
+++ b/node/entry/operators.go
@@ -39,7 +39,10 @@
 	if e.leaving.Load() {
 		return ErrLeaving.New("the entry is shutting down")
 	}
-	return e.joined()
+	if e.opts.Ready != nil {
+		return e.opts.Ready()
+	}
+	return nil
 }
 
 // Status implements operator.StatusSource.
--- a/node/membership/exchange.go
+++ b/node/membership/exchange.go
@@ -12,20 +12,12 @@
 // maxContracts bounds the contracts in one message. Who lacks more asks again.
 const maxContracts = 200
 
-// maxSenders bounds the processes whose last state is remembered; far more than
-// live at a time.
-const maxSenders = 1000
-
 // state is what this entry tells another that is covered up to a revision.
 func (m *Membership) state(covered uint64) *pb.PeerState {
-	m.sending.Lock()
-	defer m.sending.Unlock()
-	m.sequence++
 	contracts, upTo := m.opts.Config.Snapshot().Since(covered, maxContracts)
-	state := &pb.PeerState{Self: m.self.Load(), Peers: m.Peers(), Contracts: contracts, ConfigSince: covered, ConfigRevision: upTo, Sequence: m.sequence}
-	state.WantsAgents = m.opts.Hooks != nil && !m.hasAgents.Load()
-	if m.opts.Hooks != nil {
-		m.opts.Hooks.Extend(state)
+	state := &pb.PeerState{Self: m.self.Load(), Peers: m.Peers(), Contracts: contracts, ConfigSince: covered, ConfigRevision: upTo}
+	if m.opts.Extend != nil {
+		m.opts.Extend(state)
 	}
 	return state
 }
@@ -33,11 +25,7 @@
 // Serve answers an exchange that another entry began.
 func (m *Membership) Serve(state *pb.PeerState) *pb.PeerState {
 	m.take("", state)
-	answer := m.state(state.ConfigRevision)
-	if state.WantsAgents && m.opts.Hooks != nil {
-		answer.Agents = m.opts.Hooks.Agents()
-	}
-	return answer
+	return m.state(state.ConfigRevision)
 }
 
 // take takes in another entry's state; asked as for member.Set.Heard.
@@ -48,28 +36,9 @@
 		// Without the store, one entry that is in names the others.
 		m.settled = m.settled || (!m.reached && len(s.Members()) > 0)
 	})
-	m.received(state)
-}
-
-// received hands a state to the hooks unless a later one has overtaken it.
-func (m *Membership) received(state *pb.PeerState) {
-	if m.opts.Hooks == nil {
-		return
-	}
-	m.receiving.Lock()
-	defer m.receiving.Unlock()
-	if len(state.Agents) > 0 {
-		m.hasAgents.Store(true)
-	}
-	from := state.GetSelf().GetIncarnation()
-	if state.Sequence <= m.latest[from] {
-		return
-	}
-	if len(m.latest) >= maxSenders {
-		clear(m.latest)
+	if m.opts.Received != nil {
+		m.opts.Received(state)
 	}
-	m.latest[from] = state.Sequence
-	m.opts.Hooks.Received(state)
 }
 
 // exchange makes the exchanges that are due until the context ends.
@@ -91,7 +60,7 @@
 }
 
 func (m *Membership) tellStarters() {
-	if m.opts.Hooks == nil {
+	if m.opts.OnStarters == nil {
 		return
 	}
 	m.mu.Lock()
@@ -99,7 +68,7 @@
 	starters := m.set.Starters(now)
 	fenced := !m.settled || m.set.Fenced(now)
 	m.mu.Unlock()
-	m.opts.Hooks.Starters(starters, fenced)
+	m.opts.OnStarters(starters, fenced)
 }
 
 // due returns the exchanges to make and sets the timer for the next.
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,22 +23,6 @@
 	Exchange(ctx context.Context, address string, state *pb.PeerState) (*pb.PeerState, error)
 }
 
-// Hooks are an entry's decisions, as far as they have to do with other entries.
-// The methods must not block, nor call the Membership but for Peers.
-type Hooks interface {
-	// Extend adds to a state that is sent. States go out in the order of calls.
-	Extend(state *pb.PeerState)
-	// Agents lists the agents that this entry knows.
-	Agents() []*pb.AgentHello
-	// Received is given the states of others; those of one sender in the order in
-	// which it made them, older ones are left out.
-	Received(state *pb.PeerState)
-	// Starters names the other entries that may start tasks; fenced tells that
-	// this one must not, since others may have taken its parts of contracts. It is
-	// called at least once in each interval of exchanges.
-	Starters(others []string, fenced bool)
-}
-
 // Options of a Membership. The zero value of a field stands for its default
 // unless said otherwise.
 type Options struct {
@@ -60,9 +45,19 @@
 	Follow   follow.Options
 	// ExchangeTimeout bounds one exchange. Default 1 s.
 	ExchangeTimeout time.Duration
-	// Hooks connect the entry's decisions. Nil: none.
-	Hooks  Hooks
-	Logger *slog.Logger
+	// Extend adds to the state that is sent; Received is given the state of
+	// others. Both may be nil, and must not block.
+	Extend, Received func(*pb.PeerState)
+	// OnPeers is given the members after each change, this entry first; it must
+	// not block, nor call the membership but for Peers. Nil: nobody is told.
+	OnPeers func([]*pb.Peer)
+	// OnStarters is given the incarnations of the other entries that may start
+	// tasks, and whether this one must not, since others may have taken its parts
+	// of the contracts. It is called again at least once in each interval of
+	// exchanges, must not block, nor call the membership but for Peers. Nil:
+	// nobody is told.
+	OnStarters func(others []string, fenced bool)
+	Logger     *slog.Logger
 	// Random gives numbers in [0, 1), concurrently. Default: math/rand/v2.
 	Random func() float64
 }
@@ -74,27 +69,20 @@
 	self atomic.Pointer[pb.Peer]
 
 	peers atomic.Pointer[[]*pb.Peer]
-	// hasAgents is set once another entry has told of agents.
-	hasAgents atomic.Bool
 	// followed is how far the store's changes are known; only the reader uses it.
 	followed store.Revision
 
 	wake  chan struct{}
 	leave chan struct{}
 
-	sending  sync.Mutex // orders the states sent
-	sequence uint64
-
-	receiving sync.Mutex // orders the states received
-	latest    map[string]uint64
-
 	mu  sync.Mutex // serializes the set, and guards what follows
 	set *member.Set
-	// reached is whether the store answers, storeError why it doesn't.
-	reached    bool
-	storeError string
+	// reached is whether the store answers, for log lines of its changes.
+	reached bool
 	// settled is set once this entry knows of all that may have started before it.
 	settled bool
+	// storeError tells why the store doesn't answer; nil while it does.
+	storeError atomic.Pointer[string]
 }
 
 // New returns a membership that knows no other entry.
@@ -114,8 +102,8 @@
 	}
 	m := &Membership{
 		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}),
-		set: member.New(o.Self, o.Join, o.Random, o.Member), latest: map[string]uint64{},
-		storeError: "not reached yet", settled: o.Store == nil && len(o.Join) == 0,
+		set:     member.New(o.Self, o.Join, o.Random, o.Member),
+		settled: o.Store == nil && len(o.Join) == 0,
 	}
 	m.self.Store(o.Self)
 	m.peers.Store(&[]*pb.Peer{})
@@ -133,13 +121,6 @@
 	return m.set.Find(incarnation)
 }
 
-// StoreError tells why the store can't be used, empty if it can.
-func (m *Membership) StoreError() string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.storeError
-}
-
 // Settled reports whether this entry has found those that were there before it.
 // Until then it is fenced: it could take for free what another holds.
 func (m *Membership) Settled() bool {
@@ -213,6 +194,17 @@
 	if len(before) > 0 && len(before) != len(peers) {
 		m.log.Info("entries", "count", len(peers))
 	}
+	if m.opts.OnPeers != nil && !slices.Equal(before, peers) {
+		m.opts.OnPeers(peers)
+	}
+}
+
+// StoreError tells why the store can't be used, empty if it can.
+func (m *Membership) StoreError() string {
+	if why := m.storeError.Load(); why != nil {
+		return *why
+	}
+	return ""
 }
 
 // storeReached notes whether the store answers.
@@ -221,10 +213,16 @@
 		if reached != m.reached {
 			m.log.Info("store", "reached", reached, "err", err)
 		}
-		m.reached, m.storeError = reached, ""
-		if err != nil {
-			m.storeError = err.Error()
-		}
+		m.reached = reached
+		m.storeError.Store(reason(err))
 		s.Store(now, reached)
 	})
 }
+
+func reason(err error) *string {
+	if err == nil {
+		return nil
+	}
+	text := err.Error()
+	return &text
+}
