--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -190,7 +190,7 @@
 		Self: e.self, Store: client, Config: e.config, Join: b.o.Settings.Join,
 		Exchanger: membership.NewConnect(b.tls.nodes),
 		Extend:    e.ExtendState, Received: e.StateReceived,
-		OnPeers: e.SetPeers, OnStarters: e.startersChanged,
+		OnPeers: e.SetPeers, OnStarters: e.startersChanged, Announced: e.Announced, Listed: e.Listed,
 		LeaseTTL: b.o.LeaseTTL, Member: b.o.Member, Logger: b.log,
 	})
 	// What others hold is not known yet.
