--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -87,26 +87,38 @@
 	e.core.Door().Listed(time.Now(), readAt, incarnations)
 }
 
-// SetPeers tells which entries live, this one among them, and the names of all
-// contracts in force. Agents hear of a change of the entries.
-func (e *Entry) SetPeers(peers []*pb.Peer, contracts []string) {
-	var others, told []string
+// SetPeers tells which entries live, this one among them. Agents hear of a change.
+func (e *Entry) SetPeers(peers []*pb.Peer) {
+	var told []string
 	for _, p := range peers {
 		told = append(told, p.Address+" "+p.Incarnation)
-		if p.Incarnation != e.opts.Hello.Incarnation {
-			others = append(others, p.Incarnation)
-		}
 	}
-	e.decide(func(now time.Time) {
+	e.decide(func(time.Time) {
 		if !slices.Equal(told, e.told) {
 			e.told = told
 			e.core.TellPeers(peers)
 		}
+	})
+}
+
+// SetStarters tells which other entries may start tasks, whether this one must
+// not, and the names of all contracts in force.
+func (e *Entry) SetStarters(others []string, fenced bool, contracts []string) {
+	e.decide(func(now time.Time) {
 		heard := make(map[string]uint64, len(others))
 		for _, incarnation := range others {
 			heard[incarnation] = e.heard[incarnation]
 		}
 		e.heard = heard
 		e.core.PeersSeen(now, others, contracts)
+		e.core.Fence(now, fenced)
 	})
 }
+
+// HoldsParts reports whether the entry may start tasks of any contract; also true
+// while no contract allows any.
+func (e *Entry) HoldsParts() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.HoldsParts()
+}
--- a/node/membership/store.go
+++ b/node/membership/store.go
@@ -37,7 +37,12 @@
 	}
 	m.opts.Config.Apply(contracts, 0, uint64(at))
 	m.followed = at
-	m.update(func(now time.Time, s *member.Set) { s.Listed(now, peers) })
+	m.update(func(now time.Time, s *member.Set) {
+		s.Listed(now, peers)
+		for _, p := range peers {
+			m.seeSelf(p)
+		}
+	})
 	m.storeReached(true, nil)
 }
 
@@ -94,7 +99,19 @@
 		return
 	}
 	for _, p := range m.appendPeer(nil, e.Item) {
-		m.update(func(now time.Time, s *member.Set) { s.Announced(now, p) })
+		m.update(func(now time.Time, s *member.Set) {
+			s.Announced(now, p)
+			m.seeSelf(p)
+		})
+	}
+}
+
+// seeSelf notes that the store showed this entry's own announcement: it has then
+// shown all that were announced before. Of two entries that start together at
+// least one so knows of the other.
+func (m *Membership) seeSelf(p *pb.Peer) {
+	if p.Incarnation == m.opts.Self.Incarnation {
+		m.settled = true
 	}
 }
 
@@ -120,15 +137,14 @@
 	a := announcement{m: m, key: EntriesPrefix + m.opts.Self.Incarnation}
 	failed := 0
 	for {
-		wait := m.opts.LeaseTTL / 3
+		wait := m.opts.LeaseTTL / 2
 		wait = wait*9/10 + time.Duration(m.opts.Random()*float64(wait)/10)
-		began := time.Now()
 		if err := a.renew(ctx); err != nil {
 			failed++
 			wait = retry.Backoff(minAnnounceWait, maxAnnounceWait, failed, m.opts.Random())
 		} else {
 			failed = 0
-			m.announced(ctx, began)
+			m.announced(ctx, a.since)
 		}
 		if !m.untilRenewal(ctx, wait) {
 			break
@@ -160,6 +176,7 @@
 // announced passes on that the announcement was renewed by a call that began
 // then. The margin is for clocks that run at different rates.
 func (m *Membership) announced(ctx context.Context, began time.Time) {
+	m.update(func(_ time.Time, s *member.Set) { s.Lease(began) })
 	if m.opts.Announced != nil && m.opts.Announced(began.Add(m.opts.LeaseTTL*9/10)) {
 		m.list(ctx)
 	}
@@ -189,27 +206,40 @@
 	key     string
 	lease   store.LeaseID
 	written bool
+	// since is when the call began that granted or renewed the lease last: from
+	// then on it lasts for its whole time at least.
+	since time.Time
 }
 
 // renew renews the lease, or announces anew where it has lapsed.
 func (a *announcement) renew(ctx context.Context) error {
 	if a.written {
-		err := a.m.opts.Store.KeepAlive(ctx, a.lease)
+		err := a.keepAlive(ctx)
 		if !store.IsLeaseGone(err) {
 			return err
 		}
 		a.lease, a.written = 0, false
 	}
 	if a.lease == 0 {
+		began := time.Now()
 		lease, err := a.m.opts.Store.Grant(ctx, a.m.opts.LeaseTTL)
 		if err != nil {
 			return err
 		}
-		a.lease = lease
+		a.lease, a.since = lease, began
 	}
 	return a.write(ctx)
 }
 
+func (a *announcement) keepAlive(ctx context.Context) error {
+	began := time.Now()
+	err := a.m.opts.Store.KeepAlive(ctx, a.lease)
+	if err == nil {
+		a.since = began
+	}
+	return err
+}
+
 func (a *announcement) write(ctx context.Context) error {
 	value, err := protojson.Marshal(a.m.self.Load())
 	if err != nil {
@@ -235,7 +265,7 @@
 		return err
 	}
 	a.lease, a.written = item.Lease, true
-	return nil
+	return a.keepAlive(ctx)
 }
 
 // withdraw ends the announcement; if that fails the lease lapses by itself.
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,6 +14,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/contract"
 	coreentry "github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/dispatch/member"
 	"github.com/papayahoist/papayahoist/node/config"
 	"github.com/papayahoist/papayahoist/node/entry"
 	"github.com/papayahoist/papayahoist/node/membership"
@@ -29,6 +31,9 @@
 	// Core sets the decisions' times and policies; the zero value is for
 	// production.
 	Core coreentry.Options
+	// LeaseTTL and Member set the times of the membership; zero: the defaults.
+	LeaseTTL time.Duration
+	Member   member.Options
 	// Events is how many events the time line keeps; zero: the default.
 	Events int
 	// Registry gets the metrics; nil: one of its own.
@@ -43,6 +48,7 @@
 	self       *pb.Peer
 	config     *config.Holder
 	membership *membership.Membership
+	killed     atomic.Bool
 }
 
 // NewEntry puts an entry together and binds its ports. Errors are of type
@@ -80,6 +86,11 @@
 	stop := context.AfterFunc(ctx, e.membership.Leave)
 	err := e.Entry.Run(ctx)
 	stop()
+	if !e.killed.Load() {
+		// Nothing can be started here any more: the others may have its parts of
+		// the contracts at once.
+		e.membership.End()
+	}
 	cancel()
 	wg.Wait()
 	if err != nil {
@@ -88,20 +99,32 @@
 	return nil
 }
 
-// peersChanged tells the driver who may start tasks, of which contracts.
-func (e *Entry) peersChanged(peers []*pb.Peer) {
+// Kill ends the process at once, as a crash would: for tests and load tools.
+func (e *Entry) Kill() {
+	e.killed.Store(true)
+	e.Entry.Kill()
+}
+
+// startersChanged tells the driver who may start tasks, of which contracts.
+func (e *Entry) startersChanged(others []string, fenced bool) {
 	var contracts []string
 	for _, c := range e.config.Snapshot().All() {
 		contracts = append(contracts, c.Name)
 	}
-	e.SetPeers(peers, contracts)
+	e.SetStarters(others, fenced, contracts)
 }
 
-// ready holds callers back until the contracts are known: an entry without them
-// would refuse every job as of an unknown contract.
+// ready holds callers back until the contracts are known, and until the entry has
+// a part of one: without contracts it would refuse every job as of an unknown
+// contract, without a part every caller would wait for nothing.
 func (e *Entry) ready() error {
-	if e.config.Snapshot().Covered() == 0 {
-		return errNoContracts.New("no contracts received yet")
+	switch {
+	case e.config.Snapshot().Covered() == 0:
+		return errNotReady.New("no contracts received yet")
+	case !e.membership.Settled():
+		return errNotReady.New("the other entries are not found yet")
+	case !e.HoldsParts():
+		return errNotReady.New("no part of any contract held yet")
 	}
 	return nil
 }
@@ -166,15 +189,16 @@
 	e.membership = membership.New(membership.Options{
 		Self: e.self, Store: client, Config: e.config, Join: b.o.Settings.Join,
 		Exchanger: countedExchanger{membership.NewConnect(b.tls.nodes), b.metrics},
-		Extend:    e.ExtendState, Received: e.StateReceived, OnPeers: e.peersChanged,
-		Announced: e.Announced, Listed: e.Listed,
-		Logger: b.log,
+		Extend:    e.ExtendState, Received: e.StateReceived,
+		OnPeers: e.SetPeers, OnStarters: e.startersChanged, Announced: e.Announced, Listed: e.Listed,
+		LeaseTTL: b.o.LeaseTTL, Member: b.o.Member, Logger: b.log,
 	})
+	// What others hold is not known yet.
+	e.SetStarters(nil, true, nil)
 	e.config.OnChange(func(newer []*pb.Contract, _ *contract.Snapshot) {
 		for _, c := range newer {
 			b.observe(c)
 		}
-		e.peersChanged(e.membership.Peers())
 	})
 }
 
--- a/node/process/errors.go
+++ b/node/process/errors.go
@@ -11,6 +11,6 @@
 	ErrStart = Errors.NewType("start")
 	// ErrServe means that a process could not go on.
 	ErrServe = Errors.NewType("serve")
-	// errNoContracts is why an entry is not ready.
-	errNoContracts = Errors.NewType("no_contracts")
+	// errNotReady is why an entry is not ready.
+	errNotReady = Errors.NewType("not_ready")
 )
