TLS files reloaded without a restart; deletions count as in force

Change: node/certs keeps a port's configuration up to date for accepting and dialing; a process's configuration revision is what it is covered up to.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -55,6 +55,9 @@
 	// Contracts lists those in force, for operators; it must not block. Nil: those
 	// that callers have used are listed.
 	Contracts func() []*pb.Contract
+	// ConfigRevision is up to which revision no change of a contract is missing; it
+	// must not block. Nil: the highest of those in force is shown.
+	ConfigRevision func() uint64
 	// StoreError tells why the platform's store can't be used, empty if it can; it
 	// must not block. Nil: never.
 	StoreError func() string
--- a/node/entry/operators.go
+++ b/node/entry/operators.go
@@ -65,9 +65,7 @@
 	if e.opts.StoreError != nil {
 		s.StoreError = e.opts.StoreError()
 	}
-	for _, c := range s.Contracts {
-		s.ConfigRevision = max(s.ConfigRevision, c.Contract.Revision)
-	}
+	s.ConfigRevision = e.configRevision()
 	return s
 }
 
@@ -130,10 +128,20 @@
 		WorkersSuspended: c.Suspended,
 		StoreUp:          e.opts.StoreError == nil || e.opts.StoreError() == "",
 	}
+	s.ConfigRevision = e.configRevision()
+	return s
+}
+
+// configRevision counts deletions too, where it is given.
+func (e *Entry) configRevision() uint64 {
+	if e.opts.ConfigRevision != nil {
+		return e.opts.ConfigRevision()
+	}
+	var revision uint64
 	for _, contract := range e.contracts() {
-		s.ConfigRevision = max(s.ConfigRevision, contract.Revision)
+		revision = max(revision, contract.Revision)
 	}
-	return s
+	return revision
 }
 
 // series returns the counters of a contract. Only names of the configuration
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -30,7 +30,11 @@
 }
 
 // Agent is a whole agent process.
-type Agent struct{ *agent.Agent }
+type Agent struct {
+	*agent.Agent
+	tls agentTLS
+	log *slog.Logger
+}
 
 // NewAgent puts an agent together and binds its ports. Errors are of type
 // ErrStart.
@@ -52,7 +56,7 @@
 		Endpoint: agent.HTTPEndpoint{
 			Client: endpoint.New(s.EndpointAddress, endpoint.Options{Connections: int(s.Connections)}),
 		},
-		NodesTLS: config.nodes, OperatorsTLS: config.operators,
+		NodesTLS: config.nodes.Config(), OperatorsTLS: config.operators.Config(),
 		DrainTimeout: s.DrainTimeout, Core: core, Version: o.Version,
 		Metrics:  metrics.NewAgent(o.Registry, metrics.Options{Role: string(s.Role), Version: o.Version, Ring: core.Events}),
 		Gatherer: o.Registry, Logger: o.Logger.With("process", s.Name),
@@ -60,7 +64,7 @@
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "agent %s", s.Name)
 	}
-	return &Agent{Agent: made}, nil
+	return &Agent{Agent: made, tls: config, log: o.Logger}, nil
 }
 
 func helloOf(s settings.Agent) *pb.AgentHello {
@@ -73,6 +77,9 @@
 
 // Run serves until the context ends, then drains.
 func (a *Agent) Run(ctx context.Context) error {
+	kept, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go a.tls.watch(kept, a.log)
 	if err := a.Agent.Run(ctx); err != nil {
 		return ErrServe.Wrap(err, "agent")
 	}
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -49,6 +49,8 @@
 	config     *config.Holder
 	membership *membership.Membership
 	killed     atomic.Bool
+	tls        entryTLS
+	log        *slog.Logger
 }
 
 // NewEntry puts an entry together and binds its ports. Errors are of type
@@ -67,6 +69,7 @@
 		Entry: hello.Entry, Incarnation: hello.Incarnation, Address: hello.Address,
 		FailureDomain: hello.FailureDomain, OperatorAddress: hello.OperatorAddress,
 	}
+	e.tls, e.log = b.tls, b.log
 	b.membership(e)
 	return e, nil
 }
@@ -83,6 +86,7 @@
 	kept, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() { e.membership.Run(kept) })
+	wg.Go(func() { e.tls.watch(kept, e.log) })
 	stop := context.AfterFunc(ctx, e.membership.Leave)
 	err := e.Entry.Run(ctx)
 	stop()
@@ -170,8 +174,10 @@
 		FindPeer:   func(incarnation string) *pb.Peer { return e.membership.Find(incarnation) },
 		Exchange:   func(state *pb.PeerState) *pb.PeerState { return e.membership.Serve(state) },
 		StoreError: func() string { return e.membership.StoreError() },
-		Ready:      e.ready,
-		CallersTLS: b.tls.callers, NodesTLS: b.tls.nodes, OperatorsTLS: b.tls.operators,
+
+		ConfigRevision: func() uint64 { return e.config.Snapshot().Covered() },
+		Ready:          e.ready,
+		CallersTLS:     b.tls.callers.Config(), NodesTLS: b.tls.nodes.Config(), OperatorsTLS: b.tls.operators.Config(),
 		DrainTimeout: s.DrainTimeout, Core: core, Version: b.o.Version,
 		Metrics: b.metrics, Gatherer: b.o.Registry, Logger: b.log,
 	})
@@ -188,7 +194,7 @@
 	}
 	e.membership = membership.New(membership.Options{
 		Self: e.self, Store: client, Config: e.config, Join: b.o.Settings.Join,
-		Exchanger: membership.NewConnect(b.tls.nodes),
+		Exchanger: membership.NewConnect(b.tls.nodes.Config()),
 		Extend:    e.ExtendState, Received: e.StateReceived,
 		OnPeers: e.SetPeers, OnStarters: e.startersChanged, Announced: e.Announced, Listed: e.Listed,
 		LeaseTTL: b.o.LeaseTTL, Member: b.o.Member, Logger: b.log,
--- a/node/process/tls.go
+++ b/node/process/tls.go
@@ -1,13 +1,15 @@
 package process
 
 import (
-	"crypto/tls"
+	"context"
+	"log/slog"
 
+	"github.com/papayahoist/papayahoist/node/certs"
 	"github.com/papayahoist/papayahoist/node/settings"
 )
 
-// entryTLS is the configuration of an entry's ports; nil for plain TCP.
-type entryTLS struct{ callers, nodes, operators *tls.Config }
+// entryTLS is the TLS files of an entry's ports.
+type entryTLS struct{ callers, nodes, operators *certs.Files }
 
 func loadEntryTLS(files settings.EntryTLS) (entryTLS, error) {
 	var t entryTLS
@@ -19,8 +21,13 @@
 	return t, err
 }
 
-// agentTLS is the configuration of an agent's ports; nil for plain TCP.
-type agentTLS struct{ nodes, operators *tls.Config }
+// watch keeps the configurations up to date with the files.
+func (t entryTLS) watch(ctx context.Context, log *slog.Logger) {
+	certs.Watch(ctx, log, 0, t.callers, t.nodes, t.operators)
+}
+
+// agentTLS is the TLS files of an agent's ports.
+type agentTLS struct{ nodes, operators *certs.Files }
 
 func loadAgentTLS(files settings.AgentTLS) (agentTLS, error) {
 	var t agentTLS
@@ -28,19 +35,24 @@
 	return t, err
 }
 
-// port is the files of one port and where their configuration goes.
+// watch keeps the configurations up to date with the files.
+func (t agentTLS) watch(ctx context.Context, log *slog.Logger) {
+	certs.Watch(ctx, log, 0, t.nodes, t.operators)
+}
+
+// port is the files of one port and where they go once loaded.
 type port struct {
 	files  settings.TLSFiles
-	config **tls.Config
+	loaded **certs.Files
 }
 
 func loadAll(ports ...port) error {
 	for _, p := range ports {
-		config, err := p.files.Server()
+		loaded, err := certs.Load(p.files)
 		if err != nil {
 			return ErrStart.Wrap(err, "TLS")
 		}
-		*p.config = config
+		*p.loaded = loaded
 	}
 	return nil
 }
--- a/node/rpc/rpc.go
+++ b/node/rpc/rpc.go
@@ -35,17 +35,36 @@
 	var p http.Protocols
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(tlsConfig == nil)
-	d := net.Dialer{Timeout: dialTimeout}
+	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return d.DialContext(ctx, network, addr)
+		DialContext: d.DialContext,
+		DialTLSContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dialTLS(ctx, d, tlsConfig, network, addr)
 		},
-		TLSClientConfig: tlsConfig,
-		Protocols:       &p,
-		HTTP2:           keepAlive(),
+		Protocols: &p,
+		HTTP2:     keepAlive(),
 	}}
 }
 
+// dialTLS opens a connection with the configuration that is current now, which
+// the one given may have to be asked for; see package certs.
+func dialTLS(ctx context.Context, d *net.Dialer, config *tls.Config, network, addr string) (net.Conn, error) {
+	if config == nil {
+		config = &tls.Config{MinVersion: tls.VersionTLS13}
+	}
+	if config.GetConfigForClient != nil {
+		current, err := config.GetConfigForClient(nil)
+		if err != nil {
+			return nil, err
+		}
+		config = current
+	}
+	config = config.Clone()
+	config.NextProtos = []string{"h2"}
+	dialer := tls.Dialer{NetDialer: d, Config: config}
+	return dialer.DialContext(ctx, network, addr)
+}
+
 // keepAlive has a connection closed that has gone silent, and the goroutines that
 // write to it with it. Links notice silence themselves, and sooner; without pings
 // what they leave behind would stay until the system gives the connection up.
