--- a/dispatch/internal/capacity/capacity_test.go
+++ b/dispatch/internal/capacity/capacity_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 )
 
@@ -190,3 +192,35 @@
 	b.ReportMetric(grown/float64(b.N)/float64(n), "B/unit")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkExchange reports what entries tell each other: the encoded size of
+// one state, and what an entry spends to take one in.
+func BenchmarkExchange(b *testing.B) {
+	for _, entries := range []int{3, 9, 15} {
+		b.Run(fmt.Sprintf("entries=%d/contracts=41", entries), func(b *testing.B) {
+			c := newCell(entries, 11, 41)
+			for i := range 100 {
+				c.submit(i, 4, 41)
+			}
+			var peers []*pb.Peer
+			for _, e := range c.entries {
+				peers = append(peers, &pb.Peer{
+					Entry: "entry-00", Incarnation: e.id, Address: "10.0.1.11:7401", FailureDomain: "frame-hall",
+					OperatorAddress: "10.0.1.11:7402",
+				})
+			}
+			for range 3 {
+				c.exchange()
+			}
+			c.reset()
+			for b.Loop() {
+				c.exchange()
+			}
+			state := &pb.PeerState{Self: peers[0], Peers: peers, Shares: c.entries[0].core.ShareState()}
+			b.ReportMetric(float64(proto.Size(state)), "B/state")
+			exchanged := float64(b.N * entries * (entries - 1))
+			b.ReportMetric(float64(c.entryTime.Nanoseconds())/exchanged, "entry-ns/state")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/dispatch/internal/capacity/cell_test.go
+++ b/dispatch/internal/capacity/cell_test.go
@@ -328,6 +328,17 @@
 	c.carry()
 }
 
+// exchange lets every entry tell its shares to every other.
+func (c *cell) exchange() {
+	for _, from := range c.entries {
+		for _, to := range c.entries {
+			if from != to {
+				c.onEntry(func() { to.core.SharesSeen(c.now, from.core.ShareState()) })
+			}
+		}
+	}
+}
+
 // heapBytes is the live heap.
 func heapBytes() float64 {
 	runtime.GC()
