--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -17,6 +17,7 @@
 	session link.Session
 	epoch   uint64 // of the last link asked for
 	dialing bool
+	failed  int       // attempts since the last link
 	dialAt  time.Time // when the next attempt may start
 	downAt  time.Time // when the last link was lost
 	gone    bool      // given up; back when it announces itself
@@ -90,7 +91,8 @@
 	e.epoch++
 	a.epoch = e.epoch
 	a.dialing = true
-	a.dialAt = now.Add(e.opts.RedialAfter)
+	a.dialAt = now.Add(e.backoff(a.failed))
+	a.failed++
 	h := &pb.EntryHello{
 		Entry: e.opts.Hello.Entry, Incarnation: e.opts.Hello.Incarnation, Address: e.opts.Hello.Address,
 		FailureDomain: e.opts.Hello.FailureDomain, AgentIncarnation: a.hello.Incarnation, Epoch: a.epoch,
@@ -99,6 +101,18 @@
 	e.ready.Dials = append(e.ready.Dials, Dial{Agent: a.hello.Agent, Address: a.hello.Address, Hello: h})
 }
 
+// backoff is the pause after the given number of failed attempts, drawn from the
+// upper half of a bound that doubles: a switch that fails would otherwise have
+// every entry dial every agent behind it in step, over and over.
+func (e *Entry) backoff(failed int) time.Duration {
+	bound := e.opts.RedialAfter
+	for i := 0; i < failed && bound < e.opts.RedialMax; i++ {
+		bound *= 2
+	}
+	bound = min(bound, e.opts.RedialMax)
+	return bound/2 + time.Duration(e.opts.Random()*float64(bound)/2)
+}
+
 // LinkUp takes in that the link asked for with the epoch is open. Every start
 // without a result goes out again: it, its refusal or its result may have been
 // lost with the old link, and the agent knows which of its starts it took. A
@@ -108,14 +122,14 @@
 	if a == nil || a.epoch != epoch || !a.dialing {
 		return
 	}
-	a.dialing = false
+	a.dialing, a.failed = false, 0
 	a.session.Up(now, epoch, e.opts.Link)
 	e.recordPeer(now, event.LinkUp, a, "", epoch)
 	a.wanted = 0
 	known := e.updateAgent(now, a)
-	a.out = pb.EntryFrame{}
+	a.out = pb.EntryFrame{Peers: e.peers}
 	a.placed = nil
-	a.dirty = len(a.tasks) > 0
+	a.dirty = len(a.tasks) > 0 || len(e.peers) > 0
 	for _, t := range a.tasks {
 		if t.revoked {
 			a.addRevoke(t)
@@ -130,6 +144,17 @@
 	}
 }
 
+// TellPeers takes in the entries that live and tells every agent. The link's
+// next epoch tells them again, so that a frame lost with its link does no harm.
+func (e *Entry) TellPeers(peers []*pb.Peer) {
+	e.peers = peers
+	for _, a := range e.agents {
+		if a.session.IsUp() {
+			a.out.Peers, a.dirty = peers, true
+		}
+	}
+}
+
 // LinkDown takes in that a link was lost or could not be opened. Refused tells
 // that the process there is another one, and the agent's own has ended.
 func (e *Entry) LinkDown(now time.Time, name string, epoch uint64, refused bool) {
@@ -319,7 +344,7 @@
 	f := &pb.EntryFrame{
 		Revokes: a.out.Revokes, Fences: a.out.Fences, Finished: a.out.Finished,
 		Returned: a.out.Returned, Recalled: a.out.Recalled, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
-		Ended: e.over,
+		Ended: e.over, Peers: a.out.Peers,
 	}
 	a.out = pb.EntryFrame{}
 	a.dirty = false
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -44,6 +45,13 @@
 	Contract func(name string) *pb.Contract
 	// Peers returns the living entries; it must not block.
 	Peers func() []*pb.Peer
+	// FindPeer returns the entry with an incarnation that may be reached, nil for
+	// none; it must not block. Nil: Peers are searched.
+	FindPeer func(incarnation string) *pb.Peer
+	// Exchange answers another entry's exchange of state; nil: none is served.
+	Exchange func(*pb.PeerState) *pb.PeerState
+	// Ready returns why the entry can't serve yet, or nil; nil: it always can.
+	Ready func() error
 	// Contracts lists those in force, for operators; it must not block. Nil: those
 	// that callers have used are listed.
 	Contracts func() []*pb.Contract
@@ -95,6 +103,8 @@
 	core    *entry.Entry
 	links   map[string]*agentLink        // by agent name
 	waiters map[string][]chan *pb.Answer // by job.Name
+	heard   map[string]uint64            // clock of the last state, by entry incarnation
+	told    []string                     // the entries that agents were told of
 	timer   *rpc.Timer
 }
 
@@ -134,6 +144,7 @@
 	}
 	e.opts.Core.Hello = opts.Hello
 	e.opts.Core.Started = time.Now()
+	e.opts.Core.Random = rand.Float64
 	e.opts.Core.Contract = opts.Contract
 	e.core = entry.New(e.opts.Core)
 	e.timer = rpc.NewTimer(e.tick)
