--- a/dispatch/entry/shares.go
+++ b/dispatch/entry/shares.go
@@ -36,6 +36,27 @@
 	e.applyShares(now)
 }
 
+// Fence keeps the entry from starting anything, or lets it go on: others may have
+// taken its parts of the contracts.
+func (e *Entry) Fence(now time.Time, fenced bool) {
+	e.policy.shares.SetFenced(fenced)
+	e.applyShares(now)
+}
+
+// HoldsParts reports whether the entry may start tasks of any contract; also true
+// while no contract allows any.
+func (e *Entry) HoldsParts() bool {
+	none := true
+	for name := range e.policy.contracts {
+		slots, total := e.policy.shares.Part(name)
+		if slots > 0 {
+			return true
+		}
+		none = none && total == 0
+	}
+	return none
+}
+
 // demand tells the shares what this entry could use of each contract.
 func (e *Entry) demand() {
 	for name := range e.policy.contracts {
--- /dev/null
+++ b/dispatch/member/set_test.go
@@ -0,0 +1,110 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+)
+
+var start = time.Unix(1000, 0)
+
+func peer(i int) *pb.Peer {
+	return &pb.Peer{Entry: fmt.Sprintf("e%d", i), Incarnation: fmt.Sprintf("i%d", i), Address: fmt.Sprintf("10.0.0.%d", i)}
+}
+
+// run lets time pass in which some entries are heard every second and the others
+// don't answer.
+func run(s *Set, from time.Time, during time.Duration, heard ...int) time.Time {
+	for end := from.Add(during); from.Before(end); from = from.Add(time.Second) {
+		for _, a := range s.Tick(from) {
+			s.Failed(from, a.Incarnation)
+		}
+		for _, i := range heard {
+			s.Heard(from, "", &pb.PeerState{Self: peer(i)})
+		}
+	}
+	return from
+}
+
+// Entry 2 of three is not heard any more. If its parts of the contracts are taken
+// while it lives, a customer gets more than the contract allows; if they are never
+// taken, what is left for the customer shrinks with every crash.
+func TestStartersAndFence(t *testing.T) {
+	tests := []struct {
+		name     string
+		store    bool // can be reached
+		lapsed   bool // the store no longer names entry 2
+		lease    bool // this entry's own lease is renewed
+		heard    []int
+		after    time.Duration
+		starters []string
+		fenced   bool
+	}{
+		{"just fallen silent", true, true, true, []int{1}, 10 * time.Second, []string{"i1", "i2"}, false},
+		{"crashed, lease in force", true, false, true, []int{1}, time.Hour, []string{"i1", "i2"}, false},
+		{"crashed, lease lapsed", true, true, true, []int{1}, 40 * time.Second, []string{"i1"}, false},
+		{"lapsed, yet heard", true, true, true, []int{1, 2}, time.Hour, []string{"i1", "i2"}, false},
+		{"crashed as the store goes away", false, false, false, []int{1}, 20 * time.Second, []string{"i1", "i2"}, false},
+		{"crashed in a long outage", false, false, false, []int{1}, time.Minute, []string{"i1"}, false},
+		{"alone in an outage", false, false, false, nil, time.Hour, []string{"i1", "i2"}, true},
+		{"alone, with a lease", true, false, true, nil, time.Hour, []string{"i1", "i2"}, false},
+	}
+	for _, tt := range tests {
+		s := New(peer(0), nil, func() float64 { return 0.5 }, Options{})
+		s.Store(start, true)
+		s.Listed(start, []*pb.Peer{peer(0), peer(1), peer(2)})
+		s.Lease(start)
+		now := run(s, start, time.Minute, 1, 2)
+		s.Lease(now)
+		s.Store(now, tt.store)
+		if tt.lapsed {
+			s.Withdrawn(now, "i2")
+		}
+		now = run(s, now, tt.after, tt.heard...)
+		if tt.lease {
+			s.Lease(now)
+		}
+		if got := s.Starters(now); !slices.Equal(got, tt.starters) || s.Fenced(now) != tt.fenced {
+			t.Errorf("%s: starters %v, fenced %v; want %v, %v", tt.name, got, s.Fenced(now), tt.starters, tt.fenced)
+		}
+	}
+}
+
+// An entry ends in order, and another is restarted at its address. Both are
+// proofs; nobody has to wait for a lease.
+func TestProofsOfTheEnd(t *testing.T) {
+	s := New(peer(0), nil, func() float64 { return 0.5 }, Options{})
+	now := run(s, start, 10*time.Second, 1, 2, 3)
+	last := peer(1)
+	last.Ended = true
+	s.Heard(now, "", &pb.PeerState{Self: last})
+	s.Heard(now, "i2", &pb.PeerState{Self: peer(4), Peers: []*pb.Peer{peer(1), peer(2)}})
+	if got := s.Starters(now); !slices.Equal(got, []string{"i3", "i4"}) {
+		t.Errorf("starters %v", got)
+	}
+}
+
+// An entry comes and goes every twenty seconds. Each time it counts, parts of
+// contracts and links move; it must prove itself for longer before it counts again.
+func TestFlappingIsDamped(t *testing.T) {
+	s := New(peer(0), nil, func() float64 { return 0.5 }, Options{})
+	now := run(s, start, 5*time.Second, 1, 2)
+	var waits []time.Duration
+	for range 5 {
+		now = run(s, now, 20*time.Second, 1)
+		if len(s.Members()) != 1 {
+			t.Fatalf("a silent entry is a member: %v", s.Members())
+		}
+		back := now
+		for len(s.Members()) < 2 {
+			now = run(s, now, time.Second, 1, 2)
+		}
+		waits = append(waits, now.Sub(back).Round(time.Second))
+	}
+	if want := []time.Duration{3 * time.Second, 5 * time.Second, 9 * time.Second, 17 * time.Second, 31 * time.Second}; !slices.Equal(waits, want) {
+		t.Errorf("waits %v, want %v", waits, want)
+	}
+}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/door"
 	"github.com/papayahoist/papayahoist/node/metrics"
 )
 
@@ -32,7 +33,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state.Shares = e.core.ShareState()
-	state.Clock = e.opts.Core.Events.Stamp(time.Now())
+	now := time.Now()
+	state.Clock = e.opts.Core.Events.Stamp(now)
+	stamp, echoes := e.core.Door().State(now)
+	state.DoorUnixNs = stamp.UnixNano()
+	for _, echo := range echoes {
+		state.DoorEchoes = append(state.DoorEchoes, &pb.DoorEcho{Entry: echo.Entry, UnixNs: echo.Stamp.UnixNano()})
+	}
 }
 
 // StateReceived takes in what another entry told. Exchanges overlap, so that an
@@ -43,6 +50,7 @@
 	sender := state.GetSelf().GetIncarnation()
 	e.decide(func(now time.Time) {
 		e.opts.Core.Events.Observe(state.Clock, now)
+		e.doorHeard(now, state)
 		last, known := e.heard[sender]
 		if !known || state.Shares == nil || state.Clock <= last {
 			return
@@ -52,26 +60,65 @@
 	})
 }
 
-// SetPeers tells which entries live, this one among them, and the names of all
-// contracts in force. Agents hear of a change of the entries.
-func (e *Entry) SetPeers(peers []*pb.Peer, contracts []string) {
-	var others, told []string
+func (e *Entry) doorHeard(now time.Time, state *pb.PeerState) {
+	if state.DoorUnixNs == 0 {
+		return
+	}
+	echoes := make([]door.Echo, 0, len(state.DoorEchoes))
+	for _, echo := range state.DoorEchoes {
+		echoes = append(echoes, door.Echo{Entry: echo.Entry, Stamp: time.Unix(0, echo.UnixNs)})
+	}
+	e.core.Door().Heard(now, state.GetSelf().GetIncarnation(), time.Unix(0, state.DoorUnixNs), echoes)
+}
+
+// Announced tells that the entry's announcement at the store holds until then,
+// counted from before the call. True asks for Listed.
+func (e *Entry) Announced(until time.Time) (list bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Door().Announced(time.Now(), until)
+}
+
+// Listed tells all entries that the store names, read in a call that began at
+// readAt.
+func (e *Entry) Listed(readAt time.Time, incarnations []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.Door().Listed(time.Now(), readAt, incarnations)
+}
+
+// SetPeers tells which entries live, this one among them. Agents hear of a change.
+func (e *Entry) SetPeers(peers []*pb.Peer) {
+	var told []string
 	for _, p := range peers {
 		told = append(told, p.Address+" "+p.Incarnation)
-		if p.Incarnation != e.opts.Hello.Incarnation {
-			others = append(others, p.Incarnation)
-		}
 	}
-	e.decide(func(now time.Time) {
+	e.decide(func(time.Time) {
 		if !slices.Equal(told, e.told) {
 			e.told = told
 			e.core.TellPeers(peers)
 		}
+	})
+}
+
+// SetStarters tells which other entries may start tasks, whether this one must
+// not, and the names of all contracts in force.
+func (e *Entry) SetStarters(others []string, fenced bool, contracts []string) {
+	e.decide(func(now time.Time) {
 		heard := make(map[string]uint64, len(others))
 		for _, incarnation := range others {
 			heard[incarnation] = e.heard[incarnation]
 		}
 		e.heard = heard
 		e.core.PeersSeen(now, others, contracts)
+		e.core.Fence(now, fenced)
 	})
 }
+
+// HoldsParts reports whether the entry may start tasks of any contract; also true
+// while no contract allows any.
+func (e *Entry) HoldsParts() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.HoldsParts()
+}
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -38,8 +38,9 @@
 	Join []string
 	// Exchanger is required.
 	Exchanger Exchanger
-	// LeaseTTL is that of the announcement. It is renewed after a third.
-	// Default 60 s.
+	// LeaseTTL is that of the announcement. It is renewed after half of it: more
+	// often would cost store calls at rest, and a lapsed lease drops no entry that
+	// is heard. Default 30 s.
 	LeaseTTL time.Duration
 	Member   member.Options
 	Follow   follow.Options
@@ -48,10 +49,22 @@
 	// Extend adds to the state that is sent; Received is given the state of
 	// others. Both may be nil, and must not block.
 	Extend, Received func(*pb.PeerState)
+	// Announced is told until when the announcement holds, counted from before the
+	// call that renewed it; true asks for a call of Listed with all entries that
+	// the store names, read in a call that began at readAt. Listed is also called
+	// when the store names one no more. Both may be nil.
+	Announced func(until time.Time) (list bool)
+	Listed    func(readAt time.Time, incarnations []string)
 	// OnPeers is given the members after each change, this entry first; it must
 	// not block, nor call the membership but for Peers. Nil: nobody is told.
 	OnPeers func([]*pb.Peer)
-	Logger  *slog.Logger
+	// OnStarters is given the incarnations of the other entries that may start
+	// tasks, and whether this one must not, since others may have taken its parts
+	// of the contracts. It is called again at least once in each interval of
+	// exchanges, must not block, nor call the membership but for Peers. Nil:
+	// nobody is told.
+	OnStarters func(others []string, fenced bool)
+	Logger     *slog.Logger
 	// Events takes losses and returns of the store, for the time line; nil: none.
 	Events *event.Ring
 	// Random gives numbers in [0, 1), concurrently. Default: math/rand/v2.
@@ -70,11 +83,14 @@
 
 	wake  chan struct{}
 	leave chan struct{}
+	again chan struct{} // asks for the store's list of entries
 
-	mu  sync.Mutex // serializes the set
+	mu  sync.Mutex // serializes the set, and guards what follows
 	set *member.Set
 	// reached is whether the store answers, for log lines of its changes.
 	reached bool
+	// settled is set once this entry knows of all that may have started before it.
+	settled bool
 	// storeError tells why the store doesn't answer; nil while it does.
 	storeError atomic.Pointer[string]
 }
@@ -82,8 +98,9 @@
 // New returns a membership that knows no other entry.
 func New(o Options) *Membership {
 	if o.LeaseTTL == 0 {
-		o.LeaseTTL = time.Minute
+		o.LeaseTTL = member.DefaultLeaseTTL
 	}
+	o.Member.LeaseTTL = o.LeaseTTL
 	if o.ExchangeTimeout == 0 {
 		o.ExchangeTimeout = time.Second
 	}
@@ -94,8 +111,9 @@
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 	m := &Membership{
-		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}),
-		set: member.New(o.Self, o.Join, o.Random, o.Member),
+		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}), again: make(chan struct{}, 1),
+		set:     member.New(o.Self, o.Join, o.Random, o.Member),
+		settled: o.Store == nil && len(o.Join) == 0,
 	}
 	m.self.Store(o.Self)
 	m.peers.Store(&[]*pb.Peer{})
@@ -113,6 +131,14 @@
 	return m.set.Find(incarnation)
 }
 
+// Settled reports whether this entry has found those that were there before it.
+// Until then it is fenced: it could take for free what another holds.
+func (m *Membership) Settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.settled
+}
+
 // Run keeps the membership until the context ends. It returns when all that it
 // started has ended.
 func (m *Membership) Run(ctx context.Context) {
@@ -134,11 +160,27 @@
 	left.Leaving = true
 	m.self.Store(left)
 	close(m.leave)
+	m.tellAll()
+}
+
+// End tells the other entries that this one starts nothing any more, so that
+// they may take its parts of the contracts at once. It waits for them.
+func (m *Membership) End() {
+	ended := proto.CloneOf(m.self.Load())
+	ended.Leaving, ended.Ended = true, true
+	m.self.Store(ended)
+	m.tellAll().Wait()
+}
+
+// tellAll exchanges with every member now.
+func (m *Membership) tellAll() *sync.WaitGroup {
+	var wg sync.WaitGroup
 	for _, p := range m.Peers() {
-		if p.Incarnation != left.Incarnation {
-			go m.ask(context.Background(), member.Ask{Address: p.Address, Incarnation: p.Incarnation})
+		if p.Incarnation != m.opts.Self.Incarnation {
+			wg.Go(func() { m.ask(context.Background(), member.Ask{Address: p.Address, Incarnation: p.Incarnation}) })
 		}
 	}
+	return &wg
 }
 
 // update runs one input of the set and publishes what came of it.
