--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -115,6 +115,9 @@
 	return relay.Close, nil
 }
 
+// Store is the base URL of the stand-in store, which holds the contracts.
+func (d *Demo) Store() string { return "http://" + d.site.Store().Address() }
+
 // Operators is the address of the first entry's operators' port.
 func (d *Demo) Operators() string { return d.site.Entries()[0].OperatorsAddress() }
 
--- a/cmd/papayahoist/contract_test.go
+++ b/cmd/papayahoist/contract_test.go
@@ -84,6 +84,12 @@
 	o.run(cli.CodeNotFound, "get", "break-reports")
 }
 
+func TestContractExample(t *testing.T) {
+	o := newOperator(t)
+	o.run(cli.CodeDone, "apply", "../../docs/operators/try/contract.json")
+	o.contains(o.run(cli.CodeDone, "list"), "break-reports", "32.0 GiB", "20s")
+}
+
 // Two operators start from the same revision. The second must not overwrite the
 // first's change without knowing of it.
 func TestContractRace(t *testing.T) {
--- a/cmd/papayahoist/demo.go
+++ b/cmd/papayahoist/demo.go
@@ -69,6 +69,7 @@
 	c.env.Progress("serving callers at http://%s until interrupted; all entries: %s",
 		c.listen, strings.Join(running.Callers(), " "))
 	c.env.Progress("operators: papayahoist status --operators %s", running.Operators())
+	c.env.Progress("contracts: papayahoist contract --store %s list", running.Store())
 	<-c.env.Context.Done()
 	return nil
 }
--- a/cmd/papayahoistd/main_test.go
+++ b/cmd/papayahoistd/main_test.go
@@ -31,7 +31,11 @@
 }
 
 func TestCheckAcceptsExamples(t *testing.T) {
-	for _, file := range []string{"../../docs/operators/entry.json", "../../docs/operators/agent.json"} {
+	const docs = "../../docs/operators/"
+	for _, file := range []string{
+		docs + "entry.json", docs + "agent.json",
+		docs + "try/entry-1.json", docs + "try/entry-2.json", docs + "try/agent-1.json",
+	} {
 		var out, errOut bytes.Buffer
 		code := cli.Run(t.Context(), "papayahoistd", help, []string{"check", file}, &out, &errOut, commands...)
 		if code != cli.CodeDone || !strings.Contains(out.String(), "good settings") {
