--- a/dispatch/entry/status.go
+++ b/dispatch/entry/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/place"
 )
 
@@ -92,17 +93,17 @@
 	return uses
 }
 
-// Answered tells of a job that Ready has just answered: its contract, the time
-// from its acceptance, and the ideal, the longest run time of its tasks. False: it
-// was not accepted here.
-func (e *Entry) Answered(jobID string) (contract string, response, ideal time.Duration, ok bool) {
-	js := e.jobs[jobID]
+// Answered tells of a job that Ready has just answered: the time from its
+// acceptance, and the ideal, the longest run time of its tasks. False: it was not
+// accepted here.
+func (e *Entry) Answered(a Ended) (response, ideal time.Duration, ok bool) {
+	js := e.jobs[job.Name(a.Contract, a.Answer.Job)]
 	if js == nil || js.answer == nil {
-		return "", 0, 0, false
+		return 0, 0, false
 	}
 	accepted := js.deadline.Add(-time.Duration(js.job.TimeoutMs) * time.Millisecond)
 	for _, res := range js.answer.Results {
 		ideal = max(ideal, time.Duration(res.RunMillis)*time.Millisecond)
 	}
-	return js.job.Contract, js.answered.Sub(accepted), ideal, true
+	return js.answered.Sub(accepted), ideal, true
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -294,7 +294,7 @@
 		}
 	}
 	for _, a := range ready.Answers {
-		e.countAnswer(a.Answer)
+		e.countAnswer(a)
 		name := job.Name(a.Contract, a.Answer.Job)
 		for _, w := range e.waiters[name] {
 			w <- a.Answer
--- a/node/entry/operators.go
+++ b/node/entry/operators.go
@@ -163,16 +163,14 @@
 }
 
 // countAnswer counts how a job ended that Ready has just answered.
-func (e *Entry) countAnswer(a *pb.Answer) {
-	contract, response, ideal, accepted := e.core.Answered(a.Job)
-	if !accepted {
-		contract = metrics.OtherContract // a job of an entry that is gone
-	}
-	c := e.series(contract)
+func (e *Entry) countAnswer(ended entry.Ended) {
+	a, c := ended.Answer, e.series(ended.Contract)
 	switch a.Outcome {
 	case pb.Outcome_OUTCOME_COMPLETE:
 		c.Served.Add(1)
-		c.Response(response, ideal)
+		if response, ideal, ok := e.core.Answered(ended); ok {
+			c.Response(response, ideal)
+		}
 	case pb.Outcome_OUTCOME_NOT_RUN:
 		c.Refused(jobs.Code(a.Code))
 	case pb.Outcome_OUTCOME_UNKNOWN:
