--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -202,7 +202,7 @@
 	e.membership = membership.New(membership.Options{
 		Self: e.self, Store: client, Config: e.config, Join: b.o.Settings.Join,
 		Events:    b.ring,
-		Exchanger: membership.NewConnect(b.tls.nodes.Config()),
+		Exchanger: countedExchanger{membership.NewConnect(b.tls.nodes.Config()), b.metrics},
 		Extend:    e.ExtendState, Received: e.StateReceived,
 		OnPeers: e.SetPeers, OnStarters: e.startersChanged, Announced: e.Announced, Listed: e.Listed,
 		LeaseTTL: b.o.LeaseTTL, Member: b.o.Member, Logger: b.log,
