Presets: acknowledgements and credits may wait for a frame to ride on; plain policies in the load tool

Change: package preset with two choices, response and messages; credits, recalls and wants wait up to CreditDelay; the load tool takes random, two-choices and least-loaded.

--- a/cmd/internal/bench/profile.go
+++ b/cmd/internal/bench/profile.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/preset"
 )
 
 // Profile is one user's site and the work that arrives there.
@@ -23,6 +24,8 @@
 	Delay, CallerDelay time.Duration
 	// Entries are thin instances behind the balancer.
 	Entries int
+	// Preset is how the user weighs response time against messages.
+	Preset  preset.Preset
 	Streams []Stream
 }
 
@@ -81,7 +84,7 @@
 func Cadwaladr() Profile {
 	return Profile{
 		Name: "cadwaladr", FailureDomains: []string{"frame-hall", "chain-shed", "creep-room"},
-		Workers: 11, WorkersPerRack: 3, Cores: 16, MemoryBytes: 32 << 30, Slots: 8, Connections: 64, Entries: 3,
+		Workers: 11, WorkersPerRack: 3, Cores: 16, MemoryBytes: 32 << 30, Slots: 8, Connections: 64, Entries: 3, Preset: preset.Response(),
 		Delay: time.Millisecond, CallerDelay: time.Millisecond,
 		Streams: []Stream{
 			{Contract: contract("break-reports", pb.Class_CLASS_URGENT, 4, 88), Kind: "break-report", Share: 0.3, MaxTasks: 20, MemoryBytes: 600 * mebibyte, Timeout: 20 * time.Second},
@@ -95,7 +98,7 @@
 func Hilvana() Profile {
 	return Profile{
 		Name: "hilvana", FailureDomains: []string{"quilicura", "maipu", "la-florida"},
-		Workers: 11, WorkersPerRack: 3, Cores: 64, MemoryBytes: 128 << 30, Slots: 8, Connections: 64, Entries: 3,
+		Workers: 11, WorkersPerRack: 3, Cores: 64, MemoryBytes: 128 << 30, Slots: 8, Connections: 64, Entries: 3, Preset: preset.Messages(),
 		Delay: 1500 * time.Microsecond, CallerDelay: 3 * time.Millisecond,
 		Streams: []Stream{
 			{Contract: contract("pickups", pb.Class_CLASS_URGENT, 4, 88), Kind: "pickup", Share: 0.35, MaxTasks: 20, MemoryBytes: 400 * mebibyte, Timeout: 20 * time.Second},
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -14,6 +16,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/client"
 	"github.com/papayahoist/papayahoist/cmd/internal/site"
+	"github.com/papayahoist/papayahoist/dispatch/place"
 	standin "github.com/papayahoist/papayahoist/platform/standin/endpoint"
 )
 
@@ -101,17 +104,38 @@
 	return s, nil
 }
 
-// applyPolicy sets how entries choose agents.
-func applyPolicy(c Config, _ *site.Options) error {
-	if c.Policy != "" && c.Policy != PolicyCredits {
-		return ErrConfig.New("policy %q: known are: %s", c.Policy, PolicyCredits)
+// Policies that a run may use.
+const (
+	// PolicyCredits binds tasks to agents that have granted a free slot.
+	PolicyCredits = "credits"
+	// The others bind a task to an agent when it arrives.
+	PolicyRandom      = "random"
+	PolicyTwoChoices  = "two-choices"
+	PolicyLeastLoaded = "least-loaded"
+)
+
+// applyPolicy sets how entries choose agents, and how the site weighs messages.
+func applyPolicy(c Config, o *site.Options) error {
+	var entries atomic.Uint64
+	source := func() *rand.Rand { return rand.New(rand.NewPCG(c.Seed, entries.Add(1))) }
+	switch c.Policy {
+	case "", PolicyCredits:
+	case PolicyRandom:
+		o.EntryCore.NewPicker = func() place.Picker { return &place.Random{Rand: source()} }
+	case PolicyTwoChoices:
+		o.EntryCore.NewPicker = func() place.Picker { return &place.TwoChoices{Rand: source()} }
+	case PolicyLeastLoaded:
+		o.EntryCore.NewPicker = func() place.Picker { return place.LeastLoaded{} }
+	default:
+		return ErrConfig.New("policy %q: known are: %s, %s, %s, %s", c.Policy, PolicyCredits, PolicyRandom, PolicyTwoChoices, PolicyLeastLoaded)
 	}
+	p := c.Profile.Preset
+	o.EntryCore.Link, o.AgentCore.Link = p.Link, p.Link
+	o.EntryCore.CreditDelay, o.AgentCore.CreditDelay = p.CreditDelay, p.CreditDelay
+	o.EntryCore.MessageCost = p.MessageCost
 	return nil
 }
 
-// PolicyCredits binds tasks to agents that have granted a free slot.
-const PolicyCredits = "credits"
-
 // run is one run in progress.
 type run struct {
 	config  Config
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -27,6 +27,8 @@
 	// Damping is how long an entry's credits must lie unused before they are
 	// recalled for another that waits.
 	Damping time.Duration
+	// CreditDelay is how long credits and recalls wait for a frame to ride on.
+	CreditDelay time.Duration
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
 	// Events takes what happens, for the time line, and stamps messages; nil: none.
@@ -132,6 +134,7 @@
 	leaving    bool          // as last told, for operators
 	out        pb.AgentFrame // content of the next frame
 	dirty      bool
+	flushBy    time.Time // when credits must go out; zero: none wait
 	unacked    []sentNews
 	loadSentAt time.Time
 }
@@ -198,7 +201,7 @@
 	p.unacked = nil
 	p.out = pb.AgentFrame{Hello: a.opts.Hello, Leaving: a.leaving}
 	p.loadSentAt = time.Time{}
-	p.dirty = true
+	p.dirty, p.flushBy = true, time.Time{}
 	a.requeueResults(p)
 	a.balance(now)
 	return ""
@@ -232,7 +235,7 @@
 	p.session.Down()
 	a.slots.Unlink(p.hello.Incarnation)
 	p.out = pb.AgentFrame{}
-	p.dirty = false
+	p.dirty, p.flushBy = false, time.Time{}
 }
 
 // Step takes in a frame of the link with the given epoch.
@@ -531,7 +534,7 @@
 			a.recordPeer(now, event.PeerSuspected, p, "the link has gone silent", p.session.Epoch())
 			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
 			a.drop(p)
-		} else if p.session.Due(now) {
+		} else if p.session.Due(now) || (!p.flushBy.IsZero() && !now.Before(p.flushBy)) {
 			p.dirty = true
 		}
 	}
@@ -542,7 +545,7 @@
 func (a *Agent) Next() time.Time {
 	next := a.slots.RecallAt()
 	for _, p := range a.peers {
-		next = link.Earlier(next, p.session.Next())
+		next = link.Earlier(link.Earlier(next, p.session.Next()), p.flushBy)
 	}
 	return next
 }
@@ -592,7 +595,7 @@
 		Granted: p.out.Granted, Recall: p.out.Recall, Leaving: a.leaving,
 	}
 	p.out = pb.AgentFrame{}
-	p.dirty = false
+	p.dirty, p.flushBy = false, time.Time{}
 	if now.Sub(p.loadSentAt) >= a.opts.LoadEvery {
 		f.Load = a.load()
 		p.loadSentAt = now
--- a/dispatch/agent/credits.go
+++ b/dispatch/agent/credits.go
@@ -12,7 +12,19 @@
 		p := a.peer(g.Entry)
 		p.out.Granted += uint32(g.Granted)
 		p.out.Recall += uint32(g.Recall)
+		p.flushLater(now, a.opts.CreditDelay)
+	}
+}
+
+// flushLater sends what has gathered with the next frame, or by itself when none
+// goes out in time.
+func (p *peer) flushLater(now time.Time, delay time.Duration) {
+	if delay == 0 {
 		p.dirty = true
+		return
+	}
+	if p.flushBy.IsZero() {
+		p.flushBy = now.Add(delay)
 	}
 }
 
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -35,6 +35,8 @@
 	dirty  bool
 
 	standing place.Standing // as last told, for operators
+	// flushBy is when credits returned or wanted must go out; zero: none wait.
+	flushBy time.Time
 }
 
 // revoked is a revocation that went out with frame seq; zero: not sent yet.
@@ -108,7 +110,7 @@
 	a.wanted = 0
 	known := e.updateAgent(now, a)
 	a.out = pb.EntryFrame{}
-	a.dirty = false
+	a.dirty, a.flushBy = false, time.Time{}
 	again := a.unacked
 	a.unacked, a.placed = nil, nil
 	for _, r := range a.revoked {
@@ -186,7 +188,7 @@
 		a.dialAt = now
 	}
 	if a.session.IsUp() {
-		if a.session.Due(now) {
+		if a.session.Due(now) || (!a.flushBy.IsZero() && !now.Before(a.flushBy)) {
 			a.dirty = true
 		}
 		return
@@ -201,7 +203,7 @@
 
 func (a *agent) next(o Options) time.Time {
 	if a.session.IsUp() {
-		return a.session.Next()
+		return link.Earlier(a.session.Next(), a.flushBy)
 	}
 	if a.gone {
 		return time.Time{}
@@ -269,7 +271,7 @@
 		e.updateAgent(now, a)
 	}
 	if f.Recall > 0 {
-		e.giveBack(a, int(f.Recall))
+		e.giveBack(now, a, int(f.Recall))
 	}
 }
 
@@ -279,11 +281,11 @@
 
 // giveBack returns credits that no waiting task needs; it answers even with
 // none, so that the agent may ask again.
-func (e *Entry) giveBack(a *agent, n int) {
+func (e *Entry) giveBack(now time.Time, a *agent, n int) {
 	known := e.policy.sched.Pool.Agent(a.hello.Agent)
 	a.out.Returned += uint32(e.policy.sched.Pool.Reclaim(known, n))
 	a.out.Recalled = true
-	a.dirty = true
+	a.flushLater(now, e.opts.CreditDelay)
 }
 
 func (a *agent) acknowledged() {
@@ -335,7 +337,7 @@
 		Returned: a.out.Returned, Recalled: a.out.Recalled, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
 	}
 	a.out = pb.EntryFrame{}
-	a.dirty = false
+	a.dirty, a.flushBy = false, time.Time{}
 	for _, t := range a.placed {
 		f.Starts = addStart(now, f.Starts, t)
 	}
@@ -368,6 +370,18 @@
 	})
 }
 
+// flushLater sends what has gathered with the next frame, or by itself when none
+// goes out in time.
+func (a *agent) flushLater(now time.Time, delay time.Duration) {
+	if delay == 0 {
+		a.dirty = true
+		return
+	}
+	if a.flushBy.IsZero() {
+		a.flushBy = now.Add(delay)
+	}
+}
+
 // track notes that a task is this agent's.
 func (a *agent) track(t *taskState) {
 	t.agent = a
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -30,8 +30,14 @@
 	AgentLostAfter time.Duration
 	// RedialAfter is the least time between two attempts to reach an agent.
 	RedialAfter time.Duration
-	// Picker chooses agents for tasks; nil: late binding by credits.
-	Picker place.Picker
+	// CreditDelay is how long credits returned and wanted wait for a frame to
+	// ride on.
+	CreditDelay time.Duration
+	// NewPicker returns what chooses agents for tasks; nil: late binding by
+	// credits, with MessageCost.
+	NewPicker func() place.Picker
+	// MessageCost is how much later a task may end to save one message.
+	MessageCost time.Duration
 	// DomainRoundTrip is the round trip to an agent in another failure domain,
 	// beyond the one to an agent in the entry's own.
 	DomainRoundTrip time.Duration
@@ -51,9 +57,8 @@
 	DefaultRedialAfter    = 250 * time.Millisecond
 	DefaultMaxJobs        = 200_000
 	DefaultMaxWaiting     = 100_000
-	// DefaultMessageCost and DefaultSpreadCost are the default picker's.
-	DefaultMessageCost = time.Millisecond
-	DefaultSpreadCost  = 2 * time.Millisecond
+	DefaultMessageCost    = time.Millisecond
+	DefaultSpreadCost     = 2 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -67,8 +72,11 @@
 	set(&o.TokenTTL, DefaultTokenTTL)
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
 	set(&o.RedialAfter, DefaultRedialAfter)
-	if o.Picker == nil {
-		o.Picker = &place.Credits{MessageCost: DefaultMessageCost, SpreadCost: DefaultSpreadCost}
+	set(&o.MessageCost, DefaultMessageCost)
+	if o.NewPicker == nil {
+		o.NewPicker = func() place.Picker {
+			return &place.Credits{MessageCost: o.MessageCost, SpreadCost: DefaultSpreadCost}
+		}
 	}
 	if o.MaxWaiting == 0 {
 		o.MaxWaiting = DefaultMaxWaiting
--- a/dispatch/entry/place.go
+++ b/dispatch/entry/place.go
@@ -19,19 +19,19 @@
 		}
 	}
 	e.policy.opensAt = e.policy.limits.OpensAt(now)
-	e.tellWant()
+	e.tellWant(now)
 }
 
 // tellWant tells the linked agents the unmet demand. Only a change from or to
 // nothing is worth a frame of its own.
-func (e *Entry) tellWant() {
+func (e *Entry) tellWant(now time.Time) {
 	for _, a := range e.agents {
 		if !a.session.IsUp() || a.leaving {
 			continue
 		}
 		n := uint32(e.policy.sched.Want(e.policy.sched.Pool.Agent(a.hello.Agent)))
 		if (n == 0) != (a.wanted == 0) {
-			a.dirty = true
+			a.flushLater(now, e.opts.CreditDelay)
 		}
 		a.wanted = n
 	}
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -33,7 +33,7 @@
 func newPolicy(o Options) *policy {
 	limits := limit.NewLimiter()
 	return &policy{
-		sched:     place.NewScheduler(o.Picker, limits),
+		sched:     place.NewScheduler(o.NewPicker(), limits),
 		limits:    limits,
 		shares:    limit.NewShares(o.Hello.Incarnation),
 		sizes:     estimate.New(estimate.Options{}),
