Slots shared by all entries instead of divided; jobs of little work first

Cause: credits divided between entries cost three messages for each move, and a job of many tasks kept short ones waiting until its own due time was past. Due adds the work that a job puts in front of others. Wants no longer cost a frame to fall to nothing. The load tool reports waste by reason.

--- a/cmd/internal/bench/report.go
+++ b/cmd/internal/bench/report.go
@@ -39,6 +39,9 @@
 	IdleBytesPerNodeSecond    float64            `json:"idle_bytes_per_node_second"`
 	MessagesByKind            map[string]float64 `json:"messages_per_task_by_kind"`
 
+	// WastedByReason are what the processes themselves saw to be in vain, per task.
+	WastedByReason map[string]float64 `json:"wasted_per_task_by_reason"`
+
 	DoubleStarts   int `json:"double_starts"`
 	PartialAnswers int `json:"partial_answers"`
 	LostResults    int `json:"lost_results"`
@@ -194,6 +197,7 @@
 func (rep *Report) countMessages(r *run) {
 	tasks := float64(max(1, rep.Tasks))
 	rep.MessagesByKind = make(map[string]float64)
+	rep.WastedByReason = make(map[string]float64)
 	for kind, n := range r.after.ByKind {
 		if n -= r.before.ByKind[kind]; n > 0 {
 			rep.MessagesByKind[kind] = n / tasks
@@ -202,7 +206,10 @@
 	}
 	rep.WastedMessagesPerTask = rep.MessagesByKind["heartbeat"] + rep.MessagesByKind["credits"]
 	for reason, n := range r.after.Wasted {
-		rep.WastedMessagesPerTask += (n - r.before.Wasted[reason]) / tasks
+		if n -= r.before.Wasted[reason]; n > 0 {
+			rep.WastedByReason[reason] = n / tasks
+			rep.WastedMessagesPerTask += n / tasks
+		}
 	}
 	nodeSeconds := float64(r.config.Profile.Workers+r.config.Profile.Entries) * idleTime.Seconds()
 	rep.IdleMessagesPerNodeSecond = (r.idleAfter.Total() - r.idleBefore.Total()) / nodeSeconds
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -132,6 +132,7 @@
 	p := c.Profile.Preset
 	o.EntryCore.Link, o.AgentCore.Link = p.Link, p.Link
 	o.EntryCore.CreditDelay, o.AgentCore.CreditDelay = p.CreditDelay, p.CreditDelay
+	o.AgentCore.Shared = p.Shared
 	o.EntryCore.MessageCost = p.MessageCost
 	return nil
 }
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -27,6 +27,10 @@
 	// Damping is how long an entry's credits must lie unused before they are
 	// recalled for another that waits.
 	Damping time.Duration
+	// Shared offers all slots to every entry, instead of dividing them by credits.
+	Shared bool
+	// MaxQueued bounds the units that wait for a slot when slots are shared.
+	MaxQueued int
 	// CreditDelay is how long credits and recalls wait for a frame to ride on.
 	CreditDelay time.Duration
 	// LoadEvery is the least time between load reports on one link.
@@ -42,6 +46,7 @@
 	DefaultFenceTTL       = 30 * time.Minute
 	DefaultMaxFences      = 50_000
 	DefaultLoadEvery      = time.Second
+	DefaultMaxQueued      = 8
 	DefaultDamping        = 10 * time.Millisecond
 )
 
@@ -59,6 +64,9 @@
 	if o.MaxFences == 0 {
 		o.MaxFences = DefaultMaxFences
 	}
+	if o.MaxQueued == 0 {
+		o.MaxQueued = DefaultMaxQueued
+	}
 	if o.Damping == 0 {
 		o.Damping = DefaultDamping
 	}
@@ -110,7 +118,8 @@
 	tasks       int // tasks in all records
 	resultBytes int
 
-	slots    *limit.Credits
+	slots    slots
+	queue    []queued // starts that wait for a slot, oldest first
 	running  int
 	reserved uint64
 	loads    map[string]*pb.ContractLoad
@@ -160,6 +169,7 @@
 	index    uint32
 	memory   uint64
 	units    int            // slots that it takes
+	queued   bool           // accepted, and not started yet
 	result   *pb.TaskResult // nil while running
 	acked    bool
 	stopping bool
@@ -170,7 +180,7 @@
 	opts = opts.withDefaults()
 	return &Agent{
 		opts:    opts,
-		slots:   limit.NewCredits(limit.CreditsOptions{Slots: int(opts.Hello.Slots), Damping: opts.Damping}),
+		slots:   newSlots(opts),
 		jobs:    make(map[string]*record),
 		loads:   make(map[string]*pb.ContractLoad),
 		fences:  make(map[string]time.Time),
@@ -268,6 +278,7 @@
 	for _, id := range f.Finished {
 		a.finished(id)
 	}
+	a.runQueued(now)
 	a.balance(now)
 }
 
@@ -311,18 +322,17 @@
 				continue
 			}
 		}
-		why := a.refuse(p, b, ts)
-		if why == "" && !a.slots.Start(p.hello.Incarnation, units) {
-			why = job.RefusedNoSlot
+		verdict, why := limit.Refuse, a.refuse(p, b, units)
+		if why == "" {
+			verdict, why = a.slots.Start(p.hello.Incarnation, units), job.RefusedNoSlot
 		}
-		if why != "" {
+		if verdict == limit.Refuse {
 			a.recordTask(now, event.TaskRefused, p, TaskRef{b.Job, ts.Task}, b.Contract, why)
 			a.slots.Unused(p.hello.Incarnation, units)
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
 		}
-		a.recordTask(now, event.TaskStarted, p, TaskRef{b.Job, ts.Task}, b.Contract, "")
-		a.run(now, p, b, ts, units)
+		a.accept(now, p, b, ts, units, verdict)
 	}
 }
 
@@ -334,7 +344,7 @@
 	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Error: why}
 }
 
-func (a *Agent) refuse(p *peer, b *pb.StartBatch, ts *pb.TaskStart) string {
+func (a *Agent) refuse(p *peer, b *pb.StartBatch, units int) string {
 	id, err := job.Parse(b.Job)
 	switch {
 	case err != nil || (id.HasHome() && id.Home.Incarnation != p.hello.Incarnation):
@@ -343,7 +353,7 @@
 		return job.RefusedFenced
 	case a.leaving:
 		return job.RefusedLeaving
-	case a.opts.Hello.MemoryBytes > 0 && a.reserved+ts.MemoryBytes > a.opts.Hello.MemoryBytes:
+	case units > int(a.opts.Hello.Slots):
 		return job.RefusedMemory
 	case a.full():
 		return job.RefusedFull
@@ -358,24 +368,37 @@
 	return a.tasks >= a.opts.MaxRecords || a.resultBytes >= a.opts.MaxResultBytes
 }
 
-func (a *Agent) run(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart, units int) {
+// accept keeps a record of a task and starts it, or puts it in the queue.
+func (a *Agent) accept(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart, units int, verdict limit.Verdict) {
 	rec := a.jobs[b.Job]
 	if rec == nil {
 		rec = &record{job: b.Job, home: p.hello.Incarnation, contract: b.Contract, tasks: make(map[uint32]*task)}
 		a.jobs[b.Job] = rec
 	}
-	rec.tasks[ts.Task] = &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes, units: units}
+	t := &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes, units: units}
+	rec.tasks[ts.Task] = t
 	rec.open++
 	a.tasks++
-	a.running++
-	a.reserve(b.Contract, 1, int64(ts.MemoryBytes))
-	a.ready.Run = append(a.ready.Run, Run{
+	r := Run{
 		TaskRef:  TaskRef{Job: b.Job, Task: ts.Task},
 		Contract: b.Contract,
 		Kind:     b.Kind,
 		Payload:  ts.Payload,
 		Deadline: now.Add(time.Duration(b.TimeoutMs) * time.Millisecond),
-	})
+	}
+	if verdict == limit.Queue {
+		t.queued = true
+		a.queue = append(a.queue, queued{t, r})
+		return
+	}
+	a.run(now, p, t, r)
+}
+
+func (a *Agent) run(now time.Time, p *peer, t *task, r Run) {
+	a.recordTask(now, event.TaskStarted, p, r.TaskRef, r.Contract, "")
+	a.running++
+	a.reserve(r.Contract, 1, int64(t.memory))
+	a.ready.Run = append(a.ready.Run, r)
 }
 
 func (a *Agent) reserve(contract string, tasks int, memory int64) {
@@ -411,6 +434,7 @@
 	a.slots.End(rec.home, t.units)
 	a.resultBytes += len(res.Body)
 	a.reserve(rec.contract, -1, -int64(t.memory))
+	a.runQueued(now)
 	if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
 		// With the record kept, a new start of the task would be taken for a
 		// repetition of this one, and the caller would wait until the deadline.
@@ -456,6 +480,9 @@
 			// can no longer arrive before the entry has seen this refusal.
 			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, "", "before it came")
 			a.addNews(p, r.Job, refusal(index, job.RefusedRevoked))
+		case t.queued:
+			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, rec.contract, "before it started")
+			a.unqueue(t, job.RefusedRevoked)
 		case t.result == nil && !t.stopping:
 			t.stopping = true
 			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, rec.contract, "while it runs")
@@ -480,6 +507,7 @@
 	if id, err := job.Parse(f.Job); err == nil && a.evicted[id.Home.Incarnation] {
 		report.Evicted = true
 	}
+	a.unqueueJob(f.Job, job.RefusedFenced)
 	if rec := a.jobs[f.Job]; rec != nil {
 		for _, t := range rec.sortedTasks() {
 			if t.result == nil {
@@ -554,6 +582,7 @@
 func (a *Agent) Leave(now time.Time) {
 	a.leaving = true
 	a.opts.Events.Record(now, event.Event{Kind: event.DrainBegun, Detail: "no new tasks", Value: uint64(a.running)})
+	a.unqueueJob("", job.RefusedLeaving)
 	for _, p := range a.peers {
 		a.slots.Unlink(p.hello.Incarnation)
 		p.dirty = p.session.IsUp()
@@ -600,6 +629,10 @@
 		f.Load = a.load()
 		p.loadSentAt = now
 	}
+	if a.opts.Shared {
+		spare := int32(a.slots.Free())
+		f.Spare = &spare
+	}
 	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
 	f.Seq, f.Ack = p.session.Send(now, content)
 	a.recordSent(now, p, f)
@@ -630,7 +663,7 @@
 func (a *Agent) load() *pb.AgentLoad {
 	l := &pb.AgentLoad{
 		Running:             uint32(a.running),
-		FreeSlots:           uint32(a.slots.Free()),
+		FreeSlots:           uint32(max(a.slots.Free(), 0)),
 		ReservedMemoryBytes: a.reserved,
 	}
 	for _, c := range sortedKeys(a.loads) {
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -270,11 +270,28 @@
 		e.policy.sched.Pool.SetCredits(known, 0)
 		e.updateAgent(now, a)
 	}
+	if f.Spare != nil {
+		e.policy.sched.Pool.SetSpare(known, int(*f.Spare)-a.unseen(known), now)
+	}
 	if f.Recall > 0 {
 		e.giveBack(now, a, int(f.Recall))
 	}
 }
 
+// unseen returns the units of starts that the agent had not received when it sent
+// its last frame.
+func (a *agent) unseen(known *place.Agent) int {
+	units := 0
+	for _, tasks := range [][]*taskState{a.unacked, a.placed} {
+		for _, t := range tasks {
+			if t.phase == sent {
+				units += known.Units(t.start.MemoryBytes)
+			}
+		}
+	}
+	return units
+}
+
 func hasContent(f *pb.AgentFrame) bool {
 	return f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
 }
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -59,6 +59,7 @@
 	DefaultMaxWaiting     = 100_000
 	DefaultMessageCost    = time.Millisecond
 	DefaultSpreadCost     = 2 * time.Millisecond
+	DefaultCollisionCost  = 5 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -75,7 +76,7 @@
 	set(&o.MessageCost, DefaultMessageCost)
 	if o.NewPicker == nil {
 		o.NewPicker = func() place.Picker {
-			return &place.Credits{MessageCost: o.MessageCost, SpreadCost: DefaultSpreadCost}
+			return &place.Credits{MessageCost: o.MessageCost, SpreadCost: DefaultSpreadCost, CollisionCost: DefaultCollisionCost}
 		}
 	}
 	if o.MaxWaiting == 0 {
--- a/dispatch/entry/place.go
+++ b/dispatch/entry/place.go
@@ -22,15 +22,15 @@
 	e.tellWant(now)
 }
 
-// tellWant tells the linked agents the unmet demand. Only a change from or to
-// nothing is worth a frame of its own.
+// tellWant tells the linked agents the unmet demand. Only demand that is new is
+// worth a frame of its own; agents count down what they have granted.
 func (e *Entry) tellWant(now time.Time) {
 	for _, a := range e.agents {
 		if !a.session.IsUp() || a.leaving {
 			continue
 		}
 		n := uint32(e.policy.sched.Want(e.policy.sched.Pool.Agent(a.hello.Agent)))
-		if (n == 0) != (a.wanted == 0) {
+		if n > 0 && a.wanted == 0 {
 			a.flushLater(now, e.opts.CreditDelay)
 		}
 		a.wanted = n
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -30,6 +30,10 @@
 // met any more, and contracts for changes.
 const checkEvery = 50 * time.Millisecond
 
+// guessAfter is how old the news of an agent's slots must be to try a start there
+// while tasks wait.
+const guessAfter = 150 * time.Millisecond
+
 func newPolicy(o Options) *policy {
 	limits := limit.NewLimiter()
 	return &policy{
@@ -216,6 +220,9 @@
 		e.contract(now, name)
 	}
 	p.sched.Retry()
+	if p.sched.Waiting() > 0 {
+		p.sched.Pool.Guess(now.Add(-guessAfter), now)
+	}
 	for _, a := range e.agents {
 		if a.session.IsUp() {
 			e.updateAgent(now, a)
--- a/dispatch/limit/credits.go
+++ b/dispatch/limit/credits.go
@@ -94,13 +94,13 @@
 }
 
 // Start uses an entry's credits for a task, and free slots for what they lack: a
-// start sent again on a new link comes before the credits of that link. It returns
-// false, and the task must not start, if there are too few of both, since it would
-// take a slot promised to another entry.
-func (c *Credits) Start(entry string, units int) bool {
+// start sent again on a new link comes before the credits of that link. It
+// refuses if there are too few of both, since the task would take a slot promised
+// to another entry.
+func (c *Credits) Start(entry string, units int) Verdict {
 	h := c.entries[entry]
 	if h == nil || h.granted+c.Free() < units {
-		return false
+		return Refuse
 	}
 	used := min(h.granted, units)
 	h.granted -= used
@@ -109,9 +109,15 @@
 	h.recalled = min(h.recalled, h.granted)
 	c.granted -= used
 	c.running += units
-	return true
+	return Run
 }
 
+// Dequeue returns false: nothing is queued.
+func (c *Credits) Dequeue(int) bool { return false }
+
+// Cancel does nothing: nothing is queued.
+func (c *Credits) Cancel(string, int) {}
+
 // End frees the slots of a task that ended. Entry may be gone.
 func (c *Credits) End(entry string, units int) {
 	c.running -= units
--- a/dispatch/limit/limit_test.go
+++ b/dispatch/limit/limit_test.go
@@ -34,7 +34,7 @@
 			case 2:
 				c.SetWant(e, rapid.IntRange(0, 20).Draw(t, "want"))
 			case 3:
-				if c.Start(e, 1) {
+				if c.Start(e, 1) == Run {
 					running = append(running, e)
 				}
 			case 4:
@@ -62,6 +62,60 @@
 	})
 }
 
+// Several entries start tasks on the same slots at once. If more ran than there
+// are slots, the worker would run out of memory and fail all of them.
+func TestSharedNeverExceedsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		s := NewShared(SharedOptions{Slots: slots, MaxQueued: 3})
+		type start struct {
+			entry string
+			units int
+		}
+		var running, queued []start
+		entry := rapid.SampledFrom([]string{"a", "b", "c"})
+		sum := func(list []start) (n int) {
+			for _, x := range list {
+				n += x.units
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			x := start{entry.Draw(t, "entry"), rapid.IntRange(1, 9).Draw(t, "units")}
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0:
+				s.Link(x.entry, epoch)
+			case 1:
+				s.Unlink(x.entry)
+			case 2, 3:
+				switch s.Start(x.entry, x.units) {
+				case Run:
+					running = append(running, x)
+				case Queue:
+					queued = append(queued, x)
+				}
+			case 4:
+				if len(running) > 0 {
+					s.End(running[0].entry, running[0].units)
+					running = running[1:]
+				}
+				for len(queued) > 0 && s.Dequeue(queued[0].units) {
+					running, queued = append(running, queued[0]), queued[1:]
+				}
+			case 5:
+				if len(queued) > 0 {
+					s.Cancel(queued[0].entry, queued[0].units)
+					queued = queued[1:]
+				}
+			}
+			s.Balance(epoch, nil)
+			if sum(running) > slots || sum(queued) > 3 || s.Free() != slots-sum(running)-sum(queued) {
+				t.Fatalf("running %v, queued %v, free %d of %d", running, queued, s.Free(), slots)
+			}
+		}
+	})
+}
+
 func TestCreditsFollowDemand(t *testing.T) {
 	c := NewCredits(CreditsOptions{Slots: 8, Damping: 10 * time.Millisecond})
 	c.Link("a", epoch)
@@ -91,7 +145,7 @@
 	c.Link("b", epoch)
 	c.SetWant("a", 8)
 	c.Balance(epoch, nil)
-	if c.Free() != 0 || c.Granted("b") != 0 || c.Start("b", 1) {
+	if c.Free() != 0 || c.Granted("b") != 0 || c.Start("b", 1) == Run {
 		t.Error("a start on a void credit took a slot promised to another entry")
 	}
 }
--- a/dispatch/place/picker.go
+++ b/dispatch/place/picker.go
@@ -35,6 +35,9 @@
 	// MessageCost is how much later a task may end to save one message. It
 	// makes tasks of a job travel together.
 	MessageCost time.Duration
+	// CollisionCost is how much longer a task is taken to wait on an agent whose
+	// last spare slot it takes, when other entries may take it too.
+	CollisionCost time.Duration
 	// SpreadCost is how much longer a task is taken to run on an agent whose
 	// slots are all used than on an idle one.
 	SpreadCost time.Duration
@@ -74,8 +77,11 @@
 // time on a usual agent, with the other costs in the same unit.
 func (c *Credits) score(a *Agent, need Need) float64 {
 	score := float64(a.Distance) + float64(need.Run)*(a.Slowness-1)
-	score += float64(c.SpreadCost) * float64(a.outstanding) / float64(max(a.Slots, 1))
+	score += float64(c.SpreadCost) * a.used()
 	together := min(a.usable(), need.Tasks)
+	if a.shared {
+		score += float64(c.CollisionCost) / float64(max(a.spare, 1))
+	}
 	return score + float64(c.MessageCost)/float64(max(together, 1))
 }
 
--- a/dispatch/place/pool.go
+++ b/dispatch/place/pool.go
@@ -35,6 +35,12 @@
 	Slowness float64
 	Standing Standing
 
+	// spare is set for agents whose slots all entries share: the slots expected
+	// to be free there, as of spareAt.
+	shared  bool
+	spare   int
+	spareAt time.Time
+
 	slotMemory  uint64
 	credits     int
 	outstanding int
@@ -61,7 +67,24 @@
 		if a.outstanding > 0 {
 			return 0
 		}
-		return min(a.credits, 1)
+		return min(a.available(), 1)
+	}
+	return a.available()
+}
+
+// atOnce returns how many units to place before looking for the best agent again.
+// Of shared slots that is half: another entry may be filling them too, and the
+// frame that carries the tasks can still take the rest.
+func (a *Agent) atOnce() int {
+	if a.shared {
+		return (a.usable() + 1) / 2
+	}
+	return a.usable()
+}
+
+func (a *Agent) available() int {
+	if a.shared {
+		return min(a.credits, a.spare)
 	}
 	return a.credits
 }
@@ -85,6 +108,14 @@
 	return sum
 }
 
+// used is the part of the slots in use, as far as it is known.
+func (a *Agent) used() float64 {
+	if a.shared {
+		return 1 - float64(a.spare)/float64(max(a.Slots, 1))
+	}
+	return float64(a.outstanding) / float64(max(a.Slots, 1))
+}
+
 // load is the used part of the agent, between 0 and above 1 when work is bound
 // to it that it has no slot for.
 func (a *Agent) load() float64 {
@@ -191,6 +222,29 @@
 // Grant adds credits that an agent gave.
 func (p *Pool) Grant(a *Agent, credits int) { p.SetCredits(a, a.credits+credits) }
 
+// SetSpare notes how many slots of an agent are free that all entries share.
+func (p *Pool) SetSpare(a *Agent, spare int, now time.Time) {
+	a.shared, a.spare, a.spareAt = true, spare, now
+	p.refresh(a)
+}
+
+// Guess allows one start at the agent whose spare slots were not heard of for
+// longest, if that is before the given time. Another entry may have filled them,
+// and may have left them since; only an agent that runs something for this entry
+// tells it.
+func (p *Pool) Guess(before, now time.Time) {
+	var oldest *Agent
+	for _, a := range p.all {
+		if a.shared && a.Standing == Open && a.spare < 1 && a.spareAt.Before(before) &&
+			(oldest == nil || a.spareAt.Before(oldest.spareAt)) {
+			oldest = a
+		}
+	}
+	if oldest != nil {
+		p.SetSpare(oldest, 1, now)
+	}
+}
+
 // Reclaim takes up to n unused credits away, to be given back to the agent, and
 // returns how many.
 func (p *Pool) Reclaim(a *Agent, n int) int {
@@ -202,6 +256,7 @@
 // Started counts units as started at an agent, against its credits.
 func (p *Pool) Started(a *Agent, units int) {
 	a.outstanding += units
+	a.spare -= units
 	p.outstanding += units
 	p.SetCredits(a, a.credits-units)
 }
--- a/dispatch/place/queue.go
+++ b/dispatch/place/queue.go
@@ -78,22 +78,26 @@
 	slices.SortStableFunc(tasks, func(a, b Task) int { return int(b.Run - a.Run) })
 }
 
-// stretch is the response time, as a multiple of the ideal, that jobs are ordered
-// by: the job that reaches it first goes first.
-const stretch = 1.5
-
-// Due returns when a job that arrives now should have its answer: a short job
-// soon, a long one later, and none after its deadline. Ordering by it keeps short
-// jobs from waiting behind long ones, and since it is a point in time, every job
-// comes to be the first in the end.
+// A job's answer is due after stretch times its ideal response time and
+// yield times the time in which all slots could do its work.
+const (
+	stretch = 1.5
+	yield   = 16
+)
+
+// Due returns when a job that arrives now should have its answer, and never after
+// its deadline. A job of little work is due soon, since it delays the others by
+// little, and one of much work later. Ordering by due keeps short jobs from waiting
+// behind long ones, and since it is a point in time, every job comes to be the
+// first in the end.
 func Due(now, deadline time.Time, tasks []Task, slots int) time.Time {
 	var longest, sum time.Duration
 	for i := range tasks {
 		longest = max(longest, tasks[i].Run)
 		sum += tasks[i].Run
 	}
-	ideal := max(longest, sum/time.Duration(max(slots, 1)))
-	due := now.Add(time.Duration(stretch * float64(ideal)))
+	spread := sum / time.Duration(max(slots, 1))
+	due := now.Add(time.Duration(stretch*float64(max(longest, spread)) + yield*float64(spread)))
 	if !deadline.IsZero() && deadline.Before(due) {
 		return deadline
 	}
--- a/dispatch/place/scheduler.go
+++ b/dispatch/place/scheduler.go
@@ -208,8 +208,9 @@
 // take places as many tasks of a job as fit an agent's credits and the
 // contract's limits. With no room under the limits it blocks the contract.
 func (s *Scheduler) take(now time.Time, q *Queue, j *Job, a *Agent) (Placement, bool) {
-	fit, left := 0, a.usable()
-	for i := range j.Tasks {
+	// The first task fits, or the agent would not have been chosen.
+	fit, left := 1, a.atOnce()-a.units(j.Tasks[0].Memory)
+	for i := 1; i < len(j.Tasks); i++ {
 		left -= a.units(j.Tasks[i].Memory)
 		if left < 0 {
 			break
@@ -287,7 +288,7 @@
 func (s *Scheduler) Want(a *Agent) int {
 	want := a.boundUnits
 	switch f := a.reservedFor; {
-	case a.Standing == Suspended:
+	case a.Standing == Suspended || a.shared:
 		return 0
 	case f != nil && f.jobs.len() > 0:
 		want = a.units(f.jobs.items[0].Tasks[0].Memory)
--- a/dispatch/preset/preset.go
+++ b/dispatch/preset/preset.go
@@ -12,6 +12,8 @@
 type Preset struct {
 	Name string
 	Link link.Options
+	// Shared tells agents to offer every slot to each entry.
+	Shared bool
 	// CreditDelay is how long a movement of credits waits for a frame to ride on.
 	CreditDelay time.Duration
 	// MessageCost is how much later a task may end to save one message.
@@ -21,7 +23,7 @@
 // Response spends messages to answer sooner, and notices silent connections
 // within half a second.
 func Response() Preset {
-	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MessageCost: time.Millisecond}
+	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), Shared: true, MessageCost: time.Millisecond}
 }
 
 // Messages saves messages: acknowledgements and credits wait for frames that
@@ -34,7 +36,7 @@
 			AckDelay: 2 * time.Second, AckTimeout: 3 * time.Second,
 			Heartbeat: 10 * time.Second, HeartbeatTimeout: 24 * time.Second,
 		},
-		CreditDelay: 2 * time.Second, MessageCost: 5 * time.Millisecond,
+		Shared: true, MessageCost: 5 * time.Millisecond,
 	}
 }
 
