--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -108,6 +108,8 @@
 const (
 	// PolicyCredits binds tasks to agents that have granted a free slot.
 	PolicyCredits = "credits"
+	// PolicyDivided does the same, with each slot offered to one entry at a time.
+	PolicyDivided = "divided"
 	// The others bind a task to an agent when it arrives.
 	PolicyRandom      = "random"
 	PolicyTwoChoices  = "two-choices"
@@ -120,6 +122,8 @@
 	source := func() *rand.Rand { return rand.New(rand.NewPCG(c.Seed, entries.Add(1))) }
 	switch c.Policy {
 	case "", PolicyCredits:
+	case PolicyDivided:
+		o.AgentCore.Divided = true
 	case PolicyRandom:
 		o.EntryCore.NewPicker = func() place.Picker { return &place.Random{Rand: source()} }
 	case PolicyTwoChoices:
@@ -127,12 +131,10 @@
 	case PolicyLeastLoaded:
 		o.EntryCore.NewPicker = func() place.Picker { return place.LeastLoaded{} }
 	default:
-		return ErrConfig.New("policy %q: known are: %s, %s, %s, %s", c.Policy, PolicyCredits, PolicyRandom, PolicyTwoChoices, PolicyLeastLoaded)
+		return ErrConfig.New("policy %q: known are: %s, %s, %s, %s, %s", c.Policy, PolicyCredits, PolicyDivided, PolicyRandom, PolicyTwoChoices, PolicyLeastLoaded)
 	}
 	p := c.Profile.Preset
 	o.EntryCore.Link, o.AgentCore.Link = p.Link, p.Link
-	o.EntryCore.CreditDelay, o.AgentCore.CreditDelay = p.CreditDelay, p.CreditDelay
-	o.AgentCore.Shared = p.Shared
 	o.EntryCore.MessageCost = p.MessageCost
 	return nil
 }
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
@@ -24,15 +25,18 @@
 	FenceTTL time.Duration
 	// MaxFences bounds the fences held at once.
 	MaxFences int
+	// PeerLostAfter is when an entry without a link is taken for gone: a drain no
+	// longer waits for it, and its results may be evicted. It should exceed the
+	// entries' AgentLostAfter.
+	PeerLostAfter time.Duration
 	// Damping is how long an entry's credits must lie unused before they are
 	// recalled for another that waits.
 	Damping time.Duration
-	// Shared offers all slots to every entry, instead of dividing them by credits.
-	Shared bool
-	// MaxQueued bounds the units that wait for a slot when slots are shared.
+	// Divided gives each slot to one entry at a time, by credits that move between
+	// entries, instead of offering all slots to every entry.
+	Divided bool
+	// MaxQueued bounds the units that wait for a slot unless Divided is set.
 	MaxQueued int
-	// CreditDelay is how long credits and recalls wait for a frame to ride on.
-	CreditDelay time.Duration
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
 	// Events takes what happens, for the time line, and stamps messages; nil: none.
@@ -45,9 +49,12 @@
 	DefaultMaxResultBytes = 64 << 20
 	DefaultFenceTTL       = 30 * time.Minute
 	DefaultMaxFences      = 50_000
+	DefaultPeerLostAfter  = 15 * time.Second
 	DefaultLoadEvery      = time.Second
 	DefaultMaxQueued      = 8
-	DefaultDamping        = 10 * time.Millisecond
+	// maxHomes bounds the homes remembered for evicted records.
+	maxHomes       = 4096
+	DefaultDamping = 10 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -67,6 +74,9 @@
 	if o.MaxQueued == 0 {
 		o.MaxQueued = DefaultMaxQueued
 	}
+	if o.PeerLostAfter == 0 {
+		o.PeerLostAfter = DefaultPeerLostAfter
+	}
 	if o.Damping == 0 {
 		o.Damping = DefaultDamping
 	}
@@ -78,14 +88,14 @@
 
 // TaskRef names one task.
 type TaskRef struct {
-	Job  string
-	Task uint32
+	Contract string
+	Job      string // the id without the contract
+	Task     uint32
 }
 
 // Run is a task to start at the endpoint.
 type Run struct {
 	TaskRef
-	Contract string
 	Kind     string
 	Payload  []byte
 	Deadline time.Time
@@ -111,8 +121,8 @@
 type Agent struct {
 	opts Options
 
-	peers []*peer // in order of arrival, so that runs are repeatable
-	jobs  map[string]*record
+	peers []*peer            // in order of arrival, so that runs are repeatable
+	jobs  map[string]*record // by job.Name
 	// oldest ended jobs first, for eviction
 	ended       []*record
 	tasks       int // tasks in all records
@@ -126,7 +136,9 @@
 
 	fences     map[string]time.Time
 	fenceOrder []string
-	evicted    map[string]bool // homes with dropped records
+	// evicted holds the homes with dropped records; unacked those of them that had
+	// not acknowledged every result dropped.
+	evicted, unacked homeSet
 
 	// dropped counts the records evicted since the last Ready
 	dropped int
@@ -139,11 +151,13 @@
 type peer struct {
 	hello   *pb.EntryHello
 	session link.Session
+	downAt  time.Time // when the last link was lost
+	lost    bool      // without a link for PeerLostAfter
+	told    bool      // that the agent is leaving, on the link in use
 
 	leaving    bool          // as last told, for operators
 	out        pb.AgentFrame // content of the next frame
 	dirty      bool
-	flushBy    time.Time // when credits must go out; zero: none wait
 	unacked    []sentNews
 	loadSentAt time.Time
 }
@@ -156,12 +170,16 @@
 
 // record is what the agent knows of one job.
 type record struct {
-	job, home string
-	contract  string
-	tasks     map[uint32]*task
-	open      int // tasks running or not acknowledged
-	watchers  []string
-	listed    bool // in Agent.ended
+	name     string // job.Name
+	contract string
+	id       string
+	home     string
+	digest   uint64
+	tasks    map[uint32]*task
+	running  int
+	open     int // tasks running or not acknowledged
+	watchers []string
+	listed   bool // in Agent.ended
 }
 
 type task struct {
@@ -179,12 +197,11 @@
 func New(opts Options) *Agent {
 	opts = opts.withDefaults()
 	return &Agent{
-		opts:    opts,
-		slots:   newSlots(opts),
-		jobs:    make(map[string]*record),
-		loads:   make(map[string]*pb.ContractLoad),
-		fences:  make(map[string]time.Time),
-		evicted: make(map[string]bool),
+		opts:   opts,
+		slots:  newSlots(opts),
+		jobs:   make(map[string]*record),
+		loads:  make(map[string]*pb.ContractLoad),
+		fences: make(map[string]time.Time),
 	}
 }
 
@@ -197,6 +214,7 @@
 	}
 	p := a.peer(hello.Incarnation)
 	if p == nil {
+		a.forgetPeers()
 		p = &peer{}
 		a.peers = append(a.peers, p)
 	} else if hello.Epoch <= p.session.Epoch() {
@@ -205,13 +223,14 @@
 		return "older than the link in use"
 	}
 	p.hello = hello
+	p.lost, p.told = false, false
 	p.session.Up(now, hello.Epoch, a.opts.Link)
 	a.recordPeer(now, event.LinkUp, p, "", hello.Epoch)
 	a.slots.Link(hello.Incarnation, now)
 	p.unacked = nil
 	p.out = pb.AgentFrame{Hello: a.opts.Hello, Leaving: a.leaving}
 	p.loadSentAt = time.Time{}
-	p.dirty, p.flushBy = true, time.Time{}
+	p.dirty = true
 	a.requeueResults(p)
 	a.balance(now)
 	return ""
@@ -223,7 +242,7 @@
 	for _, rec := range a.sortedRecords(p.hello.Incarnation) {
 		for _, t := range rec.sortedTasks() {
 			if t.result != nil && !t.acked {
-				a.addNews(p, rec.job, t.result)
+				a.addNews(p, rec.name, t.result)
 			}
 		}
 	}
@@ -237,15 +256,16 @@
 		return
 	}
 	a.recordPeer(now, event.LinkDown, p, "the connection ended", epoch)
-	a.drop(p)
+	a.drop(now, p)
 	a.balance(now)
 }
 
-func (a *Agent) drop(p *peer) {
+func (a *Agent) drop(now time.Time, p *peer) {
 	p.session.Down()
+	p.downAt = now
 	a.slots.Unlink(p.hello.Incarnation)
 	p.out = pb.AgentFrame{}
-	p.dirty, p.flushBy = false, time.Time{}
+	p.dirty = false
 }
 
 // Step takes in a frame of the link with the given epoch.
@@ -278,10 +298,25 @@
 	for _, id := range f.Finished {
 		a.finished(id)
 	}
+	if f.Ended {
+		a.drop(now, p)
+		a.lose(p)
+	}
 	a.runQueued(now)
 	a.balance(now)
 }
 
+// lose takes an entry for gone: nobody waits for its results any more.
+func (a *Agent) lose(p *peer) {
+	p.lost = true
+	for _, q := range slices.Clone(a.queue) {
+		if q.task.rec.home == p.hello.Incarnation {
+			a.unqueue(q.task, job.RefusedRevoked)
+		}
+	}
+	a.retireAll(p.hello.Incarnation)
+}
+
 // HasContent reports whether a frame must be acknowledged.
 func HasContent(f *pb.EntryFrame) bool {
 	return f.Hello != nil || len(f.Starts) > 0 || len(f.Revokes) > 0 || len(f.Fences) > 0 ||
@@ -305,29 +340,50 @@
 	}
 	t.acked = true
 	t.rec.open--
+	if t.notRun() {
+		// From here on a start of the task is a new one.
+		a.dropTask(t)
+		return
+	}
 	a.retire(t.rec)
 }
 
+// notRun reports whether the endpoint has proven that the task never began.
+func (t *task) notRun() bool {
+	return t.result != nil && t.result.Outcome == pb.Outcome_OUTCOME_NOT_RUN
+}
+
 // start accepts or refuses each task of a batch.
 func (a *Agent) start(now time.Time, p *peer, b *pb.StartBatch) {
 	for _, ts := range b.Tasks {
 		units := a.units(ts.MemoryBytes)
 		if rec := a.jobs[b.Job]; rec != nil {
-			if t := rec.tasks[ts.Task]; t != nil {
+			if t := rec.tasks[ts.Task]; t != nil && t.notRun() && !b.Resent {
+				// The home has taken in that the task did not run, and tries it again.
+				a.dropTask(t)
+			} else if t != nil {
 				// A start sent again on a new link after the first arrived: running it
 				// twice is what this record prevents. The result, if any, was put on the
 				// new link when it came up.
-				a.recordTask(now, event.TaskDuplicate, p, TaskRef{b.Job, ts.Task}, b.Contract, "started before")
+				a.recordTask(now, event.TaskDuplicate, p, refOf(b.Job, ts.Task), "started before")
 				a.slots.Unused(p.hello.Incarnation, units)
 				continue
 			}
 		}
+		if b.Resent && a.unacked.has(p.hello.Incarnation) {
+			// The home was out of reach for so long that results were dropped which it
+			// had not acknowledged. This start may belong to one of them; running it
+			// could be the second time.
+			a.slots.Unused(p.hello.Incarnation, units)
+			a.addNews(p, b.Job, recordDropped(ts.Task))
+			continue
+		}
 		verdict, why := limit.Refuse, a.refuse(p, b, units)
 		if why == "" {
 			verdict, why = a.slots.Start(p.hello.Incarnation, units), job.RefusedNoSlot
 		}
 		if verdict == limit.Refuse {
-			a.recordTask(now, event.TaskRefused, p, TaskRef{b.Job, ts.Task}, b.Contract, why)
+			a.recordTask(now, event.TaskRefused, p, refOf(b.Job, ts.Task), why)
 			a.slots.Unused(p.hello.Incarnation, units)
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
@@ -340,12 +396,22 @@
 	return place.Units(memory, a.opts.Hello.MemoryBytes, int(a.opts.Hello.Slots))
 }
 
+func refOf(name string, index uint32) TaskRef {
+	contract, id := job.SplitName(name)
+	return TaskRef{Contract: contract, Job: id, Task: index}
+}
+
+func recordDropped(index uint32) *pb.TaskResult {
+	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: "the agent has dropped its record of the task"}
+}
+
 func refusal(index uint32, why string) *pb.TaskResult {
 	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Error: why}
 }
 
 func (a *Agent) refuse(p *peer, b *pb.StartBatch, units int) string {
-	id, err := job.Parse(b.Job)
+	_, bare := job.SplitName(b.Job)
+	id, err := job.Parse(bare)
 	switch {
 	case err != nil || (id.HasHome() && id.Home.Incarnation != p.hello.Incarnation):
 		return job.RefusedForeign
@@ -372,16 +438,20 @@
 func (a *Agent) accept(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart, units int, verdict limit.Verdict) {
 	rec := a.jobs[b.Job]
 	if rec == nil {
-		rec = &record{job: b.Job, home: p.hello.Incarnation, contract: b.Contract, tasks: make(map[uint32]*task)}
+		contract, id := job.SplitName(b.Job)
+		rec = &record{
+			name: b.Job, contract: contract, id: id, home: p.hello.Incarnation, digest: b.Digest,
+			tasks: make(map[uint32]*task, len(b.Tasks)),
+		}
 		a.jobs[b.Job] = rec
 	}
 	t := &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes, units: units}
 	rec.tasks[ts.Task] = t
 	rec.open++
+	rec.running++
 	a.tasks++
 	r := Run{
-		TaskRef:  TaskRef{Job: b.Job, Task: ts.Task},
-		Contract: b.Contract,
+		TaskRef:  rec.ref(ts.Task),
 		Kind:     b.Kind,
 		Payload:  ts.Payload,
 		Deadline: now.Add(time.Duration(b.TimeoutMs) * time.Millisecond),
@@ -395,9 +465,9 @@
 }
 
 func (a *Agent) run(now time.Time, p *peer, t *task, r Run) {
-	a.recordTask(now, event.TaskStarted, p, r.TaskRef, r.Contract, "")
+	a.recordTask(now, event.TaskStarted, p, r.TaskRef, "")
 	a.running++
-	a.reserve(r.Contract, 1, int64(t.memory))
+	a.reserve(t.rec.contract, 1, int64(t.memory))
 	a.ready.Run = append(a.ready.Run, r)
 }
 
@@ -419,7 +489,7 @@
 // outcome is complete, failed, not run (the endpoint proved it never began) or
 // unknown.
 func (a *Agent) TaskEnded(now time.Time, ref TaskRef, res *pb.TaskResult) {
-	rec := a.jobs[ref.Job]
+	rec := a.jobs[job.Name(ref.Contract, ref.Job)]
 	if rec == nil {
 		return
 	}
@@ -429,40 +499,43 @@
 	}
 	res.Task = ref.Task
 	t.result = res
+	rec.running--
 	a.recordEnd(now, rec, res)
 	a.running--
 	a.slots.End(rec.home, t.units)
 	a.resultBytes += len(res.Body)
 	a.reserve(rec.contract, -1, -int64(t.memory))
 	a.runQueued(now)
-	if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
-		// With the record kept, a new start of the task would be taken for a
-		// repetition of this one, and the caller would wait until the deadline.
-		a.dropTask(t)
-	}
-	if home := a.homeOf(rec); home != nil {
-		if home.session.IsUp() {
-			a.addNews(home, rec.job, res)
-			a.regrant(home, t.units)
-		}
+	home := a.homeOf(rec)
+	if home != nil && home.session.IsUp() {
+		a.addNews(home, rec.name, res)
+		a.regrant(home, t.units)
 	}
 	for _, w := range rec.watchers {
 		if p := a.peer(w); p != nil && p.session.IsUp() {
-			a.addNews(p, rec.job, res)
+			a.addNews(p, rec.name, res)
 		}
 	}
+	a.retire(rec)
 	a.balance(now)
 }
 
-// dropTask forgets one task that has not run.
+// dropTask forgets one task that has not run. Until its home has acknowledged
+// that, or starts it anew, the record stays: a start that was sent again before
+// the home learned of the end would run here while the home sends it elsewhere.
 func (a *Agent) dropTask(t *task) {
+	if !t.acked {
+		t.acked = true
+		t.rec.open--
+	}
 	delete(t.rec.tasks, t.index)
-	t.rec.open--
 	a.tasks--
 	a.resultBytes -= len(t.result.Body)
 	if len(t.rec.tasks) == 0 {
-		delete(a.jobs, t.rec.job)
+		delete(a.jobs, t.rec.name)
+		return
 	}
+	a.retire(t.rec)
 }
 
 func (a *Agent) homeOf(rec *record) *peer { return a.peer(rec.home) }
@@ -475,40 +548,48 @@
 			t = rec.tasks[index]
 		}
 		switch {
+		case t == nil && a.unacked.has(p.hello.Incarnation):
+			// It may be one of those whose record was dropped: "not run" can't be said.
+			a.addNews(p, r.Job, recordDropped(index))
 		case t == nil:
 			// The link is in order and older links are dropped: a start for this task
 			// can no longer arrive before the entry has seen this refusal.
-			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, "", "before it came")
+			a.recordTask(now, event.TaskRevoked, p, refOf(r.Job, index), "before it came")
 			a.addNews(p, r.Job, refusal(index, job.RefusedRevoked))
 		case t.queued:
-			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, rec.contract, "before it started")
+			a.recordTask(now, event.TaskRevoked, p, rec.ref(index), "before it started")
 			a.unqueue(t, job.RefusedRevoked)
 		case t.result == nil && !t.stopping:
 			t.stopping = true
-			a.recordTask(now, event.TaskRevoked, p, TaskRef{r.Job, index}, rec.contract, "while it runs")
-			a.ready.Stop = append(a.ready.Stop, TaskRef{Job: r.Job, Task: index})
+			a.recordTask(now, event.TaskRevoked, p, rec.ref(index), "while it runs")
+			a.ready.Stop = append(a.ready.Stop, rec.ref(index))
 		}
 	}
 }
 
+// fence refuses every later start of a job whose home is taken for gone, and
+// reports what was started.
 func (a *Agent) fence(now time.Time, p *peer, f *pb.Fence) {
 	report := &pb.FenceReport{Job: f.Job}
-	a.expireFences(now)
-	if _, ok := a.fences[f.Job]; !ok {
-		if len(a.fences) >= a.opts.MaxFences {
-			// Without room the job can't be fenced, and saying so keeps the asker from
-			// drawing conclusions.
-			report.Evicted = true
-		} else {
-			a.fences[f.Job] = now.Add(a.opts.FenceTTL)
-			a.fenceOrder = append(a.fenceOrder, f.Job)
-		}
+	_, bare := job.SplitName(f.Job)
+	id, _ := job.Parse(bare)
+	if home := a.peer(id.Home.Incarnation); !f.HomeEnded && home != nil && home.session.IsUp() && !home.session.Silent(now) {
+		// The asker can't reach the home, but this agent does: fencing would end a
+		// job that goes well.
+		report.HomeAlive = true
+	} else if !a.addFence(now, f.Job) {
+		// Without room the job can't be fenced, and saying so keeps the asker from
+		// drawing conclusions.
+		report.Evicted = true
 	}
-	if id, err := job.Parse(f.Job); err == nil && a.evicted[id.Home.Incarnation] {
+	if a.evicted.has(id.Home.Incarnation) {
 		report.Evicted = true
 	}
-	a.unqueueJob(f.Job, job.RefusedFenced)
+	if a.fenced(f.Job) {
+		a.unqueueJob(f.Job, job.RefusedFenced)
+	}
 	if rec := a.jobs[f.Job]; rec != nil {
+		report.Digest = rec.digest
 		for _, t := range rec.sortedTasks() {
 			if t.result == nil {
 				report.Running = append(report.Running, t.index)
@@ -523,6 +604,20 @@
 	p.dirty = true
 }
 
+// addFence reports whether the job is fenced.
+func (a *Agent) addFence(now time.Time, name string) bool {
+	a.expireFences(now)
+	if a.fenced(name) {
+		return true
+	}
+	if len(a.fences) >= a.opts.MaxFences {
+		return false
+	}
+	a.fences[name] = now.Add(a.opts.FenceTTL)
+	a.fenceOrder = append(a.fenceOrder, name)
+	return true
+}
+
 func (a *Agent) fenced(jobID string) bool {
 	_, ok := a.fences[jobID]
 	return ok
@@ -558,11 +653,14 @@
 // Tick takes in the passing of time; call it no later than Next says.
 func (a *Agent) Tick(now time.Time) {
 	for _, p := range a.peers {
+		if !p.session.IsUp() && !p.lost && !now.Before(p.downAt.Add(a.opts.PeerLostAfter)) {
+			a.lose(p)
+		}
 		if p.session.Silent(now) {
 			a.recordPeer(now, event.PeerSuspected, p, "the link has gone silent", p.session.Epoch())
 			a.ready.Relink = append(a.ready.Relink, p.hello.Incarnation)
-			a.drop(p)
-		} else if p.session.Due(now) || (!p.flushBy.IsZero() && !now.Before(p.flushBy)) {
+			a.drop(now, p)
+		} else if p.session.Due(now) {
 			p.dirty = true
 		}
 	}
@@ -573,7 +671,10 @@
 func (a *Agent) Next() time.Time {
 	next := a.slots.RecallAt()
 	for _, p := range a.peers {
-		next = link.Earlier(link.Earlier(next, p.session.Next()), p.flushBy)
+		next = link.Earlier(next, p.session.Next())
+		if !p.session.IsUp() && !p.lost {
+			next = link.Earlier(next, p.downAt.Add(a.opts.PeerLostAfter))
+		}
 	}
 	return next
 }
@@ -589,19 +690,41 @@
 	}
 }
 
-// Drained reports whether nothing is left that an entry waits for.
+// Drained reports whether nothing is left that an entry waits for. Each entry must
+// have acknowledged that this agent is leaving: a start that it sent before is
+// still on its way, and ending now would leave its outcome unknown. An entry that
+// has only lost its link is waited for too, or its results would be lost.
 func (a *Agent) Drained() bool {
 	if a.running > 0 {
 		return false
 	}
-	for _, rec := range a.jobs {
-		if rec.open > 0 && a.homeOf(rec) != nil && a.homeOf(rec).session.IsUp() {
+	for _, p := range a.peers {
+		if !p.lost && !(p.session.IsUp() && p.told && p.session.Settled()) {
 			return false
 		}
 	}
 	return true
 }
 
+// Size is what an Agent holds in memory.
+type Size struct {
+	Tasks, ResultBytes, Fences int
+	// Held counts the tasks that can't be evicted: they run, or their home has yet
+	// to acknowledge the result.
+	Held int
+}
+
+// Size returns the sizes that Options bound.
+func (a *Agent) Size() Size {
+	s := Size{Tasks: a.tasks, ResultBytes: a.resultBytes, Fences: len(a.fences)}
+	for _, rec := range a.jobs {
+		if rec.running > 0 || !a.unwanted(rec) {
+			s.Held += len(rec.tasks)
+		}
+	}
+	return s
+}
+
 // Ready returns what has to be done since the last call.
 func (a *Agent) Ready(now time.Time) Ready {
 	for _, p := range a.peers {
@@ -624,31 +747,35 @@
 		Granted: p.out.Granted, Recall: p.out.Recall, Leaving: a.leaving,
 	}
 	p.out = pb.AgentFrame{}
-	p.dirty, p.flushBy = false, time.Time{}
+	p.dirty = false
 	if now.Sub(p.loadSentAt) >= a.opts.LoadEvery {
 		f.Load = a.load()
 		p.loadSentAt = now
 	}
-	if a.opts.Shared {
+	if !a.opts.Divided {
 		spare := int32(a.slots.Free())
 		f.Spare = &spare
 	}
-	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
+	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0 || (a.leaving && !p.told)
+	p.told = a.leaving
 	f.Seq, f.Ack = p.session.Send(now, content)
 	a.recordSent(now, p, f)
 	f.Clock = a.opts.Events.Stamp(now)
-	if tasks := a.tasksOf(f.News); len(tasks) > 0 {
+	if tasks := a.tasksOf(p, f.News); len(tasks) > 0 {
 		p.unacked = append(p.unacked, sentNews{seq: f.Seq, tasks: tasks})
 	}
 	a.ready.Frames = append(a.ready.Frames, Out{Entry: p.hello.Incarnation, Epoch: p.session.Epoch(), Frame: f})
 }
 
-// tasksOf lists the recorded tasks that news is about; refusals have no record.
-func (a *Agent) tasksOf(news []*pb.TaskNews) []*task {
+// tasksOf lists the recorded tasks of a home that news is about; refusals have no
+// record. Only the home's acknowledgement counts: with that of an entry that
+// gathers results, the record would be evicted, and the home, back from a pause,
+// would have the task run again.
+func (a *Agent) tasksOf(home *peer, news []*pb.TaskNews) []*task {
 	var out []*task
 	for _, n := range news {
 		rec := a.jobs[n.Job]
-		if rec == nil {
+		if rec == nil || rec.home != home.hello.Incarnation {
 			continue
 		}
 		for _, res := range n.Results {
--- a/dispatch/agent/queue.go
+++ b/dispatch/agent/queue.go
@@ -27,10 +27,10 @@
 }
 
 func newSlots(o Options) slots {
-	if o.Shared {
-		return limit.NewShared(limit.SharedOptions{Slots: int(o.Hello.Slots), MaxQueued: o.MaxQueued})
+	if o.Divided {
+		return limit.NewCredits(limit.CreditsOptions{Slots: int(o.Hello.Slots), Damping: o.Damping})
 	}
-	return limit.NewCredits(limit.CreditsOptions{Slots: int(o.Hello.Slots), Damping: o.Damping})
+	return limit.NewShared(limit.SharedOptions{Slots: int(o.Hello.Slots), MaxQueued: o.MaxQueued})
 }
 
 // queued is a task that was accepted and has not started.
@@ -65,17 +65,18 @@
 	t.queued = false
 	a.slots.Cancel(rec.home, t.units)
 	t.result = refusal(t.index, why)
-	a.dropTask(t)
+	rec.running--
 	if home := a.homeOf(rec); home != nil && home.session.IsUp() {
-		a.addNews(home, rec.job, t.result)
+		a.addNews(home, rec.name, t.result)
 		a.regrant(home, t.units)
 	}
+	a.retire(rec)
 }
 
-// unqueueJob refuses what waits of a job; an empty id means of all jobs.
-func (a *Agent) unqueueJob(id, why string) {
+// unqueueJob refuses what waits of a job; an empty name means of all jobs.
+func (a *Agent) unqueueJob(name, why string) {
 	for _, q := range slices.Clone(a.queue) {
-		if id == "" || q.run.Job == id {
+		if name == "" || q.task.rec.name == name {
 			a.unqueue(q.task, why)
 		}
 	}
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -17,6 +17,7 @@
 	session link.Session
 	epoch   uint64 // of the last link asked for
 	dialing bool
+	failed  int       // attempts since the last link
 	dialAt  time.Time // when the next attempt may start
 	downAt  time.Time // when the last link was lost
 	gone    bool      // given up; back when it announces itself
@@ -26,28 +27,26 @@
 	revision uint64
 	wanted   uint32 // want as last told
 
-	tasks   []*taskState // sent or received
-	unacked []*taskState // sent, in the order of their frames
-	revoked []revoked    // not acknowledged
+	tasks []*taskState // sent, and no result or refusal has come
 
 	out    pb.EntryFrame // content of the next frame
 	placed []*taskState  // starts of the next frame
 	dirty  bool
 
 	standing place.Standing // as last told, for operators
-	// flushBy is when credits returned or wanted must go out; zero: none wait.
-	flushBy time.Time
 }
 
-// revoked is a revocation that went out with frame seq; zero: not sent yet.
-type revoked struct {
-	seq uint64
-	ref *taskState
-}
+// maxPast is how many ended incarnations of an agent are remembered.
+const maxPast = 4
 
 // AgentSeen takes in an announcement. A new incarnation replaces the old one,
 // whose process has ended. Relink asks for a new link to the same process.
 func (e *Entry) AgentSeen(now time.Time, hello *pb.AgentHello, relink, leaving bool) {
+	if slices.Contains(e.past[hello.Agent], hello.Incarnation) {
+		// An announcement that was delayed until after the next process's own. Taking
+		// it in would give up on all that runs in the living process.
+		return
+	}
 	a := e.byName[hello.Agent]
 	if a != nil && a.hello.Incarnation != hello.Incarnation {
 		e.lose(now, a, "the agent was restarted")
@@ -76,6 +75,8 @@
 }
 
 func (e *Entry) remove(a *agent) {
+	past := append(e.past[a.hello.Agent], a.hello.Incarnation)
+	e.past[a.hello.Agent] = past[max(0, len(past)-maxPast):]
 	e.policy.health.Remove(a.hello.Agent)
 	delete(e.byName, a.hello.Agent)
 	e.agents = slices.DeleteFunc(e.agents, func(x *agent) bool { return x == a })
@@ -85,9 +86,13 @@
 	if a.dialing || a.session.IsUp() || a.gone || now.Before(a.dialAt) {
 		return
 	}
-	a.epoch++
+	// One counter for all agents: an agent that is forgotten and comes back would
+	// refuse a link numbered lower than the last.
+	e.epoch++
+	a.epoch = e.epoch
 	a.dialing = true
-	a.dialAt = now.Add(e.opts.RedialAfter)
+	a.dialAt = now.Add(e.backoff(a.failed))
+	a.failed++
 	h := &pb.EntryHello{
 		Entry: e.opts.Hello.Entry, Incarnation: e.opts.Hello.Incarnation, Address: e.opts.Hello.Address,
 		FailureDomain: e.opts.Hello.FailureDomain, AgentIncarnation: a.hello.Incarnation, Epoch: a.epoch,
@@ -96,41 +101,57 @@
 	e.ready.Dials = append(e.ready.Dials, Dial{Agent: a.hello.Agent, Address: a.hello.Address, Hello: h})
 }
 
-// LinkUp takes in that the link asked for with the epoch is open. What the agent
-// has not acknowledged is sent again: it may have been lost with the old link,
-// and the agent knows which of it arrived.
+// backoff is the pause after the given number of failed attempts, drawn from the
+// upper half of a bound that doubles: a switch that fails would otherwise have
+// every entry dial every agent behind it in step, over and over.
+func (e *Entry) backoff(failed int) time.Duration {
+	bound := e.opts.RedialAfter
+	for i := 0; i < failed && bound < e.opts.RedialMax; i++ {
+		bound *= 2
+	}
+	bound = min(bound, e.opts.RedialMax)
+	return bound/2 + time.Duration(e.opts.Random()*float64(bound)/2)
+}
+
+// LinkUp takes in that the link asked for with the epoch is open. Every start
+// without a result goes out again: it, its refusal or its result may have been
+// lost with the old link, and the agent knows which of its starts it took. A
+// revoked one must not start any more, so its revocation goes out in its place.
 func (e *Entry) LinkUp(now time.Time, name string, epoch uint64) {
 	a := e.byName[name]
 	if a == nil || a.epoch != epoch || !a.dialing {
 		return
 	}
-	a.dialing = false
+	a.dialing, a.failed = false, 0
 	a.session.Up(now, epoch, e.opts.Link)
 	e.recordPeer(now, event.LinkUp, a, "", epoch)
 	a.wanted = 0
 	known := e.updateAgent(now, a)
-	a.out = pb.EntryFrame{}
-	a.dirty, a.flushBy = false, time.Time{}
-	again := a.unacked
-	a.unacked, a.placed = nil, nil
-	for _, r := range a.revoked {
-		if r.ref.phase != ended {
-			a.addRevoke(r.ref)
-		}
-	}
-	for _, t := range again {
-		if t.phase == sent && !a.isRevoked(t) {
+	a.out = pb.EntryFrame{Peers: e.peers}
+	a.placed = nil
+	a.dirty = len(a.tasks) > 0 || len(e.peers) > 0
+	for _, t := range a.tasks {
+		if t.revoked {
+			a.addRevoke(t)
+		} else {
 			a.placed = append(a.placed, t)
-			a.dirty = true
 			// The agent takes the slot from what it grants on this link.
 			e.policy.sched.Pool.Grant(known, -known.Units(t.start.MemoryBytes))
 		}
 	}
-	for i := range a.revoked {
-		a.revoked[i].seq = 0
+	for _, name := range e.recoveryNames() {
+		e.fenceAgain(e.recoveries[name], a)
 	}
-	for _, id := range e.recoveryIDs() {
-		e.fenceAt(e.recoveries[id], a)
+}
+
+// TellPeers takes in the entries that live and tells every agent. The link's
+// next epoch tells them again, so that a frame lost with its link does no harm.
+func (e *Entry) TellPeers(peers []*pb.Peer) {
+	e.peers = peers
+	for _, a := range e.agents {
+		if a.session.IsUp() {
+			a.out.Peers, a.dirty = peers, true
+		}
 	}
 }
 
@@ -169,16 +190,15 @@
 		e.updateAgent(now, a)
 	}
 	// Starts that were placed and never framed have not left this process.
-	for _, t := range a.placed {
+	placed := a.placed
+	a.placed = nil
+	for _, t := range placed {
 		if t.seq == 0 {
 			a.untrack(t)
 			e.release(a, t)
-			e.requeue(t)
-		} else {
-			a.unacked = append(a.unacked, t)
+			e.requeue(now, t)
 		}
 	}
-	a.placed = nil
 }
 
 func (e *Entry) tickAgent(now time.Time, a *agent) {
@@ -188,7 +208,7 @@
 		a.dialAt = now
 	}
 	if a.session.IsUp() {
-		if a.session.Due(now) || (!a.flushBy.IsZero() && !now.Before(a.flushBy)) {
+		if a.session.Due(now) {
 			a.dirty = true
 		}
 		return
@@ -203,7 +223,7 @@
 
 func (a *agent) next(o Options) time.Time {
 	if a.session.IsUp() {
-		return link.Earlier(a.session.Next(), a.flushBy)
+		return a.session.Next()
 	}
 	if a.gone {
 		return time.Time{}
@@ -221,7 +241,7 @@
 	e.recordPeer(now, event.PeerGone, a, why, uint64(len(a.tasks)))
 	e.down(now, a)
 	tasks := a.tasks
-	a.tasks, a.unacked, a.revoked = nil, nil, nil
+	a.tasks = nil
 	e.policy.sched.Drop(a.hello.Agent)
 	for _, t := range tasks {
 		e.release(a, t)
@@ -231,8 +251,8 @@
 		e.recordTask(now, event.TaskUnknown, t, a, why)
 		e.taskEnded(now, t, &pb.TaskResult{Task: t.index, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Error: why})
 	}
-	for _, id := range e.recoveryIDs() {
-		e.recoveryLost(now, e.recoveries[id], a)
+	for _, name := range e.recoveryNames() {
+		e.recoveryLost(now, e.recoveries[name], a)
 	}
 }
 
@@ -249,7 +269,6 @@
 		e.recordPeer(now, event.ClockRejected, a, "its clock is too far ahead", 0)
 	}
 	e.recordReceived(now, a, f)
-	a.acknowledged()
 	if f.Hello != nil {
 		a.hello = f.Hello
 	}
@@ -265,6 +284,8 @@
 	for _, r := range f.Fenced {
 		e.fenceReport(now, a, r)
 	}
+	// The agent ends once this is acknowledged.
+	a.dirty = a.dirty || (f.Leaving && !a.leaving)
 	a.leaving = f.Leaving
 	if a.leaving {
 		e.policy.sched.Pool.SetCredits(known, 0)
@@ -274,7 +295,7 @@
 		e.policy.sched.Pool.SetSpare(known, int(*f.Spare)-a.unseen(known), now)
 	}
 	if f.Recall > 0 {
-		e.giveBack(now, a, int(f.Recall))
+		e.giveBack(a, int(f.Recall))
 	}
 }
 
@@ -282,46 +303,30 @@
 // its last frame.
 func (a *agent) unseen(known *place.Agent) int {
 	units := 0
-	for _, tasks := range [][]*taskState{a.unacked, a.placed} {
-		for _, t := range tasks {
-			if t.phase == sent {
-				units += known.Units(t.start.MemoryBytes)
-			}
+	for _, t := range a.tasks {
+		if t.seq == 0 || t.seq > a.session.Acked() {
+			units += known.Units(t.start.MemoryBytes)
 		}
 	}
 	return units
 }
 
 func hasContent(f *pb.AgentFrame) bool {
-	return f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0
+	return f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0 || f.Leaving
 }
 
 // giveBack returns credits that no waiting task needs; it answers even with
 // none, so that the agent may ask again.
-func (e *Entry) giveBack(now time.Time, a *agent, n int) {
+func (e *Entry) giveBack(a *agent, n int) {
 	known := e.policy.sched.Pool.Agent(a.hello.Agent)
 	a.out.Returned += uint32(e.policy.sched.Pool.Reclaim(known, n))
 	a.out.Recalled = true
-	a.flushLater(now, e.opts.CreditDelay)
-}
-
-func (a *agent) acknowledged() {
-	acked := a.session.Acked()
-	n := 0
-	for ; n < len(a.unacked) && a.unacked[n].seq <= acked; n++ {
-		if t := a.unacked[n]; t.phase == sent {
-			t.phase = received
-		}
-	}
-	a.unacked = a.unacked[n:]
-	a.revoked = slices.DeleteFunc(a.revoked, func(r revoked) bool {
-		return r.seq != 0 && r.seq <= acked
-	})
+	a.dirty = true
 }
 
 func (e *Entry) news(now time.Time, a *agent, n *pb.TaskNews) {
 	if r := e.recoveries[n.Job]; r != nil {
-		e.recoveryNews(now, r, a, n.Results)
+		e.recoveryNews(now, r, n.Results)
 	}
 	js := e.jobs[n.Job]
 	if js == nil {
@@ -332,11 +337,13 @@
 			continue
 		}
 		t := &js.tasks[res.Task]
-		if t.agent != a || (t.phase != sent && t.phase != received) {
+		if t.agent != a || t.phase != sent {
 			// A result that came twice, over an old and a new link.
 			continue
 		}
-		a.untrack(t)
+		if a.untrack(t) {
+			e.unspend(a, t)
+		}
 		e.release(a, t)
 		e.learn(now, a, t, res)
 		if res.Outcome == pb.Outcome_OUTCOME_NOT_RUN {
@@ -352,9 +359,10 @@
 	f := &pb.EntryFrame{
 		Revokes: a.out.Revokes, Fences: a.out.Fences, Finished: a.out.Finished,
 		Returned: a.out.Returned, Recalled: a.out.Recalled, Contracts: a.out.Contracts, Want: a.wanted, Leaving: e.leaving,
+		Ended: e.over, Peers: a.out.Peers,
 	}
 	a.out = pb.EntryFrame{}
-	a.dirty, a.flushBy = false, time.Time{}
+	a.dirty = false
 	// With a new link, the agent's first frame may bring the result of a task whose
 	// start was about to be sent again.
 	a.placed = slices.DeleteFunc(a.placed, func(t *taskState) bool { return t.phase != sent })
@@ -367,41 +375,25 @@
 	f.Clock = e.opts.Events.Stamp(now)
 	for _, t := range a.placed {
 		t.seq = f.Seq
-		a.unacked = append(a.unacked, t)
 	}
 	a.placed = a.placed[:0]
-	for i := range a.revoked {
-		if a.revoked[i].seq == 0 {
-			a.revoked[i].seq = f.Seq
-		}
-	}
 	e.ready.Frames = append(e.ready.Frames, Out{Agent: a.hello.Agent, Epoch: a.session.Epoch(), Frame: f})
 }
 
 func addStart(now time.Time, batches []*pb.StartBatch, t *taskState) []*pb.StartBatch {
-	j := t.job.job
-	if n := len(batches); n > 0 && batches[n-1].Job == j.Id {
+	js := t.job
+	resent := t.seq != 0
+	if n := len(batches); n > 0 && batches[n-1].Job == js.name && batches[n-1].Resent == resent {
 		batches[n-1].Tasks = append(batches[n-1].Tasks, t.start)
 		return batches
 	}
-	left := max(1, t.job.deadline.Sub(now)/time.Millisecond)
+	left := max(1, js.deadline.Sub(now)/time.Millisecond)
 	return append(batches, &pb.StartBatch{
-		Job: j.Id, Contract: j.Contract, Kind: j.Kind, TimeoutMs: uint32(left), Tasks: []*pb.TaskStart{t.start},
+		Job: js.name, Contract: js.job.Contract, Kind: js.job.Kind, TimeoutMs: uint32(left),
+		Tasks: []*pb.TaskStart{t.start}, Digest: js.digest, Resent: resent,
 	})
 }
 
-// flushLater sends what has gathered with the next frame, or by itself when none
-// goes out in time.
-func (a *agent) flushLater(now time.Time, delay time.Duration) {
-	if delay == 0 {
-		a.dirty = true
-		return
-	}
-	if a.flushBy.IsZero() {
-		a.flushBy = now.Add(delay)
-	}
-}
-
 // track notes that a task is this agent's.
 func (a *agent) track(t *taskState) {
 	t.agent = a
@@ -413,37 +405,42 @@
 	a.dirty = true
 }
 
-func (a *agent) untrack(t *taskState) {
+// untrack ends the agent's part in a task. A start that waits for the next frame
+// is taken out of it, which untrack reports: with a new link the result or refusal
+// may be in the agent's first frame, and the start that was about to go out again
+// would run the task a second time.
+func (a *agent) untrack(t *taskState) (withdrawn bool) {
+	n := len(a.placed)
+	a.placed = slices.DeleteFunc(a.placed, func(x *taskState) bool { return x == t })
+	withdrawn = len(a.placed) < n
 	last := len(a.tasks) - 1
 	if t.pos > last || a.tasks[t.pos] != t {
-		return
+		return withdrawn
 	}
 	a.tasks[t.pos] = a.tasks[last]
 	a.tasks[t.pos].pos = t.pos
 	a.tasks = a.tasks[:last]
+	return withdrawn
 }
 
 // revoke asks the agent not to start a task, or to stop it.
 func (a *agent) revoke(t *taskState) {
-	if a.isRevoked(t) {
+	if t.revoked {
 		return
 	}
-	a.revoked = append(a.revoked, revoked{ref: t})
+	t.revoked = true
 	if a.session.IsUp() {
+		a.placed = slices.DeleteFunc(a.placed, func(x *taskState) bool { return x == t })
 		a.addRevoke(t)
 	}
 }
 
 func (a *agent) addRevoke(t *taskState) {
 	a.dirty = true
-	id := t.job.job.Id
-	if n := len(a.out.Revokes); n > 0 && a.out.Revokes[n-1].Job == id {
+	name := t.job.name
+	if n := len(a.out.Revokes); n > 0 && a.out.Revokes[n-1].Job == name {
 		a.out.Revokes[n-1].Tasks = append(a.out.Revokes[n-1].Tasks, t.index)
 		return
 	}
-	a.out.Revokes = append(a.out.Revokes, &pb.Revoke{Job: id, Tasks: []uint32{t.index}})
-}
-
-func (a *agent) isRevoked(t *taskState) bool {
-	return slices.ContainsFunc(a.revoked, func(r revoked) bool { return r.ref == t })
+	a.out.Revokes = append(a.out.Revokes, &pb.Revoke{Job: name, Tasks: []uint32{t.index}})
 }
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -64,7 +64,7 @@
 	}
 	p.limits.SetContract(applied, now)
 	p.shares.SetContract(name, applied.Concurrency)
-	p.shares.Tick()
+	p.shares.Tick(now)
 	e.applyShares(now)
 	return c
 }
@@ -219,6 +219,10 @@
 	for name := range p.contracts {
 		e.contract(now, name)
 	}
+	e.demand()
+	if p.shares.Tick(now) {
+		e.applyShares(now)
+	}
 	p.sched.Retry()
 	if p.sched.Waiting() > 0 {
 		p.sched.Pool.Guess(now.Add(-guessAfter), now)
--- a/dispatch/entry/policy_test.go
+++ b/dispatch/entry/policy_test.go
@@ -77,7 +77,7 @@
 	for {
 		r := b.entry.Ready(b.now)
 		for _, a := range r.Answers {
-			b.answers[a.Job] = a
+			b.answers[a.Answer.Job] = a.Answer
 		}
 		for _, d := range r.Dials {
 			if why := b.agents[d.Agent].LinkUp(b.now, d.Hello); why != "" {
--- a/dispatch/limit/limit_test.go
+++ b/dispatch/limit/limit_test.go
@@ -182,7 +182,7 @@
 func (n *net) deliver(from, to string) {
 	link := [2]string{from, to}
 	if len(n.queue[link]) > 0 {
-		n.shares[to].Receive(n.queue[link][0])
+		n.shares[to].Receive(n.queue[link][0], epoch)
 		n.queue[link] = n.queue[link][1:]
 	}
 }
@@ -200,7 +200,7 @@
 func (n *net) settle() {
 	for range 20 {
 		for _, a := range n.names {
-			n.shares[a].Tick()
+			n.shares[a].Tick(epoch)
 			for _, b := range n.names {
 				if a != b {
 					n.send(a, b)
@@ -233,7 +233,7 @@
 			case 1:
 				s.SetDemand("c", uint32(rapid.IntRange(0, 50).Draw(t, "demand")))
 			case 2, 3:
-				s.Tick()
+				s.Tick(epoch)
 			case 4:
 				n.send(from, to)
 			case 5:
@@ -290,6 +290,35 @@
 	}
 }
 
+// An entry ends before another starts, which hears of it only by the plan in
+// force. Waiting for its consent would keep the new entry from ever starting a
+// task, and its callers would see nothing but timeouts.
+func TestSharesOutliveUnknownMember(t *testing.T) {
+	old := NewShares("a")
+	old.SetContract("c", 8)
+	old.AddMember("ended")
+	old.Tick(epoch)
+	fresh := NewShares("b")
+	fresh.SetContract("c", 8)
+	fresh.AddMember("a")
+	none := func(string) uint32 { return 0 }
+	fresh.Receive(old.State(none), epoch)
+	old.Receive(fresh.State(none), epoch)
+	old.Gone("ended")
+	later := epoch.Add(unknownFor)
+	for range 4 {
+		old.Tick(later)
+		fresh.Receive(old.State(none), later)
+		fresh.Tick(later)
+		old.Receive(fresh.State(none), later)
+	}
+	for name, s := range map[string]*Shares{"old": old, "fresh": fresh} {
+		if slots, _ := s.Part("c"); slots != 4 {
+			t.Errorf("%s entry has %d of 8 slots", name, slots)
+		}
+	}
+}
+
 func newLimiter(c Contract) *Limiter {
 	l := NewLimiter()
 	c.Name = "c"
--- a/dispatch/preset/preset.go
+++ b/dispatch/preset/preset.go
@@ -12,10 +12,6 @@
 type Preset struct {
 	Name string
 	Link link.Options
-	// Shared tells agents to offer every slot to each entry.
-	Shared bool
-	// CreditDelay is how long a movement of credits waits for a frame to ride on.
-	CreditDelay time.Duration
 	// MessageCost is how much later a task may end to save one message.
 	MessageCost time.Duration
 }
@@ -23,12 +19,11 @@
 // Response spends messages to answer sooner, and notices silent connections
 // within half a second.
 func Response() Preset {
-	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), Shared: true, MessageCost: time.Millisecond}
+	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MessageCost: time.Millisecond}
 }
 
-// Messages saves messages: acknowledgements and credits wait for frames that
-// flow anyway. Credits follow demand within seconds, and a silent connection is
-// noticed within a few.
+// Messages saves messages: acknowledgements wait for frames that flow anyway, and
+// a silent connection is noticed within a few seconds.
 func Messages() Preset {
 	return Preset{
 		Name: "messages",
@@ -36,7 +31,7 @@
 			AckDelay: 2 * time.Second, AckTimeout: 3 * time.Second,
 			Heartbeat: 10 * time.Second, HeartbeatTimeout: 24 * time.Second,
 		},
-		Shared: true, MessageCost: 5 * time.Millisecond,
+		MessageCost: 5 * time.Millisecond,
 	}
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -19,8 +20,10 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
+	"github.com/papayahoist/papayahoist/platform/retry"
 )
 
 // Errors of this package.
@@ -42,6 +45,13 @@
 	Contract func(name string) *pb.Contract
 	// Peers returns the living entries; it must not block.
 	Peers func() []*pb.Peer
+	// FindPeer returns the entry with an incarnation that may be reached, nil for
+	// none; it must not block. Nil: Peers are searched.
+	FindPeer func(incarnation string) *pb.Peer
+	// Exchange answers another entry's exchange of state; nil: none is served.
+	Exchange func(*pb.PeerState) *pb.PeerState
+	// Ready returns why the entry can't serve yet, or nil; nil: it always can.
+	Ready func() error
 	// Contracts lists those in force, for operators; it must not block. Nil: those
 	// that callers have used are listed.
 	Contracts func() []*pb.Contract
@@ -84,12 +94,17 @@
 	ctx     context.Context // of the links; ends when Run does
 	cancel  context.CancelFunc
 	killed  atomic.Bool
-	leaving atomic.Bool
+
+	clients        *rpc.Clients // for other entries
+	forwardRetries *retry.Policy
+	leaving        atomic.Bool
 
 	mu      sync.Mutex // guards what follows, and serializes the core
 	core    *entry.Entry
-	links   map[string]*agentLink // by agent name
-	waiters map[string][]chan *pb.Answer
+	links   map[string]*agentLink        // by agent name
+	waiters map[string][]chan *pb.Answer // by job.Name
+	heard   map[string]uint64            // clock of the last state, by entry incarnation
+	told    []string                     // the entries that agents were told of
 	timer   *rpc.Timer
 }
 
@@ -103,6 +118,7 @@
 	}
 	e := &Entry{
 		opts: opts, log: opts.Logger,
+		clients: rpc.NewClients(opts.NodesTLS), forwardRetries: newForwardRetries(),
 		links:   make(map[string]*agentLink),
 		waiters: make(map[string][]chan *pb.Answer),
 	}
@@ -128,6 +144,7 @@
 	}
 	e.opts.Core.Hello = opts.Hello
 	e.opts.Core.Started = time.Now()
+	e.opts.Core.Random = rand.Float64
 	e.opts.Core.Contract = opts.Contract
 	e.core = entry.New(e.opts.Core)
 	e.timer = rpc.NewTimer(e.tick)
@@ -203,6 +220,8 @@
 const (
 	drainPoll  = 20 * time.Millisecond
 	closeGrace = 2 * time.Second
+	// endGrace lets the frames that say goodbye leave before their links close.
+	endGrace = 50 * time.Millisecond
 )
 
 func (e *Entry) drain() {
@@ -230,7 +249,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeGrace)
 	defer cancel()
 	if !e.killed.Load() {
+		e.decide(e.core.End)
 		_ = servers[0].Shutdown(ctx)
+		time.Sleep(endGrace)
 	}
 	e.cancel()
 	e.mu.Lock()
@@ -270,11 +291,12 @@
 		}
 	}
 	for _, a := range ready.Answers {
-		e.countAnswer(a)
-		for _, w := range e.waiters[a.Job] {
-			w <- a
+		e.countAnswer(a.Answer)
+		name := job.Name(a.Contract, a.Answer.Job)
+		for _, w := range e.waiters[name] {
+			w <- a.Answer
 		}
-		delete(e.waiters, a.Job)
+		delete(e.waiters, name)
 	}
 	e.timer.Set(now, e.core.Next())
 }
@@ -283,24 +305,24 @@
 
 // wait registers for a job's answer; call it within decide. The channel has room
 // for the one answer, so that handing it over never blocks.
-func (e *Entry) wait(jobID string) chan *pb.Answer {
+func (e *Entry) wait(name string) chan *pb.Answer {
 	w := make(chan *pb.Answer, 1)
-	e.waiters[jobID] = append(e.waiters[jobID], w)
+	e.waiters[name] = append(e.waiters[name], w)
 	return w
 }
 
 // unwait gives up a registration.
-func (e *Entry) unwait(jobID string, w chan *pb.Answer) {
+func (e *Entry) unwait(name string, w chan *pb.Answer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	list := e.waiters[jobID]
+	list := e.waiters[name]
 	for i, x := range list {
 		if x == w {
-			e.waiters[jobID] = append(list[:i], list[i+1:]...)
+			e.waiters[name] = append(list[:i], list[i+1:]...)
 			break
 		}
 	}
-	if len(e.waiters[jobID]) == 0 {
-		delete(e.waiters, jobID)
+	if len(e.waiters[name]) == 0 {
+		delete(e.waiters, name)
 	}
 }
