--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -10,6 +10,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/member"
 	"github.com/papayahoist/papayahoist/node/config"
 	"github.com/papayahoist/papayahoist/platform/store"
@@ -64,6 +65,8 @@
 	// nobody is told.
 	OnStarters func(others []string, fenced bool)
 	Logger     *slog.Logger
+	// Events takes losses and returns of the store, for the time line; nil: none.
+	Events *event.Ring
 	// Random gives numbers in [0, 1), concurrently. Default: math/rand/v2.
 	Random func() float64
 }
@@ -219,6 +222,7 @@
 	m.update(func(now time.Time, s *member.Set) {
 		if reached != m.reached {
 			m.log.Info("store", "reached", reached, "err", err)
+			m.recordStore(now, reached, err)
 		}
 		m.reached = reached
 		m.storeError.Store(reason(err))
@@ -226,6 +230,15 @@
 	})
 }
 
+// recordStore keeps that the store was lost or is back.
+func (m *Membership) recordStore(now time.Time, reached bool, err error) {
+	if reached {
+		m.opts.Events.Record(now, event.Event{Kind: event.StoreBack})
+		return
+	}
+	m.opts.Events.Record(now, event.Event{Kind: event.StoreLost, Detail: err.Error()})
+}
+
 func reason(err error) *string {
 	if err == nil {
 		return nil
