--- a/node/membership/exchange.go
+++ b/node/membership/exchange.go
@@ -31,7 +31,11 @@
 // take takes in another entry's state; asked as for member.Set.Heard.
 func (m *Membership) take(asked string, state *pb.PeerState) {
 	m.opts.Config.Apply(state.Contracts, state.ConfigSince, state.ConfigRevision)
-	m.update(func(now time.Time, s *member.Set) { s.Heard(now, asked, state) })
+	m.update(func(now time.Time, s *member.Set) {
+		s.Heard(now, asked, state)
+		// Without the store, one entry that is in names the others.
+		m.settled = m.settled || (!m.reached && len(s.Members()) > 0)
+	})
 	if m.opts.Received != nil {
 		m.opts.Received(state)
 	}
@@ -51,9 +55,22 @@
 		for _, a := range m.due(timer) {
 			wg.Go(func() { m.ask(ctx, a) })
 		}
+		m.tellStarters()
 	}
 }
 
+func (m *Membership) tellStarters() {
+	if m.opts.OnStarters == nil {
+		return
+	}
+	m.mu.Lock()
+	now := time.Now()
+	starters := m.set.Starters(now)
+	fenced := !m.settled || m.set.Fenced(now)
+	m.mu.Unlock()
+	m.opts.OnStarters(starters, fenced)
+}
+
 // due returns the exchanges to make and sets the timer for the next.
 func (m *Membership) due(timer *time.Timer) []member.Ask {
 	m.mu.Lock()
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,6 +14,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/contract"
 	coreentry "github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/dispatch/member"
 	"github.com/papayahoist/papayahoist/node/config"
 	"github.com/papayahoist/papayahoist/node/entry"
 	"github.com/papayahoist/papayahoist/node/membership"
@@ -29,6 +31,9 @@
 	// Core sets the decisions' times and policies; the zero value is for
 	// production.
 	Core coreentry.Options
+	// LeaseTTL and Member set the times of the membership; zero: the defaults.
+	LeaseTTL time.Duration
+	Member   member.Options
 	// Events is how many events the time line keeps; zero: the default.
 	Events int
 	// Registry gets the metrics; nil: one of its own.
@@ -37,12 +42,19 @@
 	Logger   *slog.Logger
 }
 
+// defaultEvents is how many events an entry keeps: it sees the work of all of
+// its agents, some seconds of it at 1,700 tasks a second.
+const defaultEvents = 1 << 17
+
 // Entry is a whole entry process.
 type Entry struct {
 	*entry.Entry
 	self       *pb.Peer
 	config     *config.Holder
 	membership *membership.Membership
+	killed     atomic.Bool
+	tls        entryTLS
+	log        *slog.Logger
 }
 
 // NewEntry puts an entry together and binds its ports. Errors are of type
@@ -61,6 +73,7 @@
 		Entry: hello.Entry, Incarnation: hello.Incarnation, Address: hello.Address,
 		FailureDomain: hello.FailureDomain, OperatorAddress: hello.OperatorAddress,
 	}
+	e.tls, e.log = b.tls, b.log
 	b.membership(e)
 	return e, nil
 }
@@ -77,9 +90,15 @@
 	kept, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() { e.membership.Run(kept) })
+	wg.Go(func() { e.tls.watch(kept, e.log) })
 	stop := context.AfterFunc(ctx, e.membership.Leave)
 	err := e.Entry.Run(ctx)
 	stop()
+	if !e.killed.Load() {
+		// Nothing can be started here any more: the others may have its parts of
+		// the contracts at once.
+		e.membership.End()
+	}
 	cancel()
 	wg.Wait()
 	if err != nil {
@@ -88,20 +107,32 @@
 	return nil
 }
 
-// peersChanged tells the driver who may start tasks, of which contracts.
-func (e *Entry) peersChanged(peers []*pb.Peer) {
+// Kill ends the process at once, as a crash would: for tests and load tools.
+func (e *Entry) Kill() {
+	e.killed.Store(true)
+	e.Entry.Kill()
+}
+
+// startersChanged tells the driver who may start tasks, of which contracts.
+func (e *Entry) startersChanged(others []string, fenced bool) {
 	var contracts []string
 	for _, c := range e.config.Snapshot().All() {
 		contracts = append(contracts, c.Name)
 	}
-	e.SetPeers(peers, contracts)
+	e.SetStarters(others, fenced, contracts)
 }
 
-// ready holds callers back until the contracts are known: an entry without them
-// would refuse every job as of an unknown contract.
+// ready holds callers back until the contracts are known, and until the entry has
+// a part of one: without contracts it would refuse every job as of an unknown
+// contract, without a part every caller would wait for nothing.
 func (e *Entry) ready() error {
-	if e.config.Snapshot().Covered() == 0 {
-		return errNoContracts.New("no contracts received yet")
+	switch {
+	case e.config.Snapshot().Covered() == 0:
+		return errNotReady.New("no contracts received yet")
+	case !e.membership.Settled():
+		return errNotReady.New("the other entries are not found yet")
+	case !e.HoldsParts():
+		return errNotReady.New("no part of any contract held yet")
 	}
 	return nil
 }
@@ -122,6 +153,9 @@
 	}
 	s := o.Settings
 	b := &entryBuilder{o: o, log: o.Logger.With("process", s.Name)}
+	if o.Events == 0 {
+		o.Events = defaultEvents
+	}
 	b.ring = event.NewRing(event.Options{Process: s.Name, Size: o.Events})
 	b.metrics = metrics.NewEntry(o.Registry, metrics.Options{Role: string(s.Role), Version: o.Version, Ring: b.ring})
 	b.hello = &pb.EntryHello{
@@ -147,8 +181,10 @@
 		FindPeer:   func(incarnation string) *pb.Peer { return e.membership.Find(incarnation) },
 		Exchange:   func(state *pb.PeerState) *pb.PeerState { return e.membership.Serve(state) },
 		StoreError: func() string { return e.membership.StoreError() },
-		Ready:      e.ready,
-		CallersTLS: b.tls.callers, NodesTLS: b.tls.nodes, OperatorsTLS: b.tls.operators,
+
+		ConfigRevision: func() uint64 { return e.config.Snapshot().Covered() },
+		Ready:          e.ready,
+		CallersTLS:     b.tls.callers.Config(), NodesTLS: b.tls.nodes.Config(), OperatorsTLS: b.tls.operators.Config(),
 		DrainTimeout: s.DrainTimeout, Core: core, Version: b.o.Version,
 		Metrics: b.metrics, Gatherer: b.o.Registry, Logger: b.log,
 	})
@@ -165,15 +201,18 @@
 	}
 	e.membership = membership.New(membership.Options{
 		Self: e.self, Store: client, Config: e.config, Join: b.o.Settings.Join,
-		Exchanger: membership.NewConnect(b.tls.nodes),
-		Extend:    e.ExtendState, Received: e.StateReceived, OnPeers: e.peersChanged,
-		Logger: b.log,
+		Events:    b.ring,
+		Exchanger: countedExchanger{membership.NewConnect(b.tls.nodes.Config()), b.metrics},
+		Extend:    e.ExtendState, Received: e.StateReceived,
+		OnPeers: e.SetPeers, OnStarters: e.startersChanged, Announced: e.Announced, Listed: e.Listed,
+		LeaseTTL: b.o.LeaseTTL, Member: b.o.Member, Logger: b.log,
 	})
+	// What others hold is not known yet.
+	e.SetStarters(nil, true, nil)
 	e.config.OnChange(func(newer []*pb.Contract, _ *contract.Snapshot) {
 		for _, c := range newer {
 			b.observe(c)
 		}
-		e.peersChanged(e.membership.Peers())
 	})
 }
 
@@ -183,6 +222,10 @@
 		b.metrics.RemoveContract(c.Name)
 		return
 	}
+	now := time.Now()
+	b.ring.Record(now, event.Event{
+		Kind: event.ConfigInForce, Contract: c.Name, Value: c.Revision, Detail: "by " + c.ChangedBy,
+	})
 	b.metrics.AddContract(c.Name)
-	b.metrics.ConfigDelay.Observe(time.Since(time.UnixMilli(c.ChangedUnixMs)).Seconds())
+	b.metrics.ConfigDelay.Observe(now.Sub(time.UnixMilli(c.ChangedUnixMs)).Seconds())
 }
