--- a/dispatch/limit/shares.go
+++ b/dispatch/limit/shares.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // PlanID orders plans: the higher number wins, then the allocator's name.
@@ -70,6 +71,8 @@
 	held    Parts
 	demand  Parts
 	fenced  bool
+	// learned holds the members known only from a plan, and since when.
+	learned map[string]time.Time
 	// highest is the highest plan number seen.
 	highest uint64
 	// turn rotates which entries get a slot when there are fewer than entries.
@@ -87,6 +90,7 @@
 		members: map[string]*ShareState{self: {Entry: self}},
 		held:    Parts{},
 		demand:  Parts{},
+		learned: map[string]time.Time{},
 	}
 }
 
@@ -102,6 +106,7 @@
 
 // AddMember adds an entry that may hold parts. Until it was heard, nobody enlarges.
 func (s *Shares) AddMember(entry string) {
+	delete(s.learned, entry)
 	if s.members[entry] == nil {
 		s.members[entry] = &ShareState{Entry: entry}
 	}
@@ -111,6 +116,21 @@
 func (s *Shares) Gone(entry string) {
 	if entry != s.self {
 		delete(s.members, entry)
+		delete(s.learned, entry)
+	}
+}
+
+// unknownFor is how long an entry counts as a member that a plan names and the
+// caller does not: it may have come too recently for the caller to know it. An
+// entry that has ended before this one started is named so too, and without an
+// end to the wait nobody could enlarge until the next plan.
+const unknownFor = 3 * time.Second
+
+func (s *Shares) dropUnknown(now time.Time) {
+	for entry, since := range s.learned {
+		if now.Sub(since) >= unknownFor {
+			s.Gone(entry)
+		}
 	}
 }
 
@@ -153,7 +173,7 @@
 
 // Receive takes another entry's state. States of one entry must come in the
 // order in which they were made.
-func (s *Shares) Receive(state ShareState) {
+func (s *Shares) Receive(state ShareState, now time.Time) {
 	if state.Entry == s.self {
 		return
 	}
@@ -161,18 +181,19 @@
 	state.Plan = nil
 	s.members[state.Entry] = &state
 	if plan != nil {
-		s.adopt(*plan)
+		s.adopt(*plan, now)
 	}
 	s.enlarge()
 }
 
 // Tick makes a plan if this entry is the one to do so and demand has moved. It
 // returns whether parts changed.
-func (s *Shares) Tick() bool {
+func (s *Shares) Tick(now time.Time) bool {
+	s.dropUnknown(now)
 	before := s.plan.ID
 	names := slices.Sorted(maps.Keys(s.members))
 	if names[0] == s.self && s.settled() {
-		s.makePlan(names)
+		s.makePlan(names, now)
 	}
 	return s.enlarge() || s.plan.ID != before
 }
@@ -192,7 +213,7 @@
 // contract that it has work for: then it is another's turn.
 const rotateTicks = 8
 
-func (s *Shares) makePlan(names []string) {
+func (s *Shares) makePlan(names []string, now time.Time) {
 	s.ticks++
 	if s.ticks >= rotateTicks && s.leavesOut() {
 		s.turn++
@@ -212,7 +233,7 @@
 		ID:      PlanID{Number: max(s.highest, s.plan.ID.Number) + 1, Allocator: s.self},
 		Total:   maps.Clone(s.totals),
 		Entries: goal,
-	})
+	}, now)
 }
 
 // moveShare is the part of a contract, as a divisor, that must move for a new
@@ -289,14 +310,23 @@
 }
 
 // adopt takes a higher plan and shrinks to it at once.
-func (s *Shares) adopt(plan Plan) {
+func (s *Shares) adopt(plan Plan, now time.Time) {
 	s.highest = max(s.highest, plan.ID.Number)
 	if plan.ID.Compare(s.plan.ID) <= 0 {
 		return
 	}
+	for name := range s.learned {
+		if plan.Entries[name] == nil && plan.ID.Allocator == s.plan.ID.Allocator {
+			// The one that named it has proof that it is gone.
+			s.Gone(name)
+		}
+	}
 	s.plan = plan
 	for name := range plan.Entries {
-		s.AddMember(name)
+		if s.members[name] == nil {
+			s.AddMember(name)
+			s.learned[name] = now
+		}
 	}
 	mine := plan.Entries[s.self]
 	for contract, slots := range s.held {
