--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -30,10 +30,14 @@
 // met any more, and contracts for changes.
 const checkEvery = 50 * time.Millisecond
 
+// guessAfter is how old the news of an agent's slots must be to try a start there
+// while tasks wait.
+const guessAfter = 150 * time.Millisecond
+
 func newPolicy(o Options) *policy {
 	limits := limit.NewLimiter()
 	return &policy{
-		sched:     place.NewScheduler(o.Picker, limits),
+		sched:     place.NewScheduler(o.NewPicker(), limits),
 		limits:    limits,
 		shares:    limit.NewShares(o.Hello.Incarnation),
 		sizes:     estimate.New(estimate.Options{}),
@@ -60,7 +64,7 @@
 	}
 	p.limits.SetContract(applied, now)
 	p.shares.SetContract(name, applied.Concurrency)
-	p.shares.Tick()
+	p.shares.Tick(now)
 	e.applyShares(now)
 	return c
 }
@@ -215,7 +219,14 @@
 	for name := range p.contracts {
 		e.contract(now, name)
 	}
+	e.demand()
+	if p.shares.Tick(now) {
+		e.applyShares(now)
+	}
 	p.sched.Retry()
+	if p.sched.Waiting() > 0 {
+		p.sched.Pool.Guess(now.Add(-guessAfter), now)
+	}
 	for _, a := range e.agents {
 		if a.session.IsUp() {
 			e.updateAgent(now, a)
