--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -41,8 +41,11 @@
 	RedialAfter, RedialMax time.Duration
 	// Random gives numbers in [0, 1), for jitter; nil: none.
 	Random func() float64
-	// Picker chooses agents for tasks; nil: late binding by credits.
-	Picker place.Picker
+	// NewPicker returns what chooses agents for tasks; nil: late binding by
+	// credits, with MessageCost.
+	NewPicker func() place.Picker
+	// MessageCost is how much later a task may end to save one message.
+	MessageCost time.Duration
 	// DomainRoundTrip is the round trip to an agent in another failure domain,
 	// beyond the one to an agent in the entry's own.
 	DomainRoundTrip time.Duration
@@ -77,9 +80,9 @@
 	DefaultMaxSpent       = 1_000_000
 	DefaultMaxRecoveries  = 10_000
 	DefaultMaxWaiting     = 100_000
-	// DefaultMessageCost and DefaultSpreadCost are the default picker's.
-	DefaultMessageCost = time.Millisecond
-	DefaultSpreadCost  = 2 * time.Millisecond
+	DefaultMessageCost    = time.Millisecond
+	DefaultSpreadCost     = 2 * time.Millisecond
+	DefaultCollisionCost  = 5 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -98,12 +101,15 @@
 	set(&o.RecoverWait, DefaultRecoverWait)
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
 	set(&o.RedialAfter, DefaultRedialAfter)
+	set(&o.MessageCost, DefaultMessageCost)
 	set(&o.RedialMax, DefaultRedialMax)
 	if o.Random == nil {
 		o.Random = func() float64 { return 1 }
 	}
-	if o.Picker == nil {
-		o.Picker = &place.Credits{MessageCost: DefaultMessageCost, SpreadCost: DefaultSpreadCost}
+	if o.NewPicker == nil {
+		o.NewPicker = func() place.Picker {
+			return &place.Credits{MessageCost: o.MessageCost, SpreadCost: DefaultSpreadCost, CollisionCost: DefaultCollisionCost}
+		}
 	}
 	bound := func(n *int, def int) {
 		if *n == 0 {
--- a/dispatch/entry/place.go
+++ b/dispatch/entry/place.go
@@ -17,15 +17,15 @@
 	e.tellWant()
 }
 
-// tellWant tells the linked agents the unmet demand. Only a change from or to
-// nothing is worth a frame of its own.
+// tellWant tells the linked agents the unmet demand. Only demand that is new is
+// worth a frame of its own; agents count down what they have granted.
 func (e *Entry) tellWant() {
 	for _, a := range e.agents {
 		if !a.session.IsUp() || a.leaving {
 			continue
 		}
 		n := uint32(e.policy.sched.Want(e.policy.sched.Pool.Agent(a.hello.Agent)))
-		if (n == 0) != (a.wanted == 0) {
+		if n > 0 && a.wanted == 0 {
 			a.dirty = true
 		}
 		a.wanted = n
--- a/dispatch/entry/shares.go
+++ b/dispatch/entry/shares.go
@@ -32,7 +32,7 @@
 		e.others[name] = true
 	}
 	e.demand()
-	shares.Tick()
+	shares.Tick(now)
 	e.applyShares(now)
 }
 
@@ -88,8 +88,8 @@
 	plan := planFromProto(m.Plan)
 	e.policy.shares.Receive(limit.ShareState{
 		Entry: m.Entry, Adopted: plan.ID, Held: partsFromProto(m.Held), Demand: partsFromProto(m.Demand), Plan: plan,
-	})
-	e.policy.shares.Tick()
+	}, now)
+	e.policy.shares.Tick(now)
 	e.applyShares(now)
 }
 
