--- a/cmd/papayahoist/job.go
+++ b/cmd/papayahoist/job.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/papayahoist/papayahoist/api/jobs"
 	"github.com/papayahoist/papayahoist/client"
 	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+	"github.com/papayahoist/papayahoist/node/settings"
 )
 
 // jobCommand holds the flags of "job" and its subcommands.
@@ -23,6 +25,7 @@
 
 	entries   []string
 	tokenFile string
+	tls       settings.TLSFiles
 	json      bool
 
 	contract, kind, id string
@@ -41,6 +44,7 @@
 		Default("http://127.0.0.1:7400").Envar("PAPAYAHOIST_ENTRY").StringsVar(&c.entries)
 	job.Flag("token-file", "File that holds the contract's bearer token.").
 		Envar("PAPAYAHOIST_TOKEN_FILE").StringVar(&c.tokenFile)
+	job.Flag("tls-ca", "CA file of the entries' certificates; empty: the system's.").StringVar(&c.tls.CA)
 	job.Flag("contract", "Contract that the job is accounted to.").Required().StringVar(&c.contract)
 	job.Flag("json", "Print the answer as JSON.").BoolVar(&c.json)
 
@@ -75,7 +79,15 @@
 		}
 		token = strings.TrimSpace(string(text))
 	}
-	made, err := client.New(client.Options{Addresses: c.entries, Token: token})
+	options := client.Options{Addresses: c.entries, Token: token}
+	config, err := c.tls.Client()
+	if err != nil {
+		return nil, cli.Fail(cli.CodeUsage, err)
+	}
+	if config != nil {
+		options.HTTPClient = &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	}
+	made, err := client.New(options)
 	return made, cli.Fail(cli.CodeUsage, err)
 }
 
