--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -36,8 +36,14 @@
 	standing place.Standing // as last told, for operators
 }
 
-// maxPast is how many ended incarnations of an agent are remembered.
-const maxPast = 4
+const (
+	// maxPast is how many ended incarnations of an agent are remembered, and
+	// maxPastNames of how many agents.
+	maxPast      = 4
+	maxPastNames = 10_000
+	// forgetAgentAfter is how long an agent that was given up is listed.
+	forgetAgentAfter = 10 * time.Minute
+)
 
 // AgentSeen takes in an announcement. A new incarnation replaces the old one,
 // whose process has ended. Relink asks for a new link to the same process.
@@ -74,9 +80,28 @@
 	e.dial(now, a)
 }
 
+// remove forgets an agent whose process is known to have ended.
 func (e *Entry) remove(a *agent) {
+	if len(e.past) >= maxPastNames {
+		// Agents with new names take the place of old ones every day. Without what was
+		// known of these, a late announcement costs at most one dial.
+		clear(e.past)
+	}
 	past := append(e.past[a.hello.Agent], a.hello.Incarnation)
 	e.past[a.hello.Agent] = past[max(0, len(past)-maxPast):]
+	e.forgetAgent(a)
+}
+
+// forgetGone forgets agents that were given up long ago. One that comes back all
+// the same announces itself like a new one.
+func (e *Entry) forgetGone(now time.Time) {
+	old := func(a *agent) bool { return a.gone && !now.Before(a.downAt.Add(forgetAgentAfter)) }
+	for i := slices.IndexFunc(e.agents, old); i >= 0; i = slices.IndexFunc(e.agents, old) {
+		e.forgetAgent(e.agents[i])
+	}
+}
+
+func (e *Entry) forgetAgent(a *agent) {
 	e.policy.health.Remove(a.hello.Agent)
 	delete(e.byName, a.hello.Agent)
 	e.agents = slices.DeleteFunc(e.agents, func(x *agent) bool { return x == a })
@@ -226,7 +251,7 @@
 		return a.session.Next()
 	}
 	if a.gone {
-		return time.Time{}
+		return a.downAt.Add(forgetAgentAfter)
 	}
 	lost := a.downAt.Add(o.AgentLostAfter)
 	if a.dialing {
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -241,6 +241,7 @@
 		e.tickAgent(now, a)
 	}
 	e.check(now)
+	e.forgetGone(now)
 	e.forgetOld(now)
 }
 
