--- a/cmd/papayahoistd/serve.go
+++ b/cmd/papayahoistd/serve.go
@@ -8,7 +8,6 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/papayahoist/papayahoist/cmd/internal/cli"
-	"github.com/papayahoist/papayahoist/node/lograte"
 	"github.com/papayahoist/papayahoist/node/process"
 	"github.com/papayahoist/papayahoist/node/settings"
 )
@@ -58,14 +57,14 @@
 	return agent.Run(env.Context)
 }
 
-// logger writes lines as the settings say, at a bounded rate.
+// logger writes lines as the settings say; package process bounds their rate.
 func logger(w io.Writer, format string, level slog.Level) *slog.Logger {
 	options := &slog.HandlerOptions{Level: level}
 	var handler slog.Handler = slog.NewJSONHandler(w, options)
 	if format == settings.LogText {
 		handler = slog.NewTextHandler(w, options)
 	}
-	return slog.New(lograte.NewHandler(handler, lograte.Options{}))
+	return slog.New(handler)
 }
 
 // version is the module version that this binary was built from.
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -51,6 +51,8 @@
 		return nil, err
 	}
 	core.Events = event.NewRing(event.Options{Process: s.Name, Worker: s.Worker, Size: o.Events})
+	collectors := metrics.NewAgent(o.Registry, metrics.Options{Role: string(s.Role), Version: o.Version, Ring: core.Events})
+	log := newLogger(o.Logger, s.Name, collectors.Process)
 	made, err := agent.New(agent.Options{
 		Hello: helloOf(s), NodesListen: s.NodesListen, OperatorsListen: s.OperatorsListen, Join: s.Join,
 		Endpoint: agent.HTTPEndpoint{
@@ -58,13 +60,13 @@
 		},
 		NodesTLS: config.nodes.Config(), OperatorsTLS: config.operators.Config(),
 		DrainTimeout: s.DrainTimeout, Core: core, Version: o.Version,
-		Metrics:  metrics.NewAgent(o.Registry, metrics.Options{Role: string(s.Role), Version: o.Version, Ring: core.Events}),
-		Gatherer: o.Registry, Logger: o.Logger.With("process", s.Name),
+		Metrics:  collectors,
+		Gatherer: o.Registry, Logger: log,
 	})
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "agent %s", s.Name)
 	}
-	return &Agent{Agent: made, tls: config, log: o.Logger}, nil
+	return &Agent{Agent: made, tls: config, log: log}, nil
 }
 
 func helloOf(s settings.Agent) *pb.AgentHello {
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -152,12 +152,13 @@
 		o.Registry = prometheus.NewRegistry()
 	}
 	s := o.Settings
-	b := &entryBuilder{o: o, log: o.Logger.With("process", s.Name)}
+	b := &entryBuilder{o: o}
 	if o.Events == 0 {
 		o.Events = defaultEvents
 	}
 	b.ring = event.NewRing(event.Options{Process: s.Name, Size: o.Events})
 	b.metrics = metrics.NewEntry(o.Registry, metrics.Options{Role: string(s.Role), Version: o.Version, Ring: b.ring})
+	b.log = newLogger(o.Logger, s.Name, b.metrics.Process)
 	b.hello = &pb.EntryHello{
 		Entry: s.Name, Incarnation: entry.NewIncarnation(), Address: s.NodesAddress, FailureDomain: s.FailureDomain,
 	}
