Status keeps to one screen with 41 contracts

Cause: with 41 contracts the screen had 60 lines, c10 before c2. Change: beyond 16 contracts those at rest are counted; names sort as people do. Figures: with 42 contracts and 1,600 failures at most 30 lines (test). Conclusion: one screen.

--- a/cmd/internal/status/status.go
+++ b/cmd/internal/status/status.go
@@ -206,7 +206,7 @@
 			add(earlier, c)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(contracts)) {
+	for _, name := range slices.SortedFunc(maps.Keys(contracts), fleet.CompareNames) {
 		c := contracts[name]
 		if old, ok := earlier[name]; ok && interval > 0 {
 			c.rates(old, interval)
@@ -274,6 +274,11 @@
 	}
 }
 
+// quiet reports whether nothing of a contract runs, waits, starts or is refused.
+func (c Contract) quiet() bool {
+	return c.Running == 0 && c.Waiting == 0 && c.Starts == 0 && sum(c.RefusedNow) == 0
+}
+
 // worstCode returns the code that refuses most now, or since the start if
 // nothing is refused now.
 func (c *Contract) worstCode() string {
--- a/cmd/internal/status/status_test.go
+++ b/cmd/internal/status/status_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -79,14 +80,19 @@
 }
 
 func TestScreenStaysOneScreen(t *testing.T) {
-	// A failure domain with 800 agents is lost. The screen must still show the
-	// contracts, instead of 800 lines above them.
+	// A failure domain with 800 agents is lost, and only one of 42 customers has
+	// work. The screen must still show that one, instead of 800 lines above it.
 	now := &fleet.Fleet{Statuses: []*pb.StatusResponse{entryStatus("entry-1", 7, 0, 0)}}
 	var gone []fleet.Failure
 	for range 800 {
 		gone = append(gone, fleet.Failure{Process: fleet.Process{Name: "agent-1"}, Err: errors.New("no route")})
 		now.Failures = append(now.Failures, fleet.Failure{Process: fleet.Process{Name: "agent-2"}, Err: errors.New("unknown")})
 	}
+	for i := range 41 {
+		now.Statuses[0].Contracts = append(now.Statuses[0].Contracts, &pb.ContractStatus{
+			Contract: &pb.Contract{Name: fmt.Sprint("rest-", i), Rate: 1},
+		})
+	}
 	var out bytes.Buffer
 	if err := WriteText(&out, newReport(now, gone, now, time.Second, at)); err != nil {
 		t.Fatal(err)
@@ -94,6 +100,11 @@
 	if lines := strings.Count(out.String(), "\n"); lines > 30 {
 		t.Errorf("%d lines, want at most 30", lines)
 	}
+	for _, text := range []string{"stamps", "and 41 contracts at rest"} {
+		if !strings.Contains(out.String(), text) {
+			t.Errorf("screen lacks %q", text)
+		}
+	}
 }
 
 func TestRatesSurviveRestarts(t *testing.T) {
--- a/cmd/internal/status/text.go
+++ b/cmd/internal/status/text.go
@@ -4,12 +4,17 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 )
 
-// mostAlarms bounds the alarms on the screen.
-const mostAlarms = 12
+// mostAlarms and mostContracts bound what is on the screen; of more contracts,
+// those at rest are left out.
+const (
+	mostAlarms    = 12
+	mostContracts = 16
+)
 
 // WriteJSON writes the report as one JSON object.
 func WriteJSON(w io.Writer, r *Report) error {
@@ -99,10 +104,14 @@
 }
 
 func (s *screen) contracts(contracts []Contract, interval time.Duration) {
+	shown := contracts
+	if len(contracts) > mostContracts {
+		shown = slices.DeleteFunc(slices.Clone(contracts), Contract.quiet)
+	}
 	s.table(func(row func(string, ...any)) {
 		row("CONTRACT\tCLASS\tSTARTS/S\tRUNNING\tMEMORY\tWAITING\tOFFERED\tSERVED\tREFUSED\tNOW/S\tMOSTLY")
-		for i := range contracts {
-			c := &contracts[i]
+		for i := range shown {
+			c := &shown[i]
 			now := "-"
 			if interval > 0 {
 				now = fmt.Sprintf("%.1f", sum(c.RefusedNow))
@@ -112,6 +121,9 @@
 				c.Waiting, c.WaitingLimit, c.Offered, c.Served, sum(c.Refused), now, c.worstCode())
 		}
 	})
+	if n := len(contracts) - len(shown); n > 0 {
+		s.printf("and %d contracts at rest; --format json has them all\n", n)
+	}
 }
 
 // bytesText shows a size in the largest unit that leaves at most four digits.
