--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
@@ -31,6 +32,11 @@
 	// Damping is how long an entry's credits must lie unused before they are
 	// recalled for another that waits.
 	Damping time.Duration
+	// Divided gives each slot to one entry at a time, by credits that move between
+	// entries, instead of offering all slots to every entry.
+	Divided bool
+	// MaxQueued bounds the units that wait for a slot unless Divided is set.
+	MaxQueued int
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
 	// Events takes what happens, for the time line, and stamps messages; nil: none.
@@ -45,6 +51,7 @@
 	DefaultMaxFences      = 50_000
 	DefaultPeerLostAfter  = 15 * time.Second
 	DefaultLoadEvery      = time.Second
+	DefaultMaxQueued      = 8
 	// maxHomes bounds the homes remembered for evicted records.
 	maxHomes       = 4096
 	DefaultDamping = 10 * time.Millisecond
@@ -64,6 +71,9 @@
 	if o.MaxFences == 0 {
 		o.MaxFences = DefaultMaxFences
 	}
+	if o.MaxQueued == 0 {
+		o.MaxQueued = DefaultMaxQueued
+	}
 	if o.PeerLostAfter == 0 {
 		o.PeerLostAfter = DefaultPeerLostAfter
 	}
@@ -118,7 +128,8 @@
 	tasks       int // tasks in all records
 	resultBytes int
 
-	slots    *limit.Credits
+	slots    slots
+	queue    []queued // starts that wait for a slot, oldest first
 	running  int
 	reserved uint64
 	loads    map[string]*pb.ContractLoad
@@ -176,6 +187,7 @@
 	index    uint32
 	memory   uint64
 	units    int            // slots that it takes
+	queued   bool           // accepted, and not started yet
 	result   *pb.TaskResult // nil while running
 	acked    bool
 	stopping bool
@@ -186,7 +198,7 @@
 	opts = opts.withDefaults()
 	return &Agent{
 		opts:   opts,
-		slots:  limit.NewCredits(limit.CreditsOptions{Slots: int(opts.Hello.Slots), Damping: opts.Damping}),
+		slots:  newSlots(opts),
 		jobs:   make(map[string]*record),
 		loads:  make(map[string]*pb.ContractLoad),
 		fences: make(map[string]time.Time),
@@ -290,12 +302,18 @@
 		a.drop(now, p)
 		a.lose(p)
 	}
+	a.runQueued(now)
 	a.balance(now)
 }
 
 // lose takes an entry for gone: nobody waits for its results any more.
 func (a *Agent) lose(p *peer) {
 	p.lost = true
+	for _, q := range slices.Clone(a.queue) {
+		if q.task.rec.home == p.hello.Incarnation {
+			a.unqueue(q.task, job.RefusedRevoked)
+		}
+	}
 	a.retireAll(p.hello.Incarnation)
 }
 
@@ -360,18 +378,17 @@
 			a.addNews(p, b.Job, recordDropped(ts.Task))
 			continue
 		}
-		why := a.refuse(p, b, ts)
-		if why == "" && !a.slots.Start(p.hello.Incarnation, units) {
-			why = job.RefusedNoSlot
+		verdict, why := limit.Refuse, a.refuse(p, b, units)
+		if why == "" {
+			verdict, why = a.slots.Start(p.hello.Incarnation, units), job.RefusedNoSlot
 		}
-		if why != "" {
+		if verdict == limit.Refuse {
 			a.recordTask(now, event.TaskRefused, p, refOf(b.Job, ts.Task), why)
 			a.slots.Unused(p.hello.Incarnation, units)
 			a.addNews(p, b.Job, refusal(ts.Task, why))
 			continue
 		}
-		a.recordTask(now, event.TaskStarted, p, refOf(b.Job, ts.Task), "")
-		a.run(now, p, b, ts, units)
+		a.accept(now, p, b, ts, units, verdict)
 	}
 }
 
@@ -392,7 +409,7 @@
 	return &pb.TaskResult{Task: index, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Error: why}
 }
 
-func (a *Agent) refuse(p *peer, b *pb.StartBatch, ts *pb.TaskStart) string {
+func (a *Agent) refuse(p *peer, b *pb.StartBatch, units int) string {
 	_, bare := job.SplitName(b.Job)
 	id, err := job.Parse(bare)
 	switch {
@@ -402,7 +419,7 @@
 		return job.RefusedFenced
 	case a.leaving:
 		return job.RefusedLeaving
-	case a.opts.Hello.MemoryBytes > 0 && a.reserved+ts.MemoryBytes > a.opts.Hello.MemoryBytes:
+	case units > int(a.opts.Hello.Slots):
 		return job.RefusedMemory
 	case a.full():
 		return job.RefusedFull
@@ -417,7 +434,8 @@
 	return a.tasks >= a.opts.MaxRecords || a.resultBytes >= a.opts.MaxResultBytes
 }
 
-func (a *Agent) run(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart, units int) {
+// accept keeps a record of a task and starts it, or puts it in the queue.
+func (a *Agent) accept(now time.Time, p *peer, b *pb.StartBatch, ts *pb.TaskStart, units int, verdict limit.Verdict) {
 	rec := a.jobs[b.Job]
 	if rec == nil {
 		contract, id := job.SplitName(b.Job)
@@ -427,18 +445,30 @@
 		}
 		a.jobs[b.Job] = rec
 	}
-	rec.tasks[ts.Task] = &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes, units: units}
+	t := &task{rec: rec, index: ts.Task, memory: ts.MemoryBytes, units: units}
+	rec.tasks[ts.Task] = t
 	rec.open++
 	rec.running++
 	a.tasks++
-	a.running++
-	a.reserve(rec.contract, 1, int64(ts.MemoryBytes))
-	a.ready.Run = append(a.ready.Run, Run{
+	r := Run{
 		TaskRef:  rec.ref(ts.Task),
 		Kind:     b.Kind,
 		Payload:  ts.Payload,
 		Deadline: now.Add(time.Duration(b.TimeoutMs) * time.Millisecond),
-	})
+	}
+	if verdict == limit.Queue {
+		t.queued = true
+		a.queue = append(a.queue, queued{t, r})
+		return
+	}
+	a.run(now, p, t, r)
+}
+
+func (a *Agent) run(now time.Time, p *peer, t *task, r Run) {
+	a.recordTask(now, event.TaskStarted, p, r.TaskRef, "")
+	a.running++
+	a.reserve(t.rec.contract, 1, int64(t.memory))
+	a.ready.Run = append(a.ready.Run, r)
 }
 
 func (a *Agent) reserve(contract string, tasks int, memory int64) {
@@ -475,6 +505,7 @@
 	a.slots.End(rec.home, t.units)
 	a.resultBytes += len(res.Body)
 	a.reserve(rec.contract, -1, -int64(t.memory))
+	a.runQueued(now)
 	home := a.homeOf(rec)
 	if home != nil && home.session.IsUp() {
 		a.addNews(home, rec.name, res)
@@ -525,6 +556,9 @@
 			// can no longer arrive before the entry has seen this refusal.
 			a.recordTask(now, event.TaskRevoked, p, refOf(r.Job, index), "before it came")
 			a.addNews(p, r.Job, refusal(index, job.RefusedRevoked))
+		case t.queued:
+			a.recordTask(now, event.TaskRevoked, p, rec.ref(index), "before it started")
+			a.unqueue(t, job.RefusedRevoked)
 		case t.result == nil && !t.stopping:
 			t.stopping = true
 			a.recordTask(now, event.TaskRevoked, p, rec.ref(index), "while it runs")
@@ -551,6 +585,9 @@
 	if a.evicted.has(id.Home.Incarnation) {
 		report.Evicted = true
 	}
+	if a.fenced(f.Job) {
+		a.unqueueJob(f.Job, job.RefusedFenced)
+	}
 	if rec := a.jobs[f.Job]; rec != nil {
 		report.Digest = rec.digest
 		for _, t := range rec.sortedTasks() {
@@ -646,6 +683,7 @@
 func (a *Agent) Leave(now time.Time) {
 	a.leaving = true
 	a.opts.Events.Record(now, event.Event{Kind: event.DrainBegun, Detail: "no new tasks", Value: uint64(a.running)})
+	a.unqueueJob("", job.RefusedLeaving)
 	for _, p := range a.peers {
 		a.slots.Unlink(p.hello.Incarnation)
 		p.dirty = p.session.IsUp()
@@ -714,6 +752,10 @@
 		f.Load = a.load()
 		p.loadSentAt = now
 	}
+	if !a.opts.Divided {
+		spare := int32(a.slots.Free())
+		f.Spare = &spare
+	}
 	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0 || (a.leaving && !p.told)
 	p.told = a.leaving
 	f.Seq, f.Ack = p.session.Send(now, content)
@@ -748,7 +790,7 @@
 func (a *Agent) load() *pb.AgentLoad {
 	l := &pb.AgentLoad{
 		Running:             uint32(a.running),
-		FreeSlots:           uint32(a.slots.Free()),
+		FreeSlots:           uint32(max(a.slots.Free(), 0)),
 		ReservedMemoryBytes: a.reserved,
 	}
 	for _, c := range sortedKeys(a.loads) {
