estimate: declared run times count while they hold; admission counts the job's own work

Cause: the usual run time of a kind says nothing of one task, so the order of jobs and the waits expected of them were off; an entry that shares all slots took each of them for its own when it judged whether a deadline can be met. Change: a kind's declared run times are used for order and waits while 60% of them come within a factor of 1.5; Wait adds the job's own work; Reach counts the slots in use and spare.

--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -103,8 +103,7 @@
 		Tasks: make([]place.Task, len(j.Tasks)),
 	}
 	for i, t := range j.Tasks {
-		declared := estimate.Declared{Memory: t.MemoryBytes, Run: time.Duration(t.RunMillis) * time.Millisecond}
-		s := e.policy.sizes.Estimate(j.Contract, j.Kind, declared, now)
+		s := e.policy.sizes.Estimate(j.Contract, j.Kind, declaredOf(t), now)
 		if !s.Certain {
 			// A guess must not keep a job from running at all.
 			s.Memory = min(s.Memory, largest, c.MemoryBytes)
@@ -113,6 +112,7 @@
 		w.MinRun = s.LikelyRun
 		r.MemoryBytes = max(r.MemoryBytes, s.Memory)
 		r.Run = max(r.Run, s.Run)
+		r.Work += s.Run
 		r.MinRun, r.LikelyRun = s.MinRun, s.LikelyRun
 	}
 	place.LongestFirst(w.Tasks)
@@ -120,12 +120,16 @@
 	return w, r
 }
 
+func declaredOf(t *pb.Task) estimate.Declared {
+	return estimate.Declared{Memory: t.MemoryBytes, Run: time.Duration(t.RunMillis) * time.Millisecond}
+}
+
 // refusal returns why a new job is not taken, nil when it may run. Nothing of it
 // has been sent to any agent, so "not run" is true.
 func (e *Entry) refusal(now time.Time, j *pb.Job, r limit.Request) *pb.Answer {
 	p := e.policy
 	r.Waiting = p.sched.WaitingOf(j.Contract)
-	r.QueueWait = p.sched.Queue().Wait(j.Contract, p.sched.Pool.Credits()+p.sched.Pool.Outstanding())
+	r.QueueWait = p.sched.Queue().Wait(j.Contract, r.Work, p.sched.Pool.Reach())
 	if refused := p.limits.Admit(r, now); refused != nil {
 		return refuse(j.Id, refused.Code, refused.Message, refused.RetryAfter)
 	}
@@ -180,7 +184,9 @@
 	j := t.job.job
 	run := time.Duration(res.RunMillis) * time.Millisecond
 	if complete {
-		e.policy.sizes.Report(j.Contract, j.Kind, estimate.Usage{Memory: res.PeakMemoryBytes, Run: run}, now)
+		e.policy.sizes.Report(j.Contract, j.Kind, estimate.Usage{
+			Memory: res.PeakMemoryBytes, Run: run, Declared: declaredOf(j.Tasks[t.index]),
+		}, now)
 	}
 	e.policy.health.Report(a.hello.Agent, health.Result{Contract: j.Contract, Kind: j.Kind, Failed: failed, Run: run}, now)
 	e.updateAgent(now, a)
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -50,6 +50,11 @@
 	minRunQuantile = 5
 	// histogramError is the largest relative error of a histogram's values.
 	histogramError = 0.1
+	// A declared run time is close if it is off by less than a factor closeBy.
+	// Declarations of a kind are trusted while that holds for the part trustFrom.
+	closeBy        = 1.5
+	trustFrom      = 0.6
+	trustGain      = 0.05
 	memoryUnit     = 1 << 20
 	maxMemoryUnits = 1 << 22
 	maxRunMillis   = 1 << 24
@@ -65,6 +70,8 @@
 type Usage struct {
 	Memory uint64
 	Run    time.Duration
+	// Declared is what the caller said of the task.
+	Declared Declared
 }
 
 // Estimate is what to expect of a task.
@@ -101,6 +108,8 @@
 	memory     history
 	run        history
 	lastReport time.Time
+	// trust is the part of declared run times that came close, as a moving mean.
+	trust float64
 	// The cached quantiles are renewed by reports, since jobs ask more often.
 	memoryBytes uint64
 	typicalRun  time.Duration
@@ -126,7 +135,7 @@
 
 // Estimate returns what to expect of a task.
 func (e *Estimator) Estimate(contract, kindName string, declared Declared, now time.Time) Estimate {
-	declares := declared.Memory > 0
+	declares, declaresRun := declared.Memory > 0, declared.Run > 0
 	if !declares {
 		declared.Memory = e.options.DefaultMemory
 	}
@@ -143,6 +152,11 @@
 		Memory: uint64(blend(float64(declared.Memory), float64(k.memoryBytes), k.memory.count())),
 		Run:    time.Duration(blend(float64(declared.Run), float64(k.typicalRun), k.run.count())),
 	}
+	if k.trust >= trustFrom && declaresRun {
+		// Most callers know the run time of this very task, which the usual one of
+		// its kind can't tell. It decides only the order, never a refusal.
+		estimate.Run = declared.Run
+	}
 	// What was seen to happen may happen again, however few reports there are.
 	estimate.Memory = max(estimate.Memory, k.memory.max()*memoryUnit)
 	if now.Sub(k.lastReport) <= e.options.Fresh {
@@ -169,12 +183,25 @@
 		k.memory.add(int64(min((usage.Memory+memoryUnit-1)/memoryUnit, maxMemoryUnits)))
 		k.memoryBytes = uint64(float64(k.memory.quantile(memoryQuantile)*memoryUnit) * memoryMargin)
 	}
+	k.judgeDeclared(usage)
 	k.run.add(min(max(usage.Run.Milliseconds(), 1), maxRunMillis))
 	k.typicalRun = time.Duration(k.run.quantile(runQuantile)) * time.Millisecond
 	least := float64(k.run.quantile(minRunQuantile)) * (1 - histogramError)
 	k.minRun = time.Duration(least * float64(time.Millisecond))
 }
 
+func (k *kind) judgeDeclared(usage Usage) {
+	declared, run := float64(usage.Declared.Run), float64(usage.Run)
+	if declared <= 0 || run <= 0 {
+		return
+	}
+	near := 0.0
+	if ratio := run / declared; ratio < closeBy && ratio > 1/closeBy {
+		near = 1
+	}
+	k.trust += trustGain * (near - k.trust)
+}
+
 // Kinds returns how many kinds are remembered.
 func (e *Estimator) Kinds() int { return len(e.kinds) }
 
--- a/dispatch/estimate/estimate_test.go
+++ b/dispatch/estimate/estimate_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+func TestEstimateTrustsDeclaredRunWhileItHolds(t *testing.T) {
+	e := New(Options{})
+	report := func(n int, declared time.Duration) {
+		for range n {
+			e.Report("c", "k", Usage{Run: 100 * time.Millisecond, Declared: Declared{Run: declared}}, epoch)
+		}
+	}
+	want := Declared{Run: 2 * time.Second}
+	report(50, 110*time.Millisecond)
+	if got := e.Estimate("c", "k", want, epoch).Run; got != want.Run {
+		t.Errorf("declarations hold: %v", got)
+	}
+	report(50, time.Second)
+	within(t, "run, declarations are off", e.Estimate("c", "k", want, epoch).Run.Seconds(), 0.1, 0.2)
+}
+
 func TestEstimateFollowsChange(t *testing.T) {
 	e := New(Options{})
 	for _, memory := range []uint64{1000, 100} {
--- a/dispatch/limit/limiter.go
+++ b/dispatch/limit/limiter.go
@@ -211,8 +211,8 @@
 	Left time.Duration
 	// MinRun is the least run time, LikelyRun the usual one; zero if unknown.
 	MinRun, LikelyRun time.Duration
-	// Run is the expected run time of a task.
-	Run time.Duration
+	// Run is the longest expected run time of a task, Work the sum of all.
+	Run, Work time.Duration
 	// Waiting are the contract's tasks that wait here, QueueWait how long the
 	// queue expects the job to wait for slots.
 	Waiting   int
--- a/dispatch/place/place_test.go
+++ b/dispatch/place/place_test.go
@@ -119,14 +119,14 @@
 	q := NewQueue()
 	q.Push(job("quiet", "quiet", 10, 100*time.Millisecond))
 	q.Push(job("noisy", "noisy", 10, 100*time.Millisecond))
-	before := q.Wait("quiet", 10)
+	before := q.Wait("quiet", 0, 10)
 	for i := range 100 {
 		q.Push(job(fmt.Sprint(i), "noisy", 10, 100*time.Millisecond))
 	}
-	if after := q.Wait("quiet", 10); after != before {
+	if after := q.Wait("quiet", 0, 10); after != before {
 		t.Errorf("wait went from %v to %v", before, after)
 	}
-	if noisy := q.Wait("noisy", 10); noisy < 10*time.Second {
+	if noisy := q.Wait("noisy", 0, 10); noisy < 10*time.Second {
 		t.Errorf("wait of the noisy contract = %v", noisy)
 	}
 }
--- a/dispatch/place/pool.go
+++ b/dispatch/place/pool.go
@@ -168,6 +168,15 @@
 	}
 }
 
+// Reach returns the slots that this entry uses or could use now.
+func (p *Pool) Reach() int {
+	reach := p.outstanding
+	for _, a := range p.all {
+		reach += max(a.available(), 0)
+	}
+	return reach
+}
+
 // Slots returns the slots of all agents, also those that serve other entries.
 func (p *Pool) Slots() int { return p.slots }
 
--- a/dispatch/place/queue.go
+++ b/dispatch/place/queue.go
@@ -423,10 +423,10 @@
 	return 0
 }
 
-// Wait estimates how long a new job of a contract would wait for its last task
-// to start when that many slots serve this queue. The backlog of another
+// Wait estimates how long a new job of a contract, with so much work, would wait
+// for its last task to start when that many slots serve this queue. The backlog of another
 // contract counts only as far as that contract's weight reaches.
-func (q *Queue) Wait(contract string, slots int) time.Duration {
+func (q *Queue) Wait(contract string, work time.Duration, slots int) time.Duration {
 	f := q.flows[contract]
 	if f == nil || slots <= 0 {
 		return 0
@@ -442,7 +442,7 @@
 		weight += f.weight
 	}
 	shared := min(own*weight/f.weight, float64(l.cost))
-	return (higher + time.Duration(shared)) / time.Duration(slots)
+	return (higher + time.Duration(shared) + work) / time.Duration(slots)
 }
 
 // Victim returns the job to shed in favour of work of the given class: one of
