--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -129,6 +129,7 @@
 func (e *Entry) refusal(now time.Time, j *pb.Job, r limit.Request) *pb.Answer {
 	p := e.policy
 	r.Waiting = p.sched.WaitingOf(j.Contract)
+	r.Entries = len(e.others) + 1
 	r.QueueWait = p.sched.Queue().Wait(j.Contract, r.Work, p.sched.Pool.Reach())
 	if refused := p.limits.Admit(r, now); refused != nil {
 		return refuse(j.Id, refused.Code, refused.Message, refused.RetryAfter)
--- a/dispatch/limit/limit_test.go
+++ b/dispatch/limit/limit_test.go
@@ -388,6 +388,8 @@
 		{"memory", func(r *Request) { r.MemoryBytes = 1001 }, jobs.CodeDoesNotFit, false},
 		{"no worker", func(r *Request) { r.LargestMemory, r.MemoryBytes = 500, 600 }, jobs.CodeDoesNotFit, false},
 		{"too short", func(r *Request) { r.MinRun = time.Minute }, jobs.CodeDeadline, false},
+		{"alone", func(r *Request) { r.Tasks, r.Entries = 100, 3 }, "", false},
+		{"more than may wait", func(r *Request) { r.Tasks = 101 }, jobs.CodeQueueFull, true},
 		{"waiting", func(r *Request) { r.Waiting = 100 }, jobs.CodeQueueFull, true},
 		{"rate", func(r *Request) { r.Waiting, r.Left = 90, 5*time.Second }, jobs.CodeRateLimited, true},
 		{"overload", func(r *Request) { r.QueueWait = 2 * time.Minute }, jobs.CodeOverloaded, true},
--- a/dispatch/limit/limiter.go
+++ b/dispatch/limit/limiter.go
@@ -217,6 +217,8 @@
 	// queue expects the job to wait for slots.
 	Waiting   int
 	QueueWait time.Duration
+	// Entries is how many entries there are.
+	Entries int
 }
 
 // minRetryAfter keeps callers from asking again at once.
@@ -242,7 +244,7 @@
 		return &Refusal{Code: jobs.CodeDeadline, Message: fmt.Sprintf("the deadline is shorter than the least run time, %v", r.MinRun)}
 	}
 	limitWait := u.wait(r, now)
-	if r.Waiting+r.Tasks > int(c.Waiting) {
+	if r.Tasks > int(c.Waiting) || (r.Waiting > 0 && r.Waiting+r.Tasks > u.waitingLimit(r.Entries)) {
 		return &Refusal{Code: jobs.CodeQueueFull, RetryAfter: max(limitWait, r.QueueWait, minRetryAfter), Message: "too many tasks of the contract wait"}
 	}
 	if r.Left <= 0 {
@@ -257,6 +259,14 @@
 	return nil
 }
 
+// waitingLimit is the entry's part of the waiting limit: what its part of the
+// contract gives, and no less than an even part, since an entry that has just
+// started holds no part yet. A job alone may always wait.
+func (u *usage) waitingLimit(entries int) int {
+	even := 1 / float64(max(entries, 1))
+	return int(math.Ceil(float64(u.contract.Waiting) * max(u.fraction(), even)))
+}
+
 // wait is how long the contract's own limits keep the job's last task waiting.
 func (u *usage) wait(r Request, now time.Time) time.Duration {
 	tasks := float64(r.Waiting + r.Tasks)
