--- a/node/settings/load.go
+++ b/node/settings/load.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"reflect"
+	"slices"
 
 	"github.com/tailscale/hujson"
 )
@@ -16,6 +18,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := wantRole(path, text, RoleEntry); err != nil {
+		return nil, err
+	}
 	return parseEntry(path, text)
 }
 
@@ -25,6 +30,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := wantRole(path, text, RoleAgent); err != nil {
+		return nil, err
+	}
 	return parseAgent(path, text)
 }
 
@@ -117,8 +125,20 @@
 	return d, nil
 }
 
+// wantRole refuses a file of the other role, whose keys would all seem unknown.
+func wantRole(file string, text []byte, want Role) error {
+	_, err := findRole(file, text, fmt.Sprintf("%q", want), want)
+	return err
+}
+
 // roleOf finds the role of a file whose other keys may be wrong.
 func roleOf(file string, text []byte) (Role, error) {
+	return findRole(file, text, `"entry" or "agent"`, RoleEntry, RoleAgent)
+}
+
+// findRole returns the file's role if it is one of known, and otherwise an error
+// that says what is wanted.
+func findRole(file string, text []byte, wanted string, known ...Role) (Role, error) {
 	d := newDecoder(file, text)
 	object, err := d.parse()
 	if err != nil {
@@ -126,16 +146,16 @@
 	}
 	for i := range object.Members {
 		member := &object.Members[i]
-		literal, ok := member.Value.Value.(hujson.Literal)
 		if member.Name.Value.(hujson.Literal).String() != "role" {
 			continue
 		}
-		d.source.lines["role"] = d.line(member.Name.StartOffset)
-		if ok && (literal.String() == string(RoleEntry) || literal.String() == string(RoleAgent)) {
+		literal, ok := member.Value.Value.(hujson.Literal)
+		if ok && slices.Contains(known, Role(literal.String())) {
 			return Role(literal.String()), nil
 		}
-		d.wrong("role", &member.Value, `"entry" or "agent"`)
+		d.source.lines["role"] = d.line(member.Name.StartOffset)
+		d.wrong("role", &member.Value, wanted)
 		return "", join(d.problems)
 	}
-	return "", MissingKey.New("%s: key \"role\" is missing; want \"entry\" or \"agent\"", file)
+	return "", MissingKey.New("%s: key \"role\" is missing; want %s", file, wanted)
 }
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -103,6 +103,7 @@
 		{"certificate without key", strings.Replace(entry, `"join"`, `"tls": {"nodes": {"cert": "a.pem"}}, "join"`, 1), MissingKey, []string{`"tls.nodes.key"`}},
 		{"certificate file absent", strings.Replace(entry, `"join"`, `"tls": {"nodes": {"cert": "a.pem", "key": "b.pem"}}, "join"`, 1), Unreadable, []string{"a.pem"}},
 		{"role", strings.Replace(entry, `"role": "entry"`, `"role": "both"`, 1), WrongValue, []string{":3: ", `"role"`, `"both"`}},
+		{"role of another type", strings.Replace(entry, `"role": "entry"`, `"role": 5`, 1), WrongValue, []string{":3: ", `"role"`, "5"}},
 		{"no role", strings.Replace(entry, `"role": "entry",`, "", 1), MissingKey, []string{`"role"`}},
 		{"syntax", strings.Replace(entry, `"role"`, `role`, 1), Malformed, []string{"line 3"}},
 		{"no object", `[]`, Malformed, []string{":1: "}},
