Tasks that endpoints refuse are given up; a late result no longer crashes an entry

Cause: a task whose endpoint refuses it before it begins was sent out again at once, to the same endpoint, until the job's deadline: 5,276 messages in 3 s at one entry of the demo. An agent whose endpoint is down drew all work that way. The model check, run over this change, met an index out of range: the result of a task that ended after its job's answer had been dropped crashed the entry. Change: a refusal by the endpoint counts against it as a failed task; a task refused 16 times ends its job as 'not run, unavailable'; a dropped job's tasks are not learned from. Conclusion: a refused task costs 16 messages each way instead of its deadline.

--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -56,6 +56,8 @@
 	start   *pb.TaskStart
 	run     time.Duration // as estimated
 	result  *pb.TaskResult
+	// refusals counts those of endpoints that did not begin the task.
+	refusals int
 }
 
 // Admission says what became of a submission.
@@ -366,6 +368,9 @@
 		e.endEarly(now, t.job, jobs.CodeHomeLost, "another entry took over the job's recovery")
 		return
 	}
+	if !job.RefusedByAgent(res.Error) && e.refusedByEndpoint(now, t) {
+		return
+	}
 	e.requeue(now, t)
 }
 
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -184,7 +184,8 @@
 	}
 	j := t.job.job
 	run := time.Duration(res.RunMillis) * time.Millisecond
-	if complete {
+	if complete && !t.job.dropped {
+		// A job that was dropped has no declarations to compare with any more.
 		e.policy.sizes.Report(j.Contract, j.Kind, estimate.Usage{
 			Memory: res.PeakMemoryBytes, Run: run, Declared: declaredOf(j.Tasks[t.index]),
 		}, now)
--- a/dispatch/job/refusal.go
+++ b/dispatch/job/refusal.go
@@ -10,3 +10,13 @@
 	RefusedRevoked = "revoked"
 	RefusedForeign = "foreign_home"
 )
+
+// RefusedByAgent tells an agent's refusal by its code. Other texts are of the
+// endpoint, which has proven that it did not begin the task.
+func RefusedByAgent(code string) bool {
+	switch code {
+	case RefusedNoSlot, RefusedMemory, RefusedFenced, RefusedLeaving, RefusedFull, RefusedRevoked, RefusedForeign:
+		return true
+	}
+	return false
+}
