--- a/node/process/fleet_test.go
+++ b/node/process/fleet_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/contract"
@@ -26,9 +28,11 @@
 )
 
 // fleet is processes that come and go, over sockets, with stand-ins of the
-// platform. Membership runs ten times as fast as in production.
+// platform.
 type fleet struct {
 	t        testing.TB
+	leaseTTL time.Duration
+	member   member.Options
 	kv       *kv.Server
 	store    string
 	endpoint string
@@ -42,8 +46,10 @@
 	cancel context.CancelFunc
 }
 
-func newFleet(t testing.TB, entries, agents int) *fleet {
-	f := &fleet{t: t, kv: kv.New(kv.Options{})}
+// open starts the processes, which end with the test.
+func (f *fleet) open(entries, agents int) {
+	t := f.t
+	f.kv = kv.New(kv.Options{})
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
 		t.Cleanup(server.CloseClientConnections)
@@ -75,7 +81,6 @@
 	for _, e := range f.entries {
 		f.until("agents linked", func() bool { return e.Links() == agents })
 	}
-	return f
 }
 
 func (f *fleet) start() *fleetEntry {
@@ -85,8 +90,7 @@
 	o.CallersListen, o.NodesListen, o.OperatorsListen = loopback, loopback, loopback
 	o.StoreAddresses, o.DrainTimeout = []string{f.store}, time.Second
 	e, err := NewEntry(EntryOptions{
-		Settings: o, Logger: slog.New(slog.DiscardHandler), LeaseTTL: 3 * time.Second,
-		Member: member.Options{Exchange: 200 * time.Millisecond, DeadAfter: 800 * time.Millisecond, GoneAfter: 1600 * time.Millisecond},
+		Settings: o, Logger: slog.New(slog.DiscardHandler), LeaseTTL: f.leaseTTL, Member: f.member,
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -155,7 +159,11 @@
 // away. Each entry must serve callers by the terms in force, also the one that has
 // to wait until the crashed one's part of the contract is free.
 func TestCrashDeletionAndOutage(t *testing.T) {
-	f := newFleet(t, 2, 2)
+	// Ten times as fast as in production.
+	f := &fleet{t: t, leaseTTL: 3 * time.Second, member: member.Options{
+		Exchange: 200 * time.Millisecond, DeadAfter: 800 * time.Millisecond, GoneAfter: 1600 * time.Millisecond,
+	}}
+	f.open(2, 2)
 	if status, code := f.submit(f.entries[0], 1); status != http.StatusForbidden || code != jobs.CodeUnknownContract {
 		t.Errorf("job of a contract that does not exist: %d, %s", status, code)
 	}
@@ -187,18 +195,69 @@
 	}
 }
 
-// BenchmarkTimeToForce changes a contract on 3 entries with 11 agents linked.
+// BenchmarkTimeToForce changes a contract on 3 entries with 11 agents linked, with
+// the times of production.
 func BenchmarkTimeToForce(b *testing.B) {
-	f := newFleet(b, 3, 11)
-	var revision uint64
-	var took []time.Duration
-	for i := range 200 {
-		asked := time.Now()
-		revision = f.apply(fmt.Sprintf("c%d", i), revision, func(c *pb.Contract) { c.Weight = uint32(1 + i%2) })
-		f.until("in force", func() bool { return f.inForce(revision) })
-		took = append(took, time.Since(asked))
-	}
-	slices.Sort(took)
-	b.ReportMetric(float64(took[100])/1e6, "p50-ms")
-	b.ReportMetric(float64(took[199])/1e6, "max-ms")
+	const usual = 2 * time.Millisecond
+	cases := []struct {
+		name    string
+		changes int
+		faults  kv.Faults
+		restart bool
+	}{
+		{name: "quiet", changes: 200, faults: kv.Faults{Delay: usual}},
+		{name: "entry restarting", changes: 20, faults: kv.Faults{Delay: usual}, restart: true},
+		{name: "watches silent", changes: 20, faults: kv.Faults{Delay: usual, SilentWatches: true}, restart: true},
+		{name: "store at 50 times its latency", changes: 20, faults: kv.Faults{Delay: 50 * usual}},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			f := &fleet{t: b}
+			f.open(3, 11)
+			f.kv.SetFaults(c.faults)
+			var revision uint64
+			var took []time.Duration
+			for i := range c.changes {
+				asked := time.Now()
+				revision = f.apply(fmt.Sprintf("c%d", i), revision, func(c *pb.Contract) { c.Weight = uint32(1 + i%2) })
+				if c.restart {
+					f.entries[0].Kill()
+					f.entries[0].cancel()
+					f.entries = f.entries[1:]
+					f.start()
+				}
+				f.until("in force", func() bool { return f.inForce(revision) })
+				took = append(took, time.Since(asked))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2])/1e6, "p50-ms")
+			b.ReportMetric(float64(took[len(took)-1])/1e6, "max-ms")
+		})
+	}
+}
+
+// BenchmarkExchange tells how large the messages between 3 entries are at rest.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{41, 410} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := &fleet{t: b}
+			f.open(3, 1)
+			var last uint64
+			for i := range n {
+				last = f.apply(fmt.Sprintf("c%d", i), 0, func(c *pb.Contract) { c.Name = fmt.Sprintf("customer-%d", i) })
+			}
+			settled := func() bool {
+				return !slices.ContainsFunc(f.entries, func(e *fleetEntry) bool {
+					return e.Config().Snapshot().Covered() < last || e.Entry.ready() != nil
+				})
+			}
+			f.until("settled", settled)
+			// The division of the contracts settles in a few exchanges.
+			time.Sleep(10 * time.Second)
+			from := f.entries[1]
+			state := f.entries[0].membership.Serve(from.membership.Serve(&pb.PeerState{Self: f.entries[0].Peer(), ConfigRevision: last}))
+			b.ReportMetric(float64(proto.Size(state)), "B/msg")
+			b.ReportMetric(float64(len(state.Contracts)), "contracts/msg")
+		})
+	}
 }
