Shares of contracts travel only when they have changed

Cause: each exchange carried the whole division of the contracts; at 410 contracts that is 43 kB a second and entry at rest, above the budget of a node. Change: a state tells which shares of the receiver it has; the receiver leaves them out while they are the same. keys_test.go calls ExtendState with the receiver it now asks for (none: everything is sent); it checks what it did before.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -106,9 +106,13 @@
 	core    *entry.Entry
 	links   map[string]*agentLink        // by agent name
 	waiters map[string][]chan *pb.Answer // by job.Name
-	heard   map[string]uint64            // clock of the last state, by entry incarnation
+	heard   map[string]uint64            // clock of the last state with shares, by entry incarnation
 	told    []string                     // the entries that agents were told of
 	timer   *rpc.Timer
+
+	shares      *pb.ShareState    // as last told, and since when they are so
+	sharesAt    uint64            // clock
+	sharesKnown map[string]uint64 // clock of the state whose shares another has
 }
 
 // New binds the entry's ports, so that its addresses are known before it runs.
--- a/node/entry/keys_test.go
+++ b/node/entry/keys_test.go
@@ -22,7 +22,7 @@
 
 func (m member) state() *pb.PeerState {
 	s := &pb.PeerState{Self: &pb.Peer{Incarnation: m.incarnation}}
-	m.ExtendState(s)
+	m.ExtendState("", s)
 	return s
 }
 
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -28,13 +28,14 @@
 	return connect.NewResponse(answer), nil
 }
 
-// ExtendState adds what this entry tells the others of its use of contracts.
-func (e *Entry) ExtendState(state *pb.PeerState) {
+// ExtendState adds what this entry tells another of its use of contracts. To is
+// the other's incarnation, empty when it is not known.
+func (e *Entry) ExtendState(to string, state *pb.PeerState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	state.Shares = e.core.ShareState()
 	now := time.Now()
 	state.Clock = e.opts.Core.Events.Stamp(now)
+	e.extendShares(to, state)
 	stamp, echoes := e.core.Door().State(now)
 	state.DoorUnixNs = stamp.UnixNano()
 	for _, echo := range echoes {
@@ -42,6 +43,19 @@
 	}
 }
 
+// extendShares leaves the shares out while the other has them as they are: they
+// grow with the contracts and would be most of the bytes between entries at rest.
+func (e *Entry) extendShares(to string, state *pb.PeerState) {
+	shares := e.core.ShareState()
+	if !proto.Equal(shares, e.shares) {
+		e.shares, e.sharesAt = shares, state.Clock
+	}
+	state.SharesSeen = e.heard[to]
+	if to == "" || e.sharesKnown[to] < e.sharesAt {
+		state.Shares = shares
+	}
+}
+
 // StateReceived takes in what another entry told. Exchanges overlap, so that an
 // older state can come after a newer one of the same entry; taking it in would
 // give away parts of a contract twice, and more tasks than allowed would run.
@@ -52,6 +66,11 @@
 		e.opts.Core.Events.Observe(state.Clock, now)
 		e.doorHeard(now, state)
 		last, known := e.heard[sender]
+		if known {
+			// Not the highest ever: the other may have been without this entry for a
+			// while, and has forgotten what it knew of it.
+			e.sharesKnown[sender] = state.SharesSeen
+		}
 		if !known || state.Shares == nil || state.Clock <= last {
 			return
 		}
@@ -105,11 +124,11 @@
 // not, and the names of all contracts in force.
 func (e *Entry) SetStarters(others []string, fenced bool, contracts []string) {
 	e.decide(func(now time.Time) {
-		heard := make(map[string]uint64, len(others))
+		heard, known := make(map[string]uint64, len(others)), make(map[string]uint64, len(others))
 		for _, incarnation := range others {
-			heard[incarnation] = e.heard[incarnation]
+			heard[incarnation], known[incarnation] = e.heard[incarnation], e.sharesKnown[incarnation]
 		}
-		e.heard = heard
+		e.heard, e.sharesKnown = heard, known
 		e.core.PeersSeen(now, others, contracts)
 		e.core.Fence(now, fenced)
 	})
--- a/node/membership/exchange.go
+++ b/node/membership/exchange.go
@@ -12,12 +12,13 @@
 // maxContracts bounds the contracts in one message. Who lacks more asks again.
 const maxContracts = 200
 
-// state is what this entry tells another that is covered up to a revision.
-func (m *Membership) state(covered uint64) *pb.PeerState {
+// state is what this entry tells another that is covered up to a revision. To is
+// the other's incarnation, empty when it is not known.
+func (m *Membership) state(to string, covered uint64) *pb.PeerState {
 	contracts, upTo := m.opts.Config.Snapshot().Since(covered, maxContracts)
 	state := &pb.PeerState{Self: m.self.Load(), Peers: m.Peers(), Contracts: contracts, ConfigSince: covered, ConfigRevision: upTo}
 	if m.opts.Extend != nil {
-		m.opts.Extend(state)
+		m.opts.Extend(to, state)
 	}
 	return state
 }
@@ -25,7 +26,7 @@
 // Serve answers an exchange that another entry began.
 func (m *Membership) Serve(state *pb.PeerState) *pb.PeerState {
 	m.take("", state)
-	return m.state(state.ConfigRevision)
+	return m.state(state.GetSelf().GetIncarnation(), state.ConfigRevision)
 }
 
 // take takes in another entry's state; asked as for member.Set.Heard.
@@ -109,7 +110,7 @@
 	if covered == 0 {
 		covered = m.opts.Config.Snapshot().Covered()
 	}
-	return m.state(covered)
+	return m.state(a.Incarnation, covered)
 }
 
 func (m *Membership) askOnce(ctx context.Context, a member.Ask) (*pb.PeerState, error) {
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -46,9 +46,11 @@
 	Follow   follow.Options
 	// ExchangeTimeout bounds one exchange. Default 1 s.
 	ExchangeTimeout time.Duration
-	// Extend adds to the state that is sent; Received is given the state of
-	// others. Both may be nil, and must not block.
-	Extend, Received func(*pb.PeerState)
+	// Extend adds to the state that is sent to an entry, by its incarnation, empty
+	// when that is not known; Received is given the state of others. Both may be
+	// nil, and must not block.
+	Extend   func(to string, state *pb.PeerState)
+	Received func(*pb.PeerState)
 	// Announced is told until when the announcement holds, counted from before the
 	// call that renewed it; true asks for a call of Listed with all entries that
 	// the store names, read in a call that began at readAt. Listed is also called
