Frames read after a long pause are left; what is wanted comes anew

Cause: a process that was paused for longer than the heartbeat's limit read what had waited for it before its timer told it that the link was silent; an agent then ran starts of jobs that were over. Change: a frame that finds its link silent ends the link instead.

--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -274,6 +274,12 @@
 	if p == nil || p.session.Epoch() != epoch {
 		return
 	}
+	if p.session.Silent(now) {
+		// This process was paused, and reads what has waited for it: starts of jobs
+		// that may be over. Over a new link it gets those that are still wanted.
+		a.Tick(now)
+		return
+	}
 	if !p.session.Received(now, f.Seq, f.Ack, HasContent(f)) {
 		return
 	}
--- a/dispatch/agent/agent_test.go
+++ b/dispatch/agent/agent_test.go
@@ -249,3 +249,21 @@
 		t.Errorf("%d runs, want none for the start sent again", len(p.runs))
 	}
 }
+
+// An agent's process was paused, and reads a start that has waited for it since.
+// The job may be over by now; its customer would pay for work that nobody wants.
+func TestStartReadAfterPause(t *testing.T) {
+	p := newPeer(t, agent.Options{})
+	name := job.Name("c", home+"-0.x")
+	p.link(home)
+	p.now = p.now.Add(13 * time.Second)
+	p.startTask(name, false)
+	if len(p.runs) != 0 {
+		t.Errorf("%d runs of a start that waited 13 s", len(p.runs))
+	}
+	p.link(home)
+	p.startTask(name, true)
+	if len(p.runs) != 1 {
+		t.Errorf("%d runs of the start over a new link, want 1", len(p.runs))
+	}
+}
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -287,6 +287,11 @@
 	if a == nil || a.session.Epoch() != epoch {
 		return
 	}
+	if a.session.Silent(now) {
+		// As an agent that was paused does; what was missed comes over a new link.
+		e.tickAgent(now, a)
+		return
+	}
 	if !a.session.Received(now, f.Seq, f.Ack, hasContent(f)) {
 		return
 	}
