entry: asks the other entries at once for a part that it needs

Cause: parts of contracts moved with the regular exchanges, seconds apart. Change: an entry whose work is held back by its part asks for an exchange at once, ever more seldom while that gains nothing, and once more when a plan promises more than the others were seen to leave. The wait expected at a contract's limits uses the mean run time of a job's tasks, not the longest: it had refused a job that had time enough.

--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -150,6 +150,9 @@
 	Dials   []Dial
 	Frames  []Out
 	Answers []Ended
+	// Exchange asks for an exchange with the other entries now: this one waits
+	// for a part of a contract that they hold.
+	Exchange bool
 }
 
 // Entry is the state of one entry: its jobs, and its links to agents.
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -23,7 +23,11 @@
 	health    *health.Judge
 	contracts map[string]*pb.Contract // as last applied
 	checked   time.Time               // when waiting jobs were last looked through
-	opensAt   time.Time               // when a rate lets a contract go on
+	// hurried is when an exchange with the other entries was asked for last, and
+	// hurryAfter how long until the next.
+	hurried    time.Time
+	hurryAfter time.Duration
+	opensAt    time.Time // when a rate lets a contract go on
 }
 
 // checkEvery is how often waiting jobs are checked for deadlines that can't be
@@ -85,6 +89,7 @@
 	for name := range p.contracts {
 		slots, total := p.shares.Part(name)
 		if p.limits.SetPart(name, slots, total, now) {
+			p.hurryAfter = 0
 			p.sched.Unblock(name)
 		}
 	}
@@ -111,7 +116,6 @@
 		w.Tasks[i] = place.Task{Number: uint32(i), Run: s.Run, Memory: s.Memory}
 		w.MinRun = s.LikelyRun
 		r.MemoryBytes = max(r.MemoryBytes, s.Memory)
-		r.Run = max(r.Run, s.Run)
 		r.Work += s.Run
 		r.MinRun, r.LikelyRun = s.MinRun, s.LikelyRun
 	}
@@ -230,6 +234,7 @@
 	if p.shares.Tick(now) {
 		e.applyShares(now)
 	}
+	e.hurry(now)
 	p.sched.Retry()
 	if p.sched.Waiting() > 0 {
 		p.sched.Pool.Guess(now.Add(-guessAfter), now)
--- a/dispatch/entry/shares.go
+++ b/dispatch/entry/shares.go
@@ -57,6 +57,25 @@
 	return none
 }
 
+// Times between exchanges that this entry asks for.
+const (
+	minHurry = 50 * time.Millisecond
+	maxHurry = 2 * time.Second
+)
+
+// hurry asks for an exchange when this entry has work for a larger part of a
+// contract: the regular ones are seconds apart. While they gain it nothing, since
+// the others need their parts too, it asks ever more seldom.
+func (e *Entry) hurry(now time.Time) {
+	p := e.policy
+	if len(e.others) == 0 || !p.limits.AnyAtPart() || now.Before(p.hurried.Add(p.hurryAfter)) {
+		return
+	}
+	p.hurried = now
+	p.hurryAfter = min(max(2*p.hurryAfter, minHurry), maxHurry)
+	e.ready.Exchange = true
+}
+
 // demand tells the shares what this entry could use of each contract.
 func (e *Entry) demand() {
 	for name := range e.policy.contracts {
@@ -91,6 +110,11 @@
 	}, now)
 	e.policy.shares.Tick(now)
 	e.applyShares(now)
+	if p := e.policy; p.shares.Promised() && now.After(p.hurried.Add(time.Millisecond)) {
+		// The others have yet to be seen to keep to the plan.
+		p.hurried = now
+		e.ready.Exchange = true
+	}
 }
 
 func partsToProto(p limit.Parts) []*pb.SharePart {
--- a/dispatch/limit/limit_test.go
+++ b/dispatch/limit/limit_test.go
@@ -376,7 +376,7 @@
 
 func TestLimiterAdmit(t *testing.T) {
 	l := newLimiter(Contract{Rate: 10, Burst: 1, Concurrency: 10, MemoryBytes: 1000, Waiting: 100})
-	ok := Request{Contract: "c", Tasks: 1, Left: time.Minute, Run: time.Second, LargestMemory: 2000}
+	ok := Request{Contract: "c", Tasks: 1, Left: time.Minute, Work: time.Second, LargestMemory: 2000}
 	cases := []struct {
 		name   string
 		change func(*Request)
--- a/dispatch/limit/limiter.go
+++ b/dispatch/limit/limiter.go
@@ -166,6 +166,17 @@
 	}
 }
 
+// AnyAtPart reports whether some contract is held back by this entry's part of it
+// rather than by the contract itself.
+func (l *Limiter) AnyAtPart() bool {
+	for _, u := range l.contracts {
+		if u.blocked && u.slots < u.total {
+			return true
+		}
+	}
+	return false
+}
+
 // Running returns a contract's tasks started here and not ended.
 func (l *Limiter) Running(contract string) uint32 {
 	if u := l.contracts[contract]; u != nil {
@@ -211,8 +222,8 @@
 	Left time.Duration
 	// MinRun is the least run time, LikelyRun the usual one; zero if unknown.
 	MinRun, LikelyRun time.Duration
-	// Run is the longest expected run time of a task, Work the sum of all.
-	Run, Work time.Duration
+	// Work is the sum of the tasks' expected run times.
+	Work time.Duration
 	// Waiting are the contract's tasks that wait here, QueueWait how long the
 	// queue expects the job to wait for slots.
 	Waiting   int
@@ -275,7 +286,7 @@
 		byRate = max(tasks-u.bucket.TokensAt(now), 0) / limit
 	}
 	if slots := float64(u.concurrency()); slots > 0 {
-		bySlots = max(tasks+float64(u.running)-slots, 0) / slots * r.Run.Seconds()
+		bySlots = max(tasks+float64(u.running)-slots, 0) / slots * r.Work.Seconds() / float64(r.Tasks)
 	}
 	return time.Duration(max(byRate, bySlots) * float64(time.Second))
 }
--- a/dispatch/limit/shares.go
+++ b/dispatch/limit/shares.go
@@ -154,6 +154,17 @@
 	return uint32(uint64(s.held[contract]) * uint64(total) / uint64(planned)), total
 }
 
+// Promised reports whether the plan gives this entry more than it may use yet, of
+// a contract that it has work for.
+func (s *Shares) Promised() bool {
+	for contract, slots := range s.plan.Entries[s.self] {
+		if slots > s.held[contract] && s.demand[contract] > s.held[contract] {
+			return true
+		}
+	}
+	return false
+}
+
 // State returns what to tell the others. Using gives the slots in use of each
 // contract: an entry above its new part holds on to the difference until tasks end.
 func (s *Shares) State(using func(contract string) uint32) ShareState {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -50,6 +50,9 @@
 	FindPeer func(incarnation string) *pb.Peer
 	// Exchange answers another entry's exchange of state; nil: none is served.
 	Exchange func(*pb.PeerState) *pb.PeerState
+	// ExchangeNow begins an exchange with every other entry; it must not block.
+	// Nil: there are only the regular ones.
+	ExchangeNow func()
 	// Ready returns why the entry can't serve yet, or nil; nil: it always can.
 	Ready func() error
 	// Contracts lists those in force, for operators; it must not block. Nil: those
@@ -293,6 +296,9 @@
 			e.countFrame(o.Frame, proto.Size(o.Frame))
 		}
 	}
+	if ready.Exchange && e.opts.ExchangeNow != nil {
+		e.opts.ExchangeNow()
+	}
 	for _, a := range ready.Answers {
 		e.countAnswer(a)
 		name := job.Name(a.Contract, a.Answer.Job)
--- a/node/membership/exchange.go
+++ b/node/membership/exchange.go
@@ -51,6 +51,8 @@
 			return
 		case <-timer.C:
 		case <-m.wake:
+		case <-m.hurry:
+			m.askAll(ctx, wg)
 		}
 		for _, a := range m.due(timer) {
 			wg.Go(func() { m.ask(ctx, a) })
@@ -59,6 +61,21 @@
 	}
 }
 
+// ExchangeNow begins an exchange with every member, besides the regular ones. It
+// does not block.
+func (m *Membership) ExchangeNow() {
+	select {
+	case m.hurry <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Membership) askAll(ctx context.Context, wg *sync.WaitGroup) {
+	for _, p := range m.Peers()[1:] {
+		wg.Go(func() { m.ask(ctx, member.Ask{Address: p.Address, Incarnation: p.Incarnation}) })
+	}
+}
+
 func (m *Membership) tellStarters() {
 	if m.opts.OnStarters == nil {
 		return
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -83,6 +83,7 @@
 
 	wake  chan struct{}
 	leave chan struct{}
+	hurry chan struct{} // asks for an exchange with every member
 	again chan struct{} // asks for the store's list of entries
 
 	mu  sync.Mutex // serializes the set, and guards what follows
@@ -111,7 +112,7 @@
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 	m := &Membership{
-		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}), again: make(chan struct{}, 1),
+		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}), hurry: make(chan struct{}, 1), again: make(chan struct{}, 1),
 		set:     member.New(o.Self, o.Join, o.Random, o.Member),
 		settled: o.Store == nil && len(o.Join) == 0,
 	}
