--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -23,7 +23,11 @@
 	health    *health.Judge
 	contracts map[string]*pb.Contract // as last applied
 	checked   time.Time               // when waiting jobs were last looked through
-	opensAt   time.Time               // when a rate lets a contract go on
+	// hurried is when an exchange with the other entries was asked for last, and
+	// hurryAfter how long until the next.
+	hurried    time.Time
+	hurryAfter time.Duration
+	opensAt    time.Time // when a rate lets a contract go on
 }
 
 // checkEvery is how often waiting jobs are checked for deadlines that can't be
@@ -85,6 +89,7 @@
 	for name := range p.contracts {
 		slots, total := p.shares.Part(name)
 		if p.limits.SetPart(name, slots, total, now) {
+			p.hurryAfter = 0
 			p.sched.Unblock(name)
 		}
 	}
@@ -103,8 +108,7 @@
 		Tasks: make([]place.Task, len(j.Tasks)),
 	}
 	for i, t := range j.Tasks {
-		declared := estimate.Declared{Memory: t.MemoryBytes, Run: time.Duration(t.RunMillis) * time.Millisecond}
-		s := e.policy.sizes.Estimate(j.Contract, j.Kind, declared, now)
+		s := e.policy.sizes.Estimate(j.Contract, j.Kind, declaredOf(t), now)
 		if !s.Certain {
 			// A guess must not keep a job from running at all.
 			s.Memory = min(s.Memory, largest, c.MemoryBytes)
@@ -112,7 +116,7 @@
 		w.Tasks[i] = place.Task{Number: uint32(i), Run: s.Run, Memory: s.Memory}
 		w.MinRun = s.LikelyRun
 		r.MemoryBytes = max(r.MemoryBytes, s.Memory)
-		r.Run = max(r.Run, s.Run)
+		r.Work += s.Run
 		r.MinRun, r.LikelyRun = s.MinRun, s.LikelyRun
 	}
 	place.LongestFirst(w.Tasks)
@@ -120,12 +124,17 @@
 	return w, r
 }
 
+func declaredOf(t *pb.Task) estimate.Declared {
+	return estimate.Declared{Memory: t.MemoryBytes, Run: time.Duration(t.RunMillis) * time.Millisecond}
+}
+
 // refusal returns why a new job is not taken, nil when it may run. Nothing of it
 // has been sent to any agent, so "not run" is true.
 func (e *Entry) refusal(now time.Time, j *pb.Job, r limit.Request) *pb.Answer {
 	p := e.policy
 	r.Waiting = p.sched.WaitingOf(j.Contract)
-	r.QueueWait = p.sched.Queue().Wait(j.Contract, p.sched.Pool.Credits()+p.sched.Pool.Outstanding())
+	r.Entries = len(e.others) + 1
+	r.QueueWait = p.sched.Queue().Wait(j.Contract, r.Work, p.sched.Pool.Reach())
 	if refused := p.limits.Admit(r, now); refused != nil {
 		return refuse(j.Id, refused.Code, refused.Message, refused.RetryAfter)
 	}
@@ -180,7 +189,9 @@
 	j := t.job.job
 	run := time.Duration(res.RunMillis) * time.Millisecond
 	if complete {
-		e.policy.sizes.Report(j.Contract, j.Kind, estimate.Usage{Memory: res.PeakMemoryBytes, Run: run}, now)
+		e.policy.sizes.Report(j.Contract, j.Kind, estimate.Usage{
+			Memory: res.PeakMemoryBytes, Run: run, Declared: declaredOf(j.Tasks[t.index]),
+		}, now)
 	}
 	e.policy.health.Report(a.hello.Agent, health.Result{Contract: j.Contract, Kind: j.Kind, Failed: failed, Run: run}, now)
 	e.updateAgent(now, a)
@@ -223,6 +234,7 @@
 	if p.shares.Tick(now) {
 		e.applyShares(now)
 	}
+	e.hurry(now)
 	p.sched.Retry()
 	if p.sched.Waiting() > 0 {
 		p.sched.Pool.Guess(now.Add(-guessAfter), now)
--- a/dispatch/limit/limiter.go
+++ b/dispatch/limit/limiter.go
@@ -166,6 +166,17 @@
 	}
 }
 
+// AnyAtPart reports whether some contract is held back by this entry's part of it
+// rather than by the contract itself.
+func (l *Limiter) AnyAtPart() bool {
+	for _, u := range l.contracts {
+		if u.blocked && u.slots < u.total {
+			return true
+		}
+	}
+	return false
+}
+
 // Running returns a contract's tasks started here and not ended.
 func (l *Limiter) Running(contract string) uint32 {
 	if u := l.contracts[contract]; u != nil {
@@ -211,12 +222,14 @@
 	Left time.Duration
 	// MinRun is the least run time, LikelyRun the usual one; zero if unknown.
 	MinRun, LikelyRun time.Duration
-	// Run is the expected run time of a task.
-	Run time.Duration
+	// Work is the sum of the tasks' expected run times.
+	Work time.Duration
 	// Waiting are the contract's tasks that wait here, QueueWait how long the
 	// queue expects the job to wait for slots.
 	Waiting   int
 	QueueWait time.Duration
+	// Entries is how many entries there are.
+	Entries int
 }
 
 // minRetryAfter keeps callers from asking again at once.
@@ -242,7 +255,7 @@
 		return &Refusal{Code: jobs.CodeDeadline, Message: fmt.Sprintf("the deadline is shorter than the least run time, %v", r.MinRun)}
 	}
 	limitWait := u.wait(r, now)
-	if r.Waiting+r.Tasks > int(c.Waiting) {
+	if r.Tasks > int(c.Waiting) || (r.Waiting > 0 && r.Waiting+r.Tasks > u.waitingLimit(r.Entries)) {
 		return &Refusal{Code: jobs.CodeQueueFull, RetryAfter: max(limitWait, r.QueueWait, minRetryAfter), Message: "too many tasks of the contract wait"}
 	}
 	if r.Left <= 0 {
@@ -257,6 +270,14 @@
 	return nil
 }
 
+// waitingLimit is the entry's part of the waiting limit: what its part of the
+// contract gives, and no less than an even part, since an entry that has just
+// started holds no part yet. A job alone may always wait.
+func (u *usage) waitingLimit(entries int) int {
+	even := 1 / float64(max(entries, 1))
+	return int(math.Ceil(float64(u.contract.Waiting) * max(u.fraction(), even)))
+}
+
 // wait is how long the contract's own limits keep the job's last task waiting.
 func (u *usage) wait(r Request, now time.Time) time.Duration {
 	tasks := float64(r.Waiting + r.Tasks)
@@ -265,7 +286,7 @@
 		byRate = max(tasks-u.bucket.TokensAt(now), 0) / limit
 	}
 	if slots := float64(u.concurrency()); slots > 0 {
-		bySlots = max(tasks+float64(u.running)-slots, 0) / slots * r.Run.Seconds()
+		bySlots = max(tasks+float64(u.running)-slots, 0) / slots * r.Work.Seconds() / float64(r.Tasks)
 	}
 	return time.Duration(max(byRate, bySlots) * float64(time.Second))
 }
