Client: the time of a key's first sending is the caller's to state

Cause: the client stamped each Submit with its own time as the first sending of the id. A key of the caller's own that was sent again after the caller's crash thus claimed to be new, and an entry that took it over from one that died could start the job's tasks a second time.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -427,6 +427,31 @@
 	}
 }
 
+// A caller sends a key of its own, crashes, and sends it again. If the second
+// sending claimed to be the first, an entry that took over the key from one that
+// died would start the job again, and a stamp would be on two certificates.
+func TestFirstSentIsTheCallers(t *testing.T) {
+	first := time.UnixMilli(1_700_000_000_123)
+	for _, test := range []struct {
+		job  Job
+		want int64
+	}{{Job{ID: "certificate-7", FirstSent: first}, 1_700_000_000_123}, {Job{ID: "certificate-7"}, 0}, {Job{}, 0}} {
+		f := &fake{steps: []step{reset, complete(0, 1)}}
+		if _, _, err := run(t, f, test.job); err != nil {
+			t.Fatal(err)
+		}
+		for _, request := range f.seen {
+			var sent jobs.SubmitRequest
+			if err := json.Unmarshal([]byte(request.Body), &sent); err != nil {
+				t.Fatal(err)
+			}
+			if sent.FirstSentUnixMillis != test.want {
+				t.Errorf("job %+v: first sent %d, want %d", test.job, sent.FirstSentUnixMillis, test.want)
+			}
+		}
+	}
+}
+
 func TestMisuse(t *testing.T) {
 	for _, options := range []Options{{}, {Addresses: []string{"10.0.0.1:1"}}, {Addresses: []string{"http://10.0.0.1:1"}, Wait: time.Hour}} {
 		if _, err := New(options); !errorx.IsOfType(err, Misuse) {
--- a/client/job.go
+++ b/client/job.go
@@ -9,9 +9,16 @@
 
 // Job is what Submit sends.
 type Job struct {
-	// ID comes from NewID. Empty: Submit makes one.
-	ID       string
-	Contract string
+	// ID comes from NewID, or is a key of the caller's own. Empty: Submit makes
+	// one.
+	ID string
+	// FirstSent is when the caller first sent a key of its own; other ids don't
+	// need it. It must be the same each time the key is sent, also after a restart
+	// of the caller: a later time makes entries believe that an entry which has
+	// died can't have started the job, and its tasks may start twice. Zero: the
+	// entries can't vouch for the key, and answer "outcome unknown".
+	FirstSent time.Time
+	Contract  string
 	// Kind groups tasks that behave alike.
 	Kind string
 	// Timeout ends the job when it passes; zero takes what remains of the
@@ -45,16 +52,19 @@
 
 // body encodes the job. It is made once: a second attempt that differed, in the
 // timeout that remains for example, would be another job under the same id.
-func (j Job) body(id string, timeout, wait time.Duration, now time.Time) ([]byte, error) {
-	body, err := json.Marshal(jobs.SubmitRequest{
-		ID:                  id,
-		Contract:            j.Contract,
-		Kind:                j.Kind,
-		TimeoutMillis:       ceilMillis(timeout),
-		WaitMillis:          ceilMillis(wait),
-		FirstSentUnixMillis: now.UnixMilli(),
-		Tasks:               j.Tasks,
-	})
+func (j Job) body(id string, timeout, wait time.Duration) ([]byte, error) {
+	request := jobs.SubmitRequest{
+		ID:            id,
+		Contract:      j.Contract,
+		Kind:          j.Kind,
+		TimeoutMillis: ceilMillis(timeout),
+		WaitMillis:    ceilMillis(wait),
+		Tasks:         j.Tasks,
+	}
+	if !j.FirstSent.IsZero() {
+		request.FirstSentUnixMillis = j.FirstSent.UnixMilli()
+	}
+	body, err := json.Marshal(request)
 	if err != nil {
 		return nil, Misuse.Wrap(err, "job")
 	}
--- a/client/submit.go
+++ b/client/submit.go
@@ -90,7 +90,7 @@
 		}
 		id = made
 	}
-	body, err := job.body(id, timeout, c.wait, time.Now())
+	body, err := job.body(id, timeout, c.wait)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/papayahoist/job.go
+++ b/cmd/papayahoist/job.go
@@ -29,6 +29,7 @@
 	json      bool
 
 	contract, kind, id string
+	firstSent          string
 	timeout            time.Duration
 	payloads, files    []string
 	repeat             int
@@ -58,6 +59,8 @@
 	submit.Flag("cpu-millis", "Thousandths of a core a task is thought to need.").Uint32Var(&c.cpu)
 	submit.Flag("run-ms", "Time a task is thought to run.").Uint32Var(&c.run)
 	submit.Flag("id", "Job id from an earlier submission, to send that job again.").StringVar(&c.id)
+	submit.Flag("first-sent", `With an id that is a key of your own: when it was first sent, such as "2026-03-01T03:12:00Z"; the same each time.`).
+		StringVar(&c.firstSent)
 	submit.Action(cli.Action(c.submit))
 
 	get := job.Command("get", "Fetch the answer of a job submitted before.")
@@ -96,12 +99,16 @@
 	if err != nil {
 		return cli.Fail(cli.CodeUsage, err)
 	}
+	firstSent, err := c.firstSentTime()
+	if err != nil {
+		return cli.Fail(cli.CodeUsage, err)
+	}
 	entries, err := c.client()
 	if err != nil {
 		return err
 	}
 	answer, err := entries.Submit(c.env.Context, client.Job{
-		ID: c.id, Contract: c.contract, Kind: c.kind, Timeout: c.timeout, Tasks: tasks,
+		ID: c.id, FirstSent: firstSent, Contract: c.contract, Kind: c.kind, Timeout: c.timeout, Tasks: tasks,
 	})
 	if err != nil {
 		return c.fail(err)
@@ -109,6 +116,13 @@
 	return c.print(answer)
 }
 
+func (c *jobCommand) firstSentTime() (time.Time, error) {
+	if c.firstSent == "" {
+		return time.Time{}, nil
+	}
+	return time.Parse(time.RFC3339, c.firstSent)
+}
+
 func (c *jobCommand) tasks() ([]jobs.Task, error) {
 	payloads := make([][]byte, 0, len(c.payloads)+len(c.files))
 	for _, payload := range c.payloads {
