preset: few tasks wait at an agent where response time counts

Cause: two entries that choose the same slot make a task wait at the agent for a slot of eight to end, while other agents have room. Change: MaxQueued and GuessAfter in the presets: 1 unit and 50 ms for response, 8 units and 150 ms for messages. Conclusion: a refusal costs two messages and a round trip, less than the wait.

--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -135,6 +135,7 @@
 	}
 	p := c.Profile.Preset
 	o.EntryCore.Link, o.AgentCore.Link = p.Link, p.Link
+	o.AgentCore.MaxQueued, o.EntryCore.GuessAfter = p.MaxQueued, p.GuessAfter
 	o.EntryCore.MessageCost = p.MessageCost
 	return nil
 }
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -35,7 +35,7 @@
 	// Divided gives each slot to one entry at a time, by credits that move between
 	// entries, instead of offering all slots to every entry.
 	Divided bool
-	// MaxQueued bounds the units that wait for a slot unless Divided is set.
+	// MaxQueued, if it is not negative, bounds the units that wait for a slot unless Divided is set.
 	MaxQueued int
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
@@ -51,7 +51,7 @@
 	DefaultMaxFences      = 50_000
 	DefaultPeerLostAfter  = 15 * time.Second
 	DefaultLoadEvery      = time.Second
-	DefaultMaxQueued      = 8
+	DefaultMaxQueued      = 1
 	// maxHomes bounds the homes remembered for evicted records.
 	maxHomes       = 4096
 	DefaultDamping = 10 * time.Millisecond
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -44,6 +44,9 @@
 	// NewPicker returns what chooses agents for tasks; nil: late binding by
 	// credits, with MessageCost.
 	NewPicker func() place.Picker
+	// GuessAfter is how old the news of an agent's slots must be to try a start
+	// there while tasks wait.
+	GuessAfter time.Duration
 	// MessageCost is how much later a task may end to save one message.
 	MessageCost time.Duration
 	// DomainRoundTrip is the round trip to an agent in another failure domain,
@@ -80,6 +83,7 @@
 	DefaultMaxSpent       = 1_000_000
 	DefaultMaxRecoveries  = 10_000
 	DefaultMaxWaiting     = 100_000
+	DefaultGuessAfter     = 50 * time.Millisecond
 	DefaultMessageCost    = time.Millisecond
 	DefaultSpreadCost     = 2 * time.Millisecond
 	DefaultCollisionCost  = 5 * time.Millisecond
@@ -102,6 +106,7 @@
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
 	set(&o.RedialAfter, DefaultRedialAfter)
 	set(&o.MessageCost, DefaultMessageCost)
+	set(&o.GuessAfter, DefaultGuessAfter)
 	set(&o.RedialMax, DefaultRedialMax)
 	if o.Random == nil {
 		o.Random = func() float64 { return 1 }
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -34,10 +34,6 @@
 // met any more, and contracts for changes.
 const checkEvery = 50 * time.Millisecond
 
-// guessAfter is how old the news of an agent's slots must be to try a start there
-// while tasks wait.
-const guessAfter = 150 * time.Millisecond
-
 func newPolicy(o Options) *policy {
 	limits := limit.NewLimiter()
 	return &policy{
@@ -237,7 +233,7 @@
 	e.hurry(now)
 	p.sched.Retry()
 	if p.sched.Waiting() > 0 {
-		p.sched.Pool.Guess(now.Add(-guessAfter), now)
+		p.sched.Pool.Guess(now.Add(-e.opts.GuessAfter), now)
 	}
 	for _, a := range e.agents {
 		if a.session.IsUp() {
--- a/dispatch/preset/preset.go
+++ b/dispatch/preset/preset.go
@@ -12,6 +12,11 @@
 type Preset struct {
 	Name string
 	Link link.Options
+	// MaxQueued is how many units may wait at an agent. A start that is refused for
+	// want of a slot goes elsewhere a round trip later, for two messages more.
+	MaxQueued int
+	// GuessAfter is how old the news of an agent's slots must be to try a start.
+	GuessAfter time.Duration
 	// MessageCost is how much later a task may end to save one message.
 	MessageCost time.Duration
 }
@@ -19,7 +24,7 @@
 // Response spends messages to answer sooner, and notices silent connections
 // within half a second.
 func Response() Preset {
-	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MessageCost: time.Millisecond}
+	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MaxQueued: 1, GuessAfter: 50 * time.Millisecond, MessageCost: time.Millisecond}
 }
 
 // Messages saves messages: acknowledgements wait for frames that flow anyway, and
@@ -31,7 +36,7 @@
 			AckDelay: 2 * time.Second, AckTimeout: 3 * time.Second,
 			Heartbeat: 10 * time.Second, HeartbeatTimeout: 24 * time.Second,
 		},
-		MessageCost: 5 * time.Millisecond,
+		MaxQueued: 8, GuessAfter: 150 * time.Millisecond, MessageCost: 5 * time.Millisecond,
 	}
 }
 
