agent: what waits for a slot is ordered by class

Cause: with grades at ten times its usual work, pickups (urgent) had p99 3.31 instead of 1.90: an urgent task waited at the agent behind up to eight others. Change: starts carry the class of their contract; the agent's queue keeps it. Conclusion: to be measured.

--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -129,7 +129,7 @@
 	resultBytes int
 
 	slots    slots
-	queue    []queued // starts that wait for a slot, oldest first
+	queue    []queued // starts that wait for a slot, by class, oldest first
 	running  int
 	reserved uint64
 	loads    map[string]*pb.ContractLoad
@@ -457,8 +457,7 @@
 		Deadline: now.Add(time.Duration(b.TimeoutMs) * time.Millisecond),
 	}
 	if verdict == limit.Queue {
-		t.queued = true
-		a.queue = append(a.queue, queued{t, r})
+		a.enqueue(queued{t, r, b.Class})
 		return
 	}
 	a.run(now, p, t, r)
--- a/dispatch/agent/queue.go
+++ b/dispatch/agent/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/limit"
 )
@@ -35,8 +36,20 @@
 
 // queued is a task that was accepted and has not started.
 type queued struct {
-	task *task
-	run  Run
+	task  *task
+	run   Run
+	class pb.Class
+}
+
+// enqueue puts a task behind those of its class and before those of lower ones:
+// an urgent task must not wait for another customer's bulk.
+func (a *Agent) enqueue(q queued) {
+	q.task.queued = true
+	pos := slices.IndexFunc(a.queue, func(o queued) bool { return o.class > q.class })
+	if pos < 0 {
+		pos = len(a.queue)
+	}
+	a.queue = slices.Insert(a.queue, pos, q)
 }
 
 // runQueued starts what waits and fits now, in order. A task whose deadline has
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -415,7 +415,7 @@
 	left := max(1, js.deadline.Sub(now)/time.Millisecond)
 	return append(batches, &pb.StartBatch{
 		Job: js.name, Contract: js.job.Contract, Kind: js.job.Kind, TimeoutMs: uint32(left),
-		Tasks: []*pb.TaskStart{t.start}, Digest: js.digest, Resent: resent,
+		Tasks: []*pb.TaskStart{t.start}, Digest: js.digest, Resent: resent, Class: js.class,
 	})
 }
 
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -36,8 +36,9 @@
 	heapPos  int
 	tasks    []taskState
 	queued   *place.Job // the tasks that wait
-	open     int        // tasks that have not ended
-	ran      bool       // some task has run, or may have, and that won't change
+	class    pb.Class
+	open     int  // tasks that have not ended
+	ran      bool // some task has run, or may have, and that won't change
 	ending   *pb.Answer
 	answer   *pb.Answer
 	answered time.Time
@@ -178,7 +179,7 @@
 	js := &jobState{
 		name: name, job: j, digest: digest, open: len(j.Tasks), period: period,
 		deadline: now.Add(time.Duration(j.TimeoutMs) * time.Millisecond),
-		tasks:    make([]taskState, len(j.Tasks)), queued: queued,
+		tasks:    make([]taskState, len(j.Tasks)), queued: queued, class: e.policy.contracts[j.Contract].GetClass(),
 	}
 	starts := make([]pb.TaskStart, len(j.Tasks))
 	for i, t := range j.Tasks {
