--- a/cmd/internal/cli/cli.go
+++ b/cmd/internal/cli/cli.go
@@ -9,6 +9,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 	"text/tabwriter"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -65,6 +68,16 @@
 // exit carries kingpin's request to end the process out of its parser.
 type exit struct{ code int }
 
+// Main runs the process's own command line and exits. SIGTERM and an interrupt
+// end the command in its regular way; a second signal ends the process at once.
+func Main(name, help string, commands ...Register) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	code := Run(ctx, name, help, os.Args[1:], os.Stdout, os.Stderr, commands...)
+	stop()
+	os.Exit(int(code))
+}
+
 // Run parses the arguments, runs the command that they name until it ends or
 // ctx does, and returns the exit code. Errors are written to env.Err.
 func Run(ctx context.Context, name, help string, args []string, out, errOut io.Writer, commands ...Register) (code Code) {
--- a/cmd/papayahoistd/main.go
+++ b/cmd/papayahoistd/main.go
@@ -3,11 +3,7 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -17,13 +13,7 @@
 
 const help = "Run one process of papayahoist: an entry or an agent.\n\nSIGTERM drains the process: it takes no new work, ends what it has, and exits 0."
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop) // a second signal ends the process at once
-	code := cli.Run(ctx, "papayahoistd", help, os.Args[1:], os.Stdout, os.Stderr, commands...)
-	stop()
-	os.Exit(int(code))
-}
+func main() { cli.Main("papayahoistd", help, commands...) }
 
 var commands = []cli.Register{registerEntry, registerAgent, registerCheck}
 
