--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -141,6 +141,7 @@
 type entryBuilder struct {
 	o       EntryOptions
 	log     *slog.Logger
+	started time.Time
 	ring    *event.Ring
 	metrics *metrics.Entry
 	hello   *pb.EntryHello
@@ -152,7 +153,7 @@
 		o.Registry = prometheus.NewRegistry()
 	}
 	s := o.Settings
-	b := &entryBuilder{o: o}
+	b := &entryBuilder{o: o, started: time.Now()}
 	if o.Events == 0 {
 		o.Events = defaultEvents
 	}
@@ -228,5 +229,8 @@
 		Kind: event.ConfigInForce, Contract: c.Name, Value: c.Revision, Detail: "by " + c.ChangedBy,
 	})
 	b.metrics.AddContract(c.Name)
-	b.metrics.ConfigDelay.Observe(now.Sub(time.UnixMilli(c.ChangedUnixMs)).Seconds())
+	// What was written before this process started was not late for it.
+	if changed := time.UnixMilli(c.ChangedUnixMs); changed.After(b.started) {
+		b.metrics.ConfigDelay.Observe(now.Sub(changed).Seconds())
+	}
 }
