--- a/cmd/papayahoist/job.go
+++ b/cmd/papayahoist/job.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/papayahoist/papayahoist/api/jobs"
 	"github.com/papayahoist/papayahoist/client"
 	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+	"github.com/papayahoist/papayahoist/node/settings"
 )
 
 // jobCommand holds the flags of "job" and its subcommands.
@@ -23,9 +25,11 @@
 
 	entries   []string
 	tokenFile string
+	tls       settings.TLSFiles
 	json      bool
 
 	contract, kind, id string
+	firstSent          string
 	timeout            time.Duration
 	payloads, files    []string
 	repeat             int
@@ -41,6 +45,7 @@
 		Default("http://127.0.0.1:7400").Envar("PAPAYAHOIST_ENTRY").StringsVar(&c.entries)
 	job.Flag("token-file", "File that holds the contract's bearer token.").
 		Envar("PAPAYAHOIST_TOKEN_FILE").StringVar(&c.tokenFile)
+	job.Flag("tls-ca", "CA file of the entries' certificates; empty: the system's.").StringVar(&c.tls.CA)
 	job.Flag("contract", "Contract that the job is accounted to.").Required().StringVar(&c.contract)
 	job.Flag("json", "Print the answer as JSON.").BoolVar(&c.json)
 
@@ -54,6 +59,8 @@
 	submit.Flag("cpu-millis", "Thousandths of a core a task is thought to need.").Uint32Var(&c.cpu)
 	submit.Flag("run-ms", "Time a task is thought to run.").Uint32Var(&c.run)
 	submit.Flag("id", "Job id from an earlier submission, to send that job again.").StringVar(&c.id)
+	submit.Flag("first-sent", `With an id that is a key of your own: when it was first sent, such as "2026-03-01T03:12:00Z"; the same each time.`).
+		StringVar(&c.firstSent)
 	submit.Action(cli.Action(c.submit))
 
 	get := job.Command("get", "Fetch the answer of a job submitted before.")
@@ -75,7 +82,15 @@
 		}
 		token = strings.TrimSpace(string(text))
 	}
-	made, err := client.New(client.Options{Addresses: c.entries, Token: token})
+	options := client.Options{Addresses: c.entries, Token: token}
+	config, err := c.tls.Client()
+	if err != nil {
+		return nil, cli.Fail(cli.CodeUsage, err)
+	}
+	if config != nil {
+		options.HTTPClient = &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	}
+	made, err := client.New(options)
 	return made, cli.Fail(cli.CodeUsage, err)
 }
 
@@ -84,12 +99,16 @@
 	if err != nil {
 		return cli.Fail(cli.CodeUsage, err)
 	}
+	firstSent, err := c.firstSentTime()
+	if err != nil {
+		return cli.Fail(cli.CodeUsage, err)
+	}
 	entries, err := c.client()
 	if err != nil {
 		return err
 	}
 	answer, err := entries.Submit(c.env.Context, client.Job{
-		ID: c.id, Contract: c.contract, Kind: c.kind, Timeout: c.timeout, Tasks: tasks,
+		ID: c.id, FirstSent: firstSent, Contract: c.contract, Kind: c.kind, Timeout: c.timeout, Tasks: tasks,
 	})
 	if err != nil {
 		return c.fail(err)
@@ -97,6 +116,13 @@
 	return c.print(answer)
 }
 
+func (c *jobCommand) firstSentTime() (time.Time, error) {
+	if c.firstSent == "" {
+		return time.Time{}, nil
+	}
+	return time.Parse(time.RFC3339, c.firstSent)
+}
+
 func (c *jobCommand) tasks() ([]jobs.Task, error) {
 	payloads := make([][]byte, 0, len(c.payloads)+len(c.files))
 	for _, payload := range c.payloads {
--- a/dispatch/limit/limit_test.go
+++ b/dispatch/limit/limit_test.go
@@ -376,7 +376,7 @@
 
 func TestLimiterAdmit(t *testing.T) {
 	l := newLimiter(Contract{Rate: 10, Burst: 1, Concurrency: 10, MemoryBytes: 1000, Waiting: 100})
-	ok := Request{Contract: "c", Tasks: 1, Left: time.Minute, Run: time.Second, LargestMemory: 2000}
+	ok := Request{Contract: "c", Tasks: 1, Left: time.Minute, Work: time.Second, LargestMemory: 2000}
 	cases := []struct {
 		name   string
 		change func(*Request)
@@ -388,6 +388,8 @@
 		{"memory", func(r *Request) { r.MemoryBytes = 1001 }, jobs.CodeDoesNotFit, false},
 		{"no worker", func(r *Request) { r.LargestMemory, r.MemoryBytes = 500, 600 }, jobs.CodeDoesNotFit, false},
 		{"too short", func(r *Request) { r.MinRun = time.Minute }, jobs.CodeDeadline, false},
+		{"alone", func(r *Request) { r.Tasks, r.Entries = 100, 3 }, "", false},
+		{"more than may wait", func(r *Request) { r.Tasks = 101 }, jobs.CodeQueueFull, true},
 		{"waiting", func(r *Request) { r.Waiting = 100 }, jobs.CodeQueueFull, true},
 		{"rate", func(r *Request) { r.Waiting, r.Left = 90, 5*time.Second }, jobs.CodeRateLimited, true},
 		{"overload", func(r *Request) { r.QueueWait = 2 * time.Minute }, jobs.CodeOverloaded, true},
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -50,6 +50,9 @@
 	FindPeer func(incarnation string) *pb.Peer
 	// Exchange answers another entry's exchange of state; nil: none is served.
 	Exchange func(*pb.PeerState) *pb.PeerState
+	// ExchangeNow begins an exchange with every other entry; it must not block.
+	// Nil: there are only the regular ones.
+	ExchangeNow func()
 	// Ready returns why the entry can't serve yet, or nil; nil: it always can.
 	Ready func() error
 	// Contracts lists those in force, for operators; it must not block. Nil: those
@@ -106,9 +109,13 @@
 	core    *entry.Entry
 	links   map[string]*agentLink        // by agent name
 	waiters map[string][]chan *pb.Answer // by job.Name
-	heard   map[string]uint64            // clock of the last state, by entry incarnation
+	heard   map[string]uint64            // clock of the last state with shares, by entry incarnation
 	told    []string                     // the entries that agents were told of
 	timer   *rpc.Timer
+
+	shares      *pb.ShareState    // as last told, and since when they are so
+	sharesAt    uint64            // clock
+	sharesKnown map[string]uint64 // clock of the state whose shares another has
 }
 
 // New binds the entry's ports, so that its addresses are known before it runs.
@@ -293,6 +300,9 @@
 			e.countFrame(o.Frame, proto.Size(o.Frame))
 		}
 	}
+	if ready.Exchange && e.opts.ExchangeNow != nil {
+		e.opts.ExchangeNow()
+	}
 	for _, a := range ready.Answers {
 		e.countAnswer(a)
 		name := job.Name(a.Contract, a.Answer.Job)
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -46,9 +46,11 @@
 	Follow   follow.Options
 	// ExchangeTimeout bounds one exchange. Default 1 s.
 	ExchangeTimeout time.Duration
-	// Extend adds to the state that is sent; Received is given the state of
-	// others. Both may be nil, and must not block.
-	Extend, Received func(*pb.PeerState)
+	// Extend adds to the state that is sent to an entry, by its incarnation, empty
+	// when that is not known; Received is given the state of others. Both may be
+	// nil, and must not block.
+	Extend   func(to string, state *pb.PeerState)
+	Received func(*pb.PeerState)
 	// Announced is told until when the announcement holds, counted from before the
 	// call that renewed it; true asks for a call of Listed with all entries that
 	// the store names, read in a call that began at readAt. Listed is also called
@@ -83,6 +85,7 @@
 
 	wake  chan struct{}
 	leave chan struct{}
+	hurry chan struct{} // asks for an exchange with every member
 	again chan struct{} // asks for the store's list of entries
 
 	mu  sync.Mutex // serializes the set, and guards what follows
@@ -111,7 +114,7 @@
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 	m := &Membership{
-		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}), again: make(chan struct{}, 1),
+		opts: o, log: o.Logger, wake: make(chan struct{}, 1), leave: make(chan struct{}), hurry: make(chan struct{}, 1), again: make(chan struct{}, 1),
 		set:     member.New(o.Self, o.Join, o.Random, o.Member),
 		settled: o.Store == nil && len(o.Join) == 0,
 	}
