--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -36,8 +36,9 @@
 	heapPos  int
 	tasks    []taskState
 	queued   *place.Job // the tasks that wait
-	open     int        // tasks that have not ended
-	ran      bool       // some task has run, or may have, and that won't change
+	class    pb.Class
+	open     int  // tasks that have not ended
+	ran      bool // some task has run, or may have, and that won't change
 	ending   *pb.Answer
 	answer   *pb.Answer
 	answered time.Time
@@ -56,6 +57,8 @@
 	start   *pb.TaskStart
 	run     time.Duration // as estimated
 	result  *pb.TaskResult
+	// refusals counts those of endpoints that did not begin the task.
+	refusals int
 }
 
 // Admission says what became of a submission.
@@ -178,7 +181,7 @@
 	js := &jobState{
 		name: name, job: j, digest: digest, open: len(j.Tasks), period: period,
 		deadline: now.Add(time.Duration(j.TimeoutMs) * time.Millisecond),
-		tasks:    make([]taskState, len(j.Tasks)), queued: queued,
+		tasks:    make([]taskState, len(j.Tasks)), queued: queued, class: e.policy.contracts[j.Contract].GetClass(),
 	}
 	starts := make([]pb.TaskStart, len(j.Tasks))
 	for i, t := range j.Tasks {
@@ -366,6 +369,9 @@
 		e.endEarly(now, t.job, jobs.CodeHomeLost, "another entry took over the job's recovery")
 		return
 	}
+	if !job.RefusedByAgent(res.Error) && e.refusedByEndpoint(now, t) {
+		return
+	}
 	e.requeue(now, t)
 }
 
