--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -135,7 +135,8 @@
 	}
 	p := c.Profile.Preset
 	o.EntryCore.Link, o.AgentCore.Link = p.Link, p.Link
-	o.AgentCore.MaxQueued, o.EntryCore.GuessAfter = p.MaxQueued, p.GuessAfter
+	o.AgentCore.MaxQueued, o.EntryCore.OverbookAfter = p.MaxQueued, p.OverbookAfter
+	o.EntryCore.ExchangeAfter = p.ExchangeAfter
 	o.EntryCore.MessageCost = p.MessageCost
 	return nil
 }
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -35,7 +35,7 @@
 	// Divided gives each slot to one entry at a time, by credits that move between
 	// entries, instead of offering all slots to every entry.
 	Divided bool
-	// MaxQueued, if it is not negative, bounds the units that wait for a slot unless Divided is set.
+	// MaxQueued, if it is not negative, bounds the units of each entry that wait for a slot unless Divided is set.
 	MaxQueued int
 	// LoadEvery is the least time between load reports on one link.
 	LoadEvery time.Duration
@@ -760,6 +760,7 @@
 	if !a.opts.Divided {
 		spare := int32(a.slots.Free())
 		f.Spare = &spare
+		f.Waiting = uint32(a.slots.Queued(p.hello.Incarnation))
 	}
 	content := f.Hello != nil || len(f.News) > 0 || len(f.Fenced) > 0 || f.Granted > 0 || (a.leaving && !p.told)
 	p.told = a.leaving
--- a/dispatch/agent/queue.go
+++ b/dispatch/agent/queue.go
@@ -18,7 +18,8 @@
 	Returned(entry string, n int)
 	Unused(entry string, units int)
 	Start(entry string, units int) limit.Verdict
-	Dequeue(units int) bool
+	Dequeue(entry string, units int) bool
+	Queued(entry string) int
 	Cancel(entry string, units int)
 	End(entry string, units int)
 	Sticky(entry string, units int) int
@@ -61,7 +62,7 @@
 			a.unqueue(q.task, job.RefusedRevoked)
 			continue
 		}
-		if !a.slots.Dequeue(q.task.units) {
+		if !a.slots.Dequeue(q.task.rec.home, q.task.units) {
 			return
 		}
 		a.queue = a.queue[1:]
--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -322,7 +322,9 @@
 		e.updateAgent(now, a)
 	}
 	if f.Spare != nil {
-		e.policy.sched.Pool.SetSpare(known, int(*f.Spare)-a.unseen(known), now)
+		spare, unseen := int(*f.Spare), a.unseen(known)
+		waiting := int(f.Waiting) + max(unseen-max(spare, 0), 0)
+		e.policy.sched.Pool.SetSpare(known, spare-unseen, waiting)
 	}
 	if f.Recall > 0 {
 		e.giveBack(a, int(f.Recall))
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -44,9 +44,12 @@
 	// NewPicker returns what chooses agents for tasks; nil: late binding by
 	// credits, with MessageCost.
 	NewPicker func() place.Picker
-	// GuessAfter is how old the news of an agent's slots must be to try a start
-	// there while tasks wait.
-	GuessAfter time.Duration
+	// ExchangeAfter is the least time between exchanges that the entry asks for
+	// because a part of a contract holds up its work.
+	ExchangeAfter time.Duration
+	// OverbookAfter is how long tasks wait for a spare slot before one is sent to
+	// wait at each agent.
+	OverbookAfter time.Duration
 	// MessageCost is how much later a task may end to save one message.
 	MessageCost time.Duration
 	// DomainRoundTrip is the round trip to an agent in another failure domain,
@@ -83,7 +86,8 @@
 	DefaultMaxSpent       = 1_000_000
 	DefaultMaxRecoveries  = 10_000
 	DefaultMaxWaiting     = 100_000
-	DefaultGuessAfter     = 50 * time.Millisecond
+	DefaultExchangeAfter  = 50 * time.Millisecond
+	DefaultOverbookAfter  = 50 * time.Millisecond
 	DefaultMessageCost    = time.Millisecond
 	DefaultSpreadCost     = 2 * time.Millisecond
 	DefaultCollisionCost  = 5 * time.Millisecond
@@ -106,7 +110,8 @@
 	set(&o.AgentLostAfter, DefaultAgentLostAfter)
 	set(&o.RedialAfter, DefaultRedialAfter)
 	set(&o.MessageCost, DefaultMessageCost)
-	set(&o.GuessAfter, DefaultGuessAfter)
+	set(&o.ExchangeAfter, DefaultExchangeAfter)
+	set(&o.OverbookAfter, DefaultOverbookAfter)
 	set(&o.RedialMax, DefaultRedialMax)
 	if o.Random == nil {
 		o.Random = func() float64 { return 1 }
--- a/dispatch/entry/place.go
+++ b/dispatch/entry/place.go
@@ -7,6 +7,9 @@
 // place sends waiting tasks to agents that have granted credits, and tells the
 // agents how many more the entry could use.
 func (e *Entry) place(now time.Time) {
+	if starved := e.policy.starved; !starved.IsZero() && now.Sub(starved) >= e.opts.OverbookAfter {
+		e.policy.sched.Pool.Overbook()
+	}
 	for p, ok := e.policy.sched.Next(now); ok; p, ok = e.policy.sched.Next(now) {
 		js, a := e.jobs[p.Job.ID], e.byName[p.Agent.ID]
 		for i := range p.Tasks {
@@ -14,9 +17,20 @@
 		}
 	}
 	e.policy.opensAt = e.policy.limits.OpensAt(now)
+	e.noteStarved(now)
 	e.tellWant()
 }
 
+func (e *Entry) noteStarved(now time.Time) {
+	p := e.policy
+	switch {
+	case !p.sched.Queue().Ready():
+		p.starved = time.Time{}
+	case p.starved.IsZero():
+		p.starved = now
+	}
+}
+
 // tellWant tells the linked agents the unmet demand. Only demand that is new is
 // worth a frame of its own; agents count down what they have granted.
 func (e *Entry) tellWant() {
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -27,7 +27,9 @@
 	// hurryAfter how long until the next.
 	hurried    time.Time
 	hurryAfter time.Duration
-	opensAt    time.Time // when a rate lets a contract go on
+	// starved is since when tasks wait and no agent has a slot; zero: they don't.
+	starved time.Time
+	opensAt time.Time // when a rate lets a contract go on
 }
 
 // checkEvery is how often waiting jobs are checked for deadlines that can't be
@@ -233,9 +235,6 @@
 	}
 	e.hurry(now)
 	p.sched.Retry()
-	if p.sched.Waiting() > 0 {
-		p.sched.Pool.Guess(now.Add(-e.opts.GuessAfter), now)
-	}
 	for _, a := range e.agents {
 		if a.session.IsUp() {
 			e.updateAgent(now, a)
--- a/dispatch/entry/shares.go
+++ b/dispatch/entry/shares.go
@@ -57,22 +57,19 @@
 	return none
 }
 
-// Times between exchanges that this entry asks for.
-const (
-	minHurry = 50 * time.Millisecond
-	maxHurry = 2 * time.Second
-)
+// maxHurry is the longest time between exchanges that this entry asks for.
+const maxHurry = 2 * time.Second
 
 // hurry asks for an exchange when this entry has work for a larger part of a
 // contract: the regular ones are seconds apart. While they gain it nothing, since
 // the others need their parts too, it asks ever more seldom.
 func (e *Entry) hurry(now time.Time) {
 	p := e.policy
-	if len(e.others) == 0 || !p.limits.AnyAtPart() || now.Before(p.hurried.Add(p.hurryAfter)) {
+	if len(e.others) == 0 || !p.limits.AnyAtPart() || now.Before(p.hurried.Add(max(p.hurryAfter, e.opts.ExchangeAfter))) {
 		return
 	}
 	p.hurried = now
-	p.hurryAfter = min(max(2*p.hurryAfter, minHurry), maxHurry)
+	p.hurryAfter = min(max(2*p.hurryAfter, e.opts.ExchangeAfter), maxHurry)
 	e.ready.Exchange = true
 }
 
--- a/dispatch/limit/credits.go
+++ b/dispatch/limit/credits.go
@@ -113,7 +113,10 @@
 }
 
 // Dequeue returns false: nothing is queued.
-func (c *Credits) Dequeue(int) bool { return false }
+func (c *Credits) Dequeue(string, int) bool { return false }
+
+// Queued returns 0.
+func (c *Credits) Queued(string) int { return 0 }
 
 // Cancel does nothing: nothing is queued.
 func (c *Credits) Cancel(string, int) {}
--- a/dispatch/limit/shared.go
+++ b/dispatch/limit/shared.go
@@ -22,14 +22,16 @@
 type SharedOptions struct {
 	// Slots of the endpoint.
 	Slots int
-	// MaxQueued bounds the units that wait for a slot.
+	// MaxQueued bounds the units of each entry that wait for a slot.
 	MaxQueued int
 }
 
 // Shared offers every slot of one endpoint to each entry linked to it: no credit
 // ever has to move between entries. Entries choose agents by the spare slots that
 // each frame tells them. When two choose the same slot at once, one task waits at
-// the agent for a moment, in a queue of a few. Use [NewShared].
+// the agent for a moment. At overload each entry keeps a task or so waiting at each
+// agent, so that a slot goes to the most urgent of all entries' tasks and not to the
+// entry that had it before. Use [NewShared].
 type Shared struct {
 	options SharedOptions
 	running int
@@ -42,8 +44,9 @@
 type sharer struct {
 	entry   string
 	granted int
-	// using are units running or queued.
-	using int
+	// using are units running or queued, queued those of them that wait.
+	using  int
+	queued int
 }
 
 // NewShared returns shared slots that are all free.
@@ -98,9 +101,10 @@
 	case s.queued == 0 && s.running+units <= s.options.Slots:
 		verdict = Run
 		s.running += units
-	case s.queued+units <= s.options.MaxQueued:
+	case h.queued+units <= max(s.options.MaxQueued, 0):
 		verdict = Queue
 		s.queued += units
+		h.queued += units
 	default:
 		return Refuse
 	}
@@ -111,21 +115,36 @@
 
 // Dequeue moves units from the queue to the running ones, and returns false if
 // there is no room for them.
-func (s *Shared) Dequeue(units int) bool {
+func (s *Shared) Dequeue(entry string, units int) bool {
 	if s.running+units > s.options.Slots {
 		return false
 	}
-	s.queued -= units
+	s.unqueue(entry, units)
 	s.running += units
 	return true
 }
 
 // Cancel drops units from the queue. Entry may be gone.
 func (s *Shared) Cancel(entry string, units int) {
-	s.queued -= units
+	s.unqueue(entry, units)
 	s.unuse(entry, units)
 }
 
+func (s *Shared) unqueue(entry string, units int) {
+	s.queued -= units
+	if h := s.entries[entry]; h != nil {
+		h.queued = max(h.queued-units, 0)
+	}
+}
+
+// Queued returns the units of an entry that wait.
+func (s *Shared) Queued(entry string) int {
+	if h := s.entries[entry]; h != nil {
+		return h.queued
+	}
+	return 0
+}
+
 // End frees the slots of a task that ended. Entry may be gone.
 func (s *Shared) End(entry string, units int) {
 	s.running -= units
--- a/dispatch/place/pool.go
+++ b/dispatch/place/pool.go
@@ -36,10 +36,10 @@
 	Standing Standing
 
 	// spare is set for agents whose slots all entries share: the slots expected
-	// to be free there, as of spareAt.
+	// to be free there, and the units of this entry that wait for one.
 	shared  bool
 	spare   int
-	spareAt time.Time
+	waiting int
 
 	slotMemory  uint64
 	credits     int
@@ -231,27 +231,23 @@
 // Grant adds credits that an agent gave.
 func (p *Pool) Grant(a *Agent, credits int) { p.SetCredits(a, a.credits+credits) }
 
-// SetSpare notes how many slots of an agent are free that all entries share.
-func (p *Pool) SetSpare(a *Agent, spare int, now time.Time) {
-	a.shared, a.spare, a.spareAt = true, spare, now
+// SetSpare notes how many slots of an agent are free that all entries share, and
+// how many units of this entry wait there.
+func (p *Pool) SetSpare(a *Agent, spare, waiting int) {
+	a.shared, a.spare, a.waiting = true, spare, waiting
 	p.refresh(a)
 }
 
-// Guess allows one start at the agent whose spare slots were not heard of for
-// longest, if that is before the given time. Another entry may have filled them,
-// and may have left them since; only an agent that runs something for this entry
-// tells it.
-func (p *Pool) Guess(before, now time.Time) {
-	var oldest *Agent
+// Overbook allows one start at each agent without spare slots where none of this
+// entry's tasks waits yet. Call it while tasks wait in vain: slots that get free at
+// an agent go first to those that wait there.
+func (p *Pool) Overbook() {
 	for _, a := range p.all {
-		if a.shared && a.Standing == Open && a.spare < 1 && a.spareAt.Before(before) &&
-			(oldest == nil || a.spareAt.Before(oldest.spareAt)) {
-			oldest = a
+		if a.shared && a.Standing == Open && a.spare < 1 && a.waiting == 0 {
+			a.spare, a.waiting = 1, 1
+			p.refresh(a)
 		}
 	}
-	if oldest != nil {
-		p.SetSpare(oldest, 1, now)
-	}
 }
 
 // Reclaim takes up to n unused credits away, to be given back to the agent, and
--- a/dispatch/preset/preset.go
+++ b/dispatch/preset/preset.go
@@ -12,11 +12,15 @@
 type Preset struct {
 	Name string
 	Link link.Options
-	// MaxQueued is how many units may wait at an agent. A start that is refused for
+	// MaxQueued is how many units of an entry may wait at an agent. A start that is refused for
 	// want of a slot goes elsewhere a round trip later, for two messages more.
 	MaxQueued int
-	// GuessAfter is how old the news of an agent's slots must be to try a start.
-	GuessAfter time.Duration
+	// ExchangeAfter is the least time between exchanges that an entry asks for when
+	// its part of a contract holds up work.
+	ExchangeAfter time.Duration
+	// OverbookAfter is how long tasks wait for a spare slot before some are sent to
+	// wait at agents.
+	OverbookAfter time.Duration
 	// MessageCost is how much later a task may end to save one message.
 	MessageCost time.Duration
 }
@@ -24,7 +28,7 @@
 // Response spends messages to answer sooner, and notices silent connections
 // within half a second.
 func Response() Preset {
-	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MaxQueued: 1, GuessAfter: 50 * time.Millisecond, MessageCost: time.Millisecond}
+	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MaxQueued: 1, OverbookAfter: 50 * time.Millisecond, ExchangeAfter: 50 * time.Millisecond, MessageCost: time.Millisecond}
 }
 
 // Messages saves messages: acknowledgements wait for frames that flow anyway, and
@@ -36,7 +40,7 @@
 			AckDelay: 2 * time.Second, AckTimeout: 3 * time.Second,
 			Heartbeat: 10 * time.Second, HeartbeatTimeout: 24 * time.Second,
 		},
-		MaxQueued: 8, GuessAfter: 150 * time.Millisecond, MessageCost: 5 * time.Millisecond,
+		MaxQueued: 2, OverbookAfter: 150 * time.Millisecond, ExchangeAfter: 500 * time.Millisecond, MessageCost: 5 * time.Millisecond,
 	}
 }
 
