--- a/cmd/internal/status/status.go
+++ b/cmd/internal/status/status.go
@@ -126,7 +126,7 @@
 }
 
 func newReport(now *fleet.Fleet, agentFailures []fleet.Failure, before *fleet.Fleet, interval time.Duration, at time.Time) *Report {
-	r := &Report{Time: at, Interval: interval}
+	r := &Report{Time: at, Interval: interval, Alarms: []string{}}
 	r.addEntries(now.Statuses, at)
 	r.addAgents(now.Statuses)
 	r.addContracts(now.Statuses, before.Statuses, interval)
--- a/node/membership/membership_test.go
+++ b/node/membership/membership_test.go
@@ -15,6 +15,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/contract"
+	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/node/config"
 	"github.com/papayahoist/papayahoist/node/membership"
 	"github.com/papayahoist/papayahoist/platform/standin/inproc"
@@ -31,6 +32,7 @@
 	address string
 	m       *membership.Membership
 	config  *config.Holder
+	events  *event.Ring
 	stop    context.CancelFunc
 	done    chan struct{}
 }
@@ -81,11 +83,12 @@
 func (c *cluster) startAt(address string) *node {
 	c.started++
 	ctx, stop := context.WithCancel(context.Background())
-	n := &node{address: address, config: config.NewHolder(), stop: stop, done: make(chan struct{})}
+	n := &node{address: address, config: config.NewHolder(), events: event.NewRing(event.Options{Size: 64}), stop: stop, done: make(chan struct{})}
 	random := source(c.started)
 	self := &pb.Peer{Entry: "entry", Incarnation: fmt.Sprintf("%08x%024x", int(random()*1e9), c.started), Address: address, FailureDomain: "a"}
 	n.m = membership.New(membership.Options{
 		Self: self, Store: c.client(random), Config: n.config, Join: []string{balancer}, Exchanger: &carrier{c, address}, Random: random,
+		Events: n.events,
 	})
 	c.mu.Lock()
 	c.nodes[address] = n
@@ -309,6 +312,13 @@
 		t.Logf("a change that one entry has seen is in force everywhere after %v",
 			c.until(9*time.Second, "last change is spread", func() bool { return c.inForce("c7", last) }))
 
+		c.until(2*time.Minute, "the loss of the store is in the time line", func() bool {
+			return !slices.ContainsFunc(c.living(), func(n *node) bool {
+				lost, _ := n.events.Count(event.StoreLost)
+				return lost != 1
+			})
+		})
+
 		var slowestJoin, slowestDrop time.Duration
 		outage := time.Now()
 		before := c.store.Counts().Total()
@@ -330,6 +340,14 @@
 		c.store.SetFaults(kv.Faults{})
 		c.until(30*time.Second, "the store serves again", func() bool { return c.store.Counts().Writes > 0 && c.agreed() })
 		time.Sleep(30 * time.Second)
+		for _, n := range c.living() {
+			lost, _ := n.events.Count(event.StoreLost)
+			back, _ := n.events.Count(event.StoreBack)
+			// One that started in the outage has met the store only now.
+			if lost > 1 || back < 1 || back > 2 {
+				t.Errorf("%s recorded the store lost %d times, back %d times, in one outage", n.address, lost, back)
+			}
+		}
 		next := c.apply("c7", "after", last, 10)
 		force := c.until(9*time.Second, "change after the outage", func() bool { return c.inForce("c7", next) })
 		t.Logf("joins took at most %v, drops %v; change after the outage in force after %v", slowestJoin, slowestDrop, force)
