--- a/node/membership/membership_test.go
+++ b/node/membership/membership_test.go
@@ -312,7 +312,8 @@
 		var slowestJoin, slowestDrop time.Duration
 		outage := time.Now()
 		before := c.store.Counts().Total()
-		for i := 0; time.Since(outage) < time.Hour; i++ {
+		changes := 0
+		for ; time.Since(outage) < time.Hour; changes++ {
 			joined := c.start()
 			slowestJoin = max(slowestJoin, c.until(9*time.Second, "new entry has the contracts", func() bool {
 				return joined.config.Snapshot().Len() == 41 && c.agreed()
@@ -332,7 +333,7 @@
 		time.Sleep(30 * time.Second)
 		next := c.apply("c7", "after", last, 10)
 		force := c.until(9*time.Second, "change after the outage", func() bool { return c.inForce("c7", next) })
-		t.Logf("joins took at most %v, drops %v; change after the outage in force after %v", slowestJoin, slowestDrop, force)
+		t.Logf("%d joins and as many deaths; joins took at most %v, drops %v; change after the outage in force after %v", changes, slowestJoin, slowestDrop, force)
 		t.Logf("store calls per entry and 10 s: quiet %.2f, outage %.2f, after it %.2f", quiet, during, callsPerEntry(c, 10*time.Minute))
 		if quiet > 1 {
 			t.Errorf("%.2f store calls per entry and 10 s at rest, want at most 1", quiet)
