--- a/dispatch/entry/agents_test.go
+++ b/dispatch/entry/agents_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/agent"
 	"github.com/papayahoist/papayahoist/dispatch/entry"
 )
 
@@ -50,3 +52,28 @@
 		t.Errorf("%d dials of the agent that came back, want 1", dials)
 	}
 }
+
+// A job is cancelled, its answer is dropped in time, and only then does its task
+// end and the result come. An entry that stumbled over it would take all its jobs
+// with it.
+func TestResultAfterAnswerWasDropped(t *testing.T) {
+	b := newBed(t, 1, contractOf("desk"))
+	b.run = func(string, agent.Run) (time.Duration, *pb.TaskResult) {
+		return 3 * time.Minute, &pb.TaskResult{Outcome: pb.Outcome_OUTCOME_COMPLETE, RunMillis: 180_000}
+	}
+	id, refused := b.submit("desk", 1, nil)
+	b.advance(100 * time.Millisecond)
+	if refused != nil || len(b.running["agent-0"]) != 1 {
+		t.Fatalf("refused %v, %d tasks run, want one", refused, len(b.running["agent-0"]))
+	}
+	b.entry.Cancel(b.now, id, "desk")
+	b.settle()
+	b.advance(entry.DefaultAnswerTTL + time.Second)
+	if answer, known := b.entry.Fetch(id, "desk"); !known || answer.GetCode() != string(jobs.CodeNotFound) {
+		t.Fatalf("answer %v, known %v, want it dropped while the task is open", answer, known)
+	}
+	b.advance(time.Minute)
+	if _, known := b.entry.Fetch(id, "desk"); known {
+		t.Error("the job is held though its last task has ended")
+	}
+}
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -409,12 +409,23 @@
 			e.spent.add(now, js.period, js.name, v)
 		}
 		js.answer = spentAnswer(js.job.Id, v)
-		js.job = &pb.Job{Id: js.job.Id, Contract: js.job.Contract, Kind: js.job.Kind}
+		if js.open > 0 {
+			js.job = withoutPayloads(js.job)
+		}
 		js.dropped = true
 		e.finishDrop(now, js)
 	}
 }
 
+// withoutPayloads is what late results of a job's tasks are judged by.
+func withoutPayloads(j *pb.Job) *pb.Job {
+	out := &pb.Job{Id: j.Id, Contract: j.Contract, Kind: j.Kind, TimeoutMs: j.TimeoutMs}
+	for _, t := range j.Tasks {
+		out.Tasks = append(out.Tasks, &pb.Task{MemoryBytes: t.MemoryBytes, CpuMillis: t.CpuMillis, RunMillis: t.RunMillis})
+	}
+	return out
+}
+
 // finishDrop forgets a job whose answer was dropped, once no agent holds a task
 // of it: until then a late result must find its task.
 func (e *Entry) finishDrop(_ time.Time, js *jobState) {
