--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -34,10 +34,6 @@
 // met any more, and contracts for changes.
 const checkEvery = 50 * time.Millisecond
 
-// guessAfter is how old the news of an agent's slots must be to try a start there
-// while tasks wait.
-const guessAfter = 150 * time.Millisecond
-
 func newPolicy(o Options) *policy {
 	limits := limit.NewLimiter()
 	return &policy{
@@ -188,7 +184,8 @@
 	}
 	j := t.job.job
 	run := time.Duration(res.RunMillis) * time.Millisecond
-	if complete {
+	if complete && !t.job.dropped {
+		// A job that was dropped has no declarations to compare with any more.
 		e.policy.sizes.Report(j.Contract, j.Kind, estimate.Usage{
 			Memory: res.PeakMemoryBytes, Run: run, Declared: declaredOf(j.Tasks[t.index]),
 		}, now)
@@ -237,7 +234,7 @@
 	e.hurry(now)
 	p.sched.Retry()
 	if p.sched.Waiting() > 0 {
-		p.sched.Pool.Guess(now.Add(-guessAfter), now)
+		p.sched.Pool.Guess(now.Add(-e.opts.GuessAfter), now)
 	}
 	for _, a := range e.agents {
 		if a.session.IsUp() {
