--- a/dispatch/event/event_test.go
+++ b/dispatch/event/event_test.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -162,6 +163,23 @@
 	}
 }
 
+// BenchmarkSnapshot gives the cost of one request for the time line of one job,
+// which looks at every event.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, size := range []int{8 << 10, 128 << 10, 1 << 20} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			r := NewRing(Options{Size: size})
+			for i := range size {
+				r.Record(at(i), Event{Kind: TaskStarted, Job: strconv.Itoa(i / 8)})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Snapshot(Filter{Job: "17"})
+			}
+		})
+	}
+}
+
 // BenchmarkRecord gives the cost per event on one goroutine, and with all
 // processors writing to one ring.
 func BenchmarkRecord(b *testing.B) {
--- a/dispatch/internal/capacity/capacity_test.go
+++ b/dispatch/internal/capacity/capacity_test.go
@@ -64,6 +64,38 @@
 	}
 }
 
+// BenchmarkWaiting sweeps the tasks that wait while jobs of one task arrive as
+// fast as they are served.
+func BenchmarkWaiting(b *testing.B) {
+	const agents, contractCount = 11, 41
+	for _, waiting := range []int{0, 1_000, 10_000, 50_000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			c := newCell(entriesPerCell, agents, contractCount)
+			jobs := 0
+			submit := func() {
+				c.submit(jobs, 1, contractCount)
+				jobs++
+			}
+			for range waiting + agents*slots {
+				submit()
+			}
+			gap := taskRun / (agents * slots)
+			c.advance(time.Second)
+			c.reset()
+			first := jobs
+			for b.Loop() {
+				submit()
+				c.advance(gap)
+			}
+			if refused := c.answers[pb.Outcome_OUTCOME_NOT_RUN]; refused > 0 {
+				b.Fatalf("%d jobs were refused", refused)
+			}
+			b.ReportMetric(float64(c.entryTime.Nanoseconds())/float64(jobs-first), "entry-ns/task")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 // BenchmarkContracts sweeps the number of contracts in force.
 func BenchmarkContracts(b *testing.B) {
 	for _, n := range []int{1, 41, 410} {
