--- a/cmd/internal/bench/report.go
+++ b/cmd/internal/bench/report.go
@@ -31,7 +31,8 @@
 
 	ResponseOverIdealP50 float64 `json:"response_over_ideal_p50"`
 	ResponseOverIdealP99 float64 `json:"response_over_ideal_p99"`
-	// Goodput is the task time of complete jobs over the site's capacity.
+	// Goodput is the task time of complete jobs over what the site could have
+	// served from the first arrival to the last answer.
 	Goodput float64 `json:"goodput"`
 
 	MessagesPerTask           float64            `json:"messages_per_task"`
@@ -56,6 +57,7 @@
 	Contracts     []ContractReport  `json:"contracts"`
 
 	ratios *hdrhistogram.Histogram
+	took   time.Duration
 }
 
 // ContractReport is one contract's part; shares are task time over capacity.
@@ -120,7 +122,7 @@
 	c := r.config
 	rep := &Report{
 		Profile: c.Profile.Name, Policy: c.Policy, Load: c.Load, Seconds: c.Duration.Seconds(), Seed: c.Seed,
-		Faults: c.Faults, Jobs: len(r.outcomes), ratios: newRatios(),
+		Faults: c.Faults, Jobs: len(r.outcomes), ratios: newRatios(), took: r.took,
 		RefusedByCode: make(map[jobs.Code]int), FailedByCode: make(map[jobs.Code]int),
 	}
 	for _, s := range c.Profile.Streams {
@@ -157,7 +159,7 @@
 	case o.err == nil:
 		rep.Complete++
 		cr.Served += work
-		rep.Goodput += work
+		rep.Goodput += work * c.Duration.Seconds() / max(rep.took, c.Duration).Seconds()
 		if !o.whole {
 			rep.PartialAnswers++
 		}
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -149,6 +149,7 @@
 	clients []*client.Client
 
 	before, after         site.Messages // around the load
+	took                  time.Duration // from the first arrival to the last answer
 	idleBefore, idleAfter site.Messages
 
 	mu       sync.Mutex
@@ -212,6 +213,7 @@
 		r.progress(i, j.At)
 	}
 	wg.Wait()
+	r.took = time.Since(start)
 	stopFaults()
 	r.after = r.site.Messages()
 }
