Overbooking keeps what is known of an agent's load; exchanges asked for without waiting for a check

Cause: a burst waited up to 50 ms until its entry asked for a larger part, and overbooked agents looked all alike. Change: hurry is called when tasks are placed, and carries a new plan if this entry makes them; OverbookAfter 5 ms for response. Urgent jobs that wait for long at twice the load are not explained yet.

--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -87,7 +87,7 @@
 	DefaultMaxRecoveries  = 10_000
 	DefaultMaxWaiting     = 100_000
 	DefaultExchangeAfter  = 50 * time.Millisecond
-	DefaultOverbookAfter  = 50 * time.Millisecond
+	DefaultOverbookAfter  = 5 * time.Millisecond
 	DefaultMessageCost    = time.Millisecond
 	DefaultSpreadCost     = 2 * time.Millisecond
 	DefaultCollisionCost  = 5 * time.Millisecond
--- a/dispatch/entry/place.go
+++ b/dispatch/entry/place.go
@@ -17,6 +17,7 @@
 		}
 	}
 	e.policy.opensAt = e.policy.limits.OpensAt(now)
+	e.hurry(now)
 	e.noteStarved(now)
 	e.tellWant()
 }
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -233,7 +233,6 @@
 	if p.shares.Tick(now) {
 		e.applyShares(now)
 	}
-	e.hurry(now)
 	p.sched.Retry()
 	for _, a := range e.agents {
 		if a.session.IsUp() {
--- a/dispatch/entry/shares.go
+++ b/dispatch/entry/shares.go
@@ -70,6 +70,11 @@
 	}
 	p.hurried = now
 	p.hurryAfter = min(max(2*p.hurryAfter, e.opts.ExchangeAfter), maxHurry)
+	// If it is this entry that makes plans, the exchange carries the new one.
+	e.demand()
+	if p.shares.Tick(now) {
+		e.applyShares(now)
+	}
 	e.ready.Exchange = true
 }
 
--- a/dispatch/place/pool.go
+++ b/dispatch/place/pool.go
@@ -40,6 +40,8 @@
 	shared  bool
 	spare   int
 	waiting int
+	// overbook is the units that may be sent to wait there.
+	overbook int
 
 	slotMemory  uint64
 	credits     int
@@ -84,7 +86,7 @@
 
 func (a *Agent) available() int {
 	if a.shared {
-		return min(a.credits, a.spare)
+		return min(a.credits, max(a.spare, a.overbook))
 	}
 	return a.credits
 }
@@ -234,7 +236,7 @@
 // SetSpare notes how many slots of an agent are free that all entries share, and
 // how many units of this entry wait there.
 func (p *Pool) SetSpare(a *Agent, spare, waiting int) {
-	a.shared, a.spare, a.waiting = true, spare, waiting
+	a.shared, a.spare, a.waiting, a.overbook = true, spare, waiting, 0
 	p.refresh(a)
 }
 
@@ -244,7 +246,7 @@
 func (p *Pool) Overbook() {
 	for _, a := range p.all {
 		if a.shared && a.Standing == Open && a.spare < 1 && a.waiting == 0 {
-			a.spare, a.waiting = 1, 1
+			a.overbook = 1
 			p.refresh(a)
 		}
 	}
@@ -262,6 +264,10 @@
 func (p *Pool) Started(a *Agent, units int) {
 	a.outstanding += units
 	a.spare -= units
+	if a.spare < 0 {
+		a.waiting += min(units, -a.spare)
+		a.overbook = 0
+	}
 	p.outstanding += units
 	p.SetCredits(a, a.credits-units)
 }
--- a/dispatch/preset/preset.go
+++ b/dispatch/preset/preset.go
@@ -28,7 +28,7 @@
 // Response spends messages to answer sooner, and notices silent connections
 // within half a second.
 func Response() Preset {
-	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MaxQueued: 1, OverbookAfter: 50 * time.Millisecond, ExchangeAfter: 50 * time.Millisecond, MessageCost: time.Millisecond}
+	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MaxQueued: 1, OverbookAfter: 5 * time.Millisecond, ExchangeAfter: 50 * time.Millisecond, MessageCost: time.Millisecond}
 }
 
 // Messages saves messages: acknowledgements wait for frames that flow anyway, and
