Large tasks wait at an agent when its slots are shared

Cause: break reports waited for seconds at twice the load (p99 129). A task that was declared eight times too large takes two slots, which other entries' tasks never leave spare together, and its contract waited behind it at that entry. Change: such a task is sent to wait at its reserved agent, alone; the agent keeps slots for it in order. Eight units of an entry may wait where messages count.

--- a/dispatch/limit/shared.go
+++ b/dispatch/limit/shared.go
@@ -22,7 +22,8 @@
 type SharedOptions struct {
 	// Slots of the endpoint.
 	Slots int
-	// MaxQueued bounds the units of each entry that wait for a slot.
+	// MaxQueued bounds the units of each entry that wait for a slot; one task of
+	// more units may wait alone. Not positive: nothing waits.
 	MaxQueued int
 }
 
@@ -101,7 +102,7 @@
 	case s.queued == 0 && s.running+units <= s.options.Slots:
 		verdict = Run
 		s.running += units
-	case h.queued+units <= max(s.options.MaxQueued, 0):
+	case s.options.MaxQueued > 0 && (h.queued == 0 || h.queued+units <= s.options.MaxQueued):
 		verdict = Queue
 		s.queued += units
 		h.queued += units
--- a/dispatch/place/place_test.go
+++ b/dispatch/place/place_test.go
@@ -228,6 +228,28 @@
 	t.Error("the large task was never placed")
 }
 
+// All slots are taken by other entries' tasks, again and again. A large task that
+// waited for several spare slots at its entry would hold up its customer's work.
+func TestSchedulerSendsLargeTaskToWait(t *testing.T) {
+	s := newScheduler(&Credits{}, noLimits{}, 8)
+	a := s.Pool.Agent("agent-0")
+	s.Pool.SetSpare(a, 0, 0)
+	large := job("large", "a", 2, time.Millisecond)
+	large.Tasks[0].Memory = 3 << 30
+	s.Push(large)
+	if p, ok := s.Next(epoch); ok {
+		t.Fatalf("placed without spare slots: %v", p)
+	}
+	s.Pool.Overbook()
+	p, ok := s.Next(epoch)
+	if !ok || p.Units != 3 || len(p.Tasks) != 1 {
+		t.Fatalf("placed %v", p)
+	}
+	if p, ok := s.Next(epoch); ok {
+		t.Errorf("a second task waits there too: %v", p)
+	}
+}
+
 func TestSchedulerStanding(t *testing.T) {
 	s := newScheduler(&Credits{}, noLimits{}, 8, 8)
 	s.Pool.Update(Agent{ID: "agent-0", Slots: 8, Standing: Suspended})
--- a/dispatch/place/scheduler.go
+++ b/dispatch/place/scheduler.go
@@ -232,7 +232,9 @@
 	return Placement{Agent: a, Job: j, Tasks: tasks, Units: used}, true
 }
 
-// nextReserved places a large task whose agent has gathered enough credits.
+// nextReserved places a large task whose agent has gathered enough credits. Of
+// slots that all entries share it may never gather them while the others have
+// work: then the task waits there, where slots are kept for it.
 func (s *Scheduler) nextReserved(now time.Time) (Placement, bool) {
 	for i := len(s.reserved) - 1; i >= 0; i-- {
 		r := s.reserved[i]
@@ -241,7 +243,7 @@
 			continue
 		}
 		j := r.flow.jobs.items[0]
-		if r.agent.usable() < r.agent.units(j.Tasks[0].Memory) {
+		if r.agent.usable() < r.agent.units(j.Tasks[0].Memory) && r.agent.overbook == 0 {
 			continue
 		}
 		s.release(i)
--- a/dispatch/preset/preset.go
+++ b/dispatch/preset/preset.go
@@ -40,7 +40,7 @@
 			AckDelay: 2 * time.Second, AckTimeout: 3 * time.Second,
 			Heartbeat: 10 * time.Second, HeartbeatTimeout: 24 * time.Second,
 		},
-		MaxQueued: 2, OverbookAfter: 150 * time.Millisecond, ExchangeAfter: 500 * time.Millisecond, MessageCost: 5 * time.Millisecond,
+		MaxQueued: 8, OverbookAfter: 150 * time.Millisecond, ExchangeAfter: 500 * time.Millisecond, MessageCost: 5 * time.Millisecond,
 	}
 }
 
