Model check: a panic of the decisions is a violation with its seed

Cause: a panic ended the run without telling the schedule. Change: it is reported like any violation.

--- a/dispatch/modelcheck/world.go
+++ b/dispatch/modelcheck/world.go
@@ -55,7 +55,7 @@
 }
 
 // Check runs the schedule of the seed.
-func Check(seed uint64, trace bool) *Report {
+func Check(seed uint64, trace bool) (report *Report) {
 	w := &World{
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		profile: profiles[seed%uint64(len(profiles))],
@@ -71,6 +71,12 @@
 	}
 	w.now = time.Unix(1_000_000, 0)
 	w.report = &Report{Seed: seed, Profile: w.profile.Name, Answers: make(map[pb.Outcome]int)}
+	defer func() {
+		if p := recover(); p != nil {
+			w.violation("panic: %v", p)
+			report = w.report
+		}
+	}()
 	w.entries = make([]*entryProcess, numEntries)
 	w.agents = make([]*agentProcess, numAgents)
 	for i := range w.entries {
