Model check: "outcome unknown" is judged by where each task was sent

Cause: with a profile's agent crashes every unknown answer of a home counted as needed, whatever had happened to that job. Change: it is needed only if a task was sent last to a process that is gone, paused or cut off at that moment.

--- a/dispatch/modelcheck/caller.go
+++ b/dispatch/modelcheck/caller.go
@@ -46,7 +46,7 @@
 	for t := range 1 + w.rng.IntN(4) {
 		j.Tasks = append(j.Tasks, &pb.Task{Payload: []byte(fmt.Sprintf("%d/%d", i, t))})
 	}
-	truth := &jobTruth{job: j, home: home, started: make([]int, len(j.Tasks)), runs: make(map[int]*agentProcess), sealed: make(map[*agentProcess]bool)}
+	truth := &jobTruth{job: j, home: home, started: make([]int, len(j.Tasks)), runs: make(map[int]*agentProcess), sealed: make(map[*agentProcess]bool), sentTo: make(map[int]*agentProcess)}
 	w.jobs[job.Name(j.Contract, j.Id)] = truth
 	w.order = append(w.order, truth)
 	w.submit(home, j)
--- a/dispatch/modelcheck/check.go
+++ b/dispatch/modelcheck/check.go
@@ -16,6 +16,8 @@
 
 	started []int
 	runs    map[int]*agentProcess
+	// sentTo is where each task was sent last.
+	sentTo map[int]*agentProcess
 
 	acceptedAt        time.Time
 	answer            *pb.Answer // the home's, or the recovery's
@@ -79,10 +81,17 @@
 }
 
 // checkFrame looks at what an entry sends: nothing of a job that it has answered.
-func (w *World) checkFrame(e *entryProcess, f *pb.EntryFrame) {
+func (w *World) checkFrame(c *connection, f *pb.EntryFrame) {
 	for _, b := range f.Starts {
-		if t := w.jobs[b.Job]; t != nil && t.home == e && t.answer != nil {
-			w.violation("%s sends a start of %s, which it has answered", e.name, shortID(t.job.Id))
+		t := w.jobs[b.Job]
+		if t == nil || t.home != c.entry {
+			continue
+		}
+		if t.answer != nil {
+			w.violation("%s sends a start of %s, which it has answered", c.entry.name, shortID(t.job.Id))
+		}
+		for _, start := range b.Tasks {
+			t.sentTo[int(start.Task)] = c.agent
 		}
 	}
 }
@@ -168,17 +177,13 @@
 		}
 		return true
 	}
-	for _, a := range w.agents {
-		if !a.alive || w.cut(a.name, e.name) || w.now.Before(a.pausedUntil) || a.disturbed {
-			return false
-		}
-	}
+	// The home knows what it sent, and the agent what came of it.
 	for i := range t.started {
-		if a := t.runs[i]; a != nil && !a.alive {
+		if a := t.sentTo[i]; a != nil && (!a.alive || w.cut(a.name, e.name) || w.now.Before(a.pausedUntil)) {
 			return false
 		}
 	}
-	return w.profile.agentCrashes+w.profile.cuts+w.profile.leaves == 0
+	return true
 }
 
 // checkBounds holds an agent to its memory bounds.
--- a/dispatch/modelcheck/process.go
+++ b/dispatch/modelcheck/process.go
@@ -227,7 +227,7 @@
 }
 
 func (w *World) sendToAgent(c *connection, f *pb.EntryFrame) {
-	w.checkFrame(c.entry, f)
+	w.checkFrame(c, f)
 	if c.agent == nil || c.silentToAgent || w.chance(w.profile.loss) {
 		return
 	}
