Preset as a setting; a noisy contract is held to its own share in the load tool

Cause: the binaries always ran with the preset for response time, and bench's noisy contract was allowed the whole site, so it tried weights and not limits.

--- a/cmd/internal/bench/profile.go
+++ b/cmd/internal/bench/profile.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/preset"
 )
@@ -122,6 +124,20 @@
 	return slices.ContainsFunc(p.Streams, func(s Stream) bool { return s.Contract.Name == contract })
 }
 
+// limited returns the profile with one contract held to the share of the slots
+// that it offers when it is not noisy.
+func (p Profile) limited(name string, load float64) Profile {
+	p.Streams = slices.Clone(p.Streams)
+	for i := range p.Streams {
+		s := &p.Streams[i]
+		if s.Contract.Name == name {
+			s.Contract = proto.Clone(s.Contract).(*pb.Contract)
+			s.Contract.Concurrency = uint32(math.Ceil(load * s.Share * p.Capacity()))
+		}
+	}
+	return p
+}
+
 // Capacity is the task time that the site can serve per second.
 func (p Profile) Capacity() float64 { return float64(p.Workers) * float64(p.Slots) }
 
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -69,6 +69,9 @@
 	if c.Load <= 0 || c.Duration <= 0 {
 		return nil, ErrConfig.New("load and duration must be positive")
 	}
+	if c.Noisy != "" {
+		c.Profile = c.Profile.limited(c.Noisy, c.Load)
+	}
 	s, err := startSite(c)
 	if err != nil {
 		return nil, err
@@ -133,11 +136,8 @@
 	default:
 		return ErrConfig.New("policy %q: known are: %s, %s, %s, %s, %s", c.Policy, PolicyCredits, PolicyDivided, PolicyRandom, PolicyTwoChoices, PolicyLeastLoaded)
 	}
-	p := c.Profile.Preset
-	o.EntryCore.Link, o.AgentCore.Link = p.Link, p.Link
-	o.AgentCore.MaxQueued, o.EntryCore.OverbookAfter = p.MaxQueued, p.OverbookAfter
-	o.EntryCore.ExchangeAfter = p.ExchangeAfter
-	o.EntryCore.MessageCost = p.MessageCost
+	o.EntryCore.UsePreset(c.Profile.Preset)
+	o.AgentCore.UsePreset(c.Profile.Preset)
 	return nil
 }
 
--- a/cmd/papayahoist/bench.go
+++ b/cmd/papayahoist/bench.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayahoist/papayahoist/cmd/internal/bench"
 	"github.com/papayahoist/papayahoist/cmd/internal/cli"
+	"github.com/papayahoist/papayahoist/dispatch/preset"
 )
 
 // benchCommand holds the flags of "bench".
@@ -24,6 +25,7 @@
 	compare  string
 	faults   string
 	noisy    string
+	preset   string
 	json     bool
 	plot     string
 	verbose  bool
@@ -39,7 +41,8 @@
 	b.Flag("policy", "How entries choose agents.").Default(bench.PolicyCredits).StringVar(&c.policy)
 	b.Flag("compare", "Comma-separated policies to run one after another on the same arrivals.").StringVar(&c.compare)
 	b.Flag("faults", "What goes wrong: none, all, or a comma-separated list.").Default("none").StringVar(&c.faults)
-	b.Flag("noisy", "Contract that offers ten times its share.").StringVar(&c.noisy)
+	b.Flag("noisy", "Contract that offers ten times its contracted share.").StringVar(&c.noisy)
+	b.Flag("preset", "What the site weighs more: response or messages; empty: the profile's own.").StringVar(&c.preset)
 	b.Flag("json", "Print the reports as JSON, one after another.").BoolVar(&c.json)
 	b.Flag("plot", "Write an SVG plot of the response times to this file.").StringVar(&c.plot)
 	b.Flag("verbose", "Log what the processes log.").BoolVar(&c.verbose)
@@ -81,6 +84,11 @@
 	if !ok {
 		return bench.Config{}, bench.ErrConfig.New("profile %q: known are cadwaladr and hilvana", c.profile)
 	}
+	if c.preset != "" {
+		if profile.Preset, ok = preset.ByName(c.preset); !ok {
+			return bench.Config{}, bench.ErrConfig.New("preset %q: known are response and messages", c.preset)
+		}
+	}
 	faults, err := bench.ParseFaults(c.faults)
 	if err != nil {
 		return bench.Config{}, err
--- a/dispatch/agent/agent.go
+++ b/dispatch/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/limit"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/place"
+	"github.com/papayahoist/papayahoist/dispatch/preset"
 )
 
 // Options configure an Agent.
@@ -57,6 +59,14 @@
 	DefaultDamping = 10 * time.Millisecond
 )
 
+// UsePreset fills in what a preset says and the options leave open.
+func (o *Options) UsePreset(p preset.Preset) {
+	if o.Link == (link.Options{}) {
+		o.Link = p.Link
+	}
+	o.MaxQueued = cmp.Or(o.MaxQueued, p.MaxQueued)
+}
+
 func (o Options) withDefaults() Options {
 	o.Link = o.Link.WithDefaults()
 	if o.MaxRecords == 0 {
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
@@ -9,6 +10,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/place"
+	"github.com/papayahoist/papayahoist/dispatch/preset"
 )
 
 // Options configure an Entry.
@@ -134,6 +136,16 @@
 	return o
 }
 
+// UsePreset fills in what a preset says and the options leave open.
+func (o *Options) UsePreset(p preset.Preset) {
+	if o.Link == (link.Options{}) {
+		o.Link = p.Link
+	}
+	o.OverbookAfter = cmp.Or(o.OverbookAfter, p.OverbookAfter)
+	o.ExchangeAfter = cmp.Or(o.ExchangeAfter, p.ExchangeAfter)
+	o.MessageCost = cmp.Or(o.MessageCost, p.MessageCost)
+}
+
 // Out is a frame for one agent.
 type Out struct {
 	Agent string // name
--- a/dispatch/preset/preset.go
+++ b/dispatch/preset/preset.go
@@ -8,6 +8,12 @@
 	"github.com/papayahoist/papayahoist/dispatch/link"
 )
 
+// Names of the presets.
+const (
+	NameResponse = "response"
+	NameMessages = "messages"
+)
+
 // Preset is one choice.
 type Preset struct {
 	Name string
@@ -28,14 +34,14 @@
 // Response spends messages to answer sooner, and notices silent connections
 // within half a second.
 func Response() Preset {
-	return Preset{Name: "response", Link: link.Options{}.WithDefaults(), MaxQueued: 1, OverbookAfter: 5 * time.Millisecond, ExchangeAfter: 50 * time.Millisecond, MessageCost: time.Millisecond}
+	return Preset{Name: NameResponse, Link: link.Options{}.WithDefaults(), MaxQueued: 1, OverbookAfter: 5 * time.Millisecond, ExchangeAfter: 50 * time.Millisecond, MessageCost: time.Millisecond}
 }
 
 // Messages saves messages: acknowledgements wait for frames that flow anyway, and
 // a silent connection is noticed within a few seconds.
 func Messages() Preset {
 	return Preset{
-		Name: "messages",
+		Name: NameMessages,
 		Link: link.Options{
 			AckDelay: 2 * time.Second, AckTimeout: 3 * time.Second,
 			Heartbeat: 10 * time.Second, HeartbeatTimeout: 24 * time.Second,
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -9,6 +9,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	coreagent "github.com/papayahoist/papayahoist/dispatch/agent"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/dispatch/preset"
 	"github.com/papayahoist/papayahoist/node/agent"
 	"github.com/papayahoist/papayahoist/node/entry"
 	"github.com/papayahoist/papayahoist/node/metrics"
@@ -50,6 +51,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p, ok := preset.ByName(s.Preset); ok {
+		core.UsePreset(p)
+	}
 	core.Events = event.NewRing(event.Options{Process: s.Name, Worker: s.Worker, Size: o.Events})
 	collectors := metrics.NewAgent(o.Registry, metrics.Options{Role: string(s.Role), Version: o.Version, Ring: core.Events})
 	log := newLogger(o.Logger, s.Name, collectors.Process)
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -15,6 +15,7 @@
 	coreentry "github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/member"
+	"github.com/papayahoist/papayahoist/dispatch/preset"
 	"github.com/papayahoist/papayahoist/node/config"
 	"github.com/papayahoist/papayahoist/node/entry"
 	"github.com/papayahoist/papayahoist/node/membership"
@@ -175,6 +176,9 @@
 	}
 	s, core := b.o.Settings, b.o.Core
 	core.Events = b.ring
+	if p, ok := preset.ByName(s.Preset); ok {
+		core.UsePreset(p)
+	}
 	e.Entry, err = entry.New(entry.Options{
 		Hello: b.hello, CallersListen: s.CallersListen, NodesListen: s.NodesListen, OperatorsListen: s.OperatorsListen,
 		Contract:    e.config.Contract,
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/preset"
 )
 
 // Role says which process a file is for.
@@ -66,6 +68,9 @@
 	LogLevel     slog.Level    `json:"log_level"`
 	// LogFormat is LogJSON or LogText.
 	LogFormat string `json:"log_format"`
+	// Preset weighs response time against messages; the same on every process of
+	// a site. See package preset.
+	Preset string `json:"preset"`
 }
 
 // Agent is the settings of an agent.
@@ -108,6 +113,9 @@
 	LogLevel     slog.Level    `json:"log_level"`
 	// LogFormat is LogJSON or LogText.
 	LogFormat string `json:"log_format"`
+	// Preset weighs response time against messages; the same on every process of
+	// a site. See package preset.
+	Preset string `json:"preset"`
 }
 
 // EntryTLS holds the TLS files of an entry's ports. A port without files
@@ -132,6 +140,7 @@
 		DrainTimeout: DefaultDrainTimeout,
 		LogLevel:     slog.LevelInfo,
 		LogFormat:    LogJSON,
+		Preset:       preset.NameResponse,
 	}
 }
 
@@ -144,5 +153,6 @@
 		DrainTimeout: DefaultDrainTimeout,
 		LogLevel:     slog.LevelInfo,
 		LogFormat:    LogJSON,
+		Preset:       preset.NameResponse,
 	}
 }
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -65,7 +65,7 @@
 		NodesListen: "10.0.2.3:7401", OperatorsListen: "10.0.2.3:7402",
 		EndpointAddress: "127.0.0.1:8000", Join: []string{"10.0.1.5:7401"},
 		Slots: 8, Connections: 64, Cores: 16, MemoryBytes: 32 << 30,
-		DrainTimeout: 30 * time.Second, LogFormat: LogJSON,
+		DrainTimeout: 30 * time.Second, LogFormat: LogJSON, Preset: "response",
 	}
 	if diff := cmp.Diff(&want, got); diff != "" {
 		t.Errorf("settings (-want +got):\n%s", diff)
@@ -89,6 +89,7 @@
 		{"key twice", strings.Replace(entry, `"join"`, `"name": "other", "join"`, 1), WrongValue, []string{`"name"`, "twice", "line 4"}},
 		{"wrong type", strings.Replace(agent, `"slots": 8`, `"slots": "8"`, 1), WrongValue, []string{":16: ", `"slots"`, `"8"`, "whole number"}},
 		{"number too large", strings.Replace(agent, `"slots": 8`, `"slots": 5000000000`, 1), WrongValue, []string{"5000000000", "4294967295"}},
+		{"unknown preset", strings.Replace(entry, `"join"`, `"preset": "fast", "join"`, 1), WrongValue, []string{`"preset"`, `"fast"`, "response", "messages"}},
 		{"null", strings.Replace(agent, `"slots": 8`, `"slots": null`, 1), WrongValue, []string{`"slots"`, "null"}},
 		{"out of range", strings.Replace(agent, `"slots": 8`, `"slots": 1025`, 1), WrongValue, []string{":16: ", `"slots"`, "1025", "1 to 1024"}},
 		{"zero", strings.Replace(agent, `"cores": 16`, `"cores": 0`, 1), WrongValue, []string{`"cores"`, "1 to 4096"}},
--- a/node/settings/validate.go
+++ b/node/settings/validate.go
@@ -9,6 +9,8 @@
 	"time"
 	"unicode"
 	"unicode/utf8"
+
+	"github.com/papayahoist/papayahoist/dispatch/preset"
 )
 
 const (
@@ -49,6 +51,7 @@
 	v.duration("drain_timeout", e.DrainTimeout, MinDrainTimeout, MaxDrainTimeout)
 	v.level("log_level", e.LogLevel)
 	v.oneOf("log_format", e.LogFormat, LogJSON, LogText)
+	v.oneOf("preset", e.Preset, preset.NameResponse, preset.NameMessages)
 	return join(v.problems)
 }
 
@@ -73,6 +76,7 @@
 	v.duration("drain_timeout", a.DrainTimeout, MinDrainTimeout, MaxDrainTimeout)
 	v.level("log_level", a.LogLevel)
 	v.oneOf("log_format", a.LogFormat, LogJSON, LogText)
+	v.oneOf("preset", a.Preset, preset.NameResponse, preset.NameMessages)
 	return join(v.problems)
 }
 
