A link keeps when it is due next

Cause: after each input an entry asked all of its links, and each worked it out anew: 85% of an entry's decisions at 400 agents. Change: worked out when the link changes; options passed by pointer.

--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -246,7 +246,7 @@
 	e.dial(now, a)
 }
 
-func (a *agent) next(o Options) time.Time {
+func (a *agent) next(o *Options) time.Time {
 	if a.session.IsUp() {
 		return a.session.Next()
 	}
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -264,7 +264,7 @@
 		next = link.Earlier(next, r.next())
 	}
 	for _, a := range e.agents {
-		next = link.Earlier(next, a.next(e.opts))
+		next = link.Earlier(next, a.next(&e.opts))
 	}
 	if len(e.ended) > 0 {
 		next = link.Earlier(next, e.ended[0].answered.Add(e.opts.AnswerTTL))
--- a/dispatch/link/link.go
+++ b/dispatch/link/link.go
@@ -61,11 +61,15 @@
 	lastHeard time.Time
 	ackDue    time.Time // zero: nothing to acknowledge
 	unacked   time.Time // when the oldest unacknowledged content was sent; zero: none
+
+	// next is kept because an entry asks all of its links after each input.
+	next time.Time
 }
 
 // Up starts the session of a new connection.
 func (s *Session) Up(now time.Time, epoch uint64, opts Options) {
 	*s = Session{opts: opts, epoch: epoch, up: true, lastSent: now, lastHeard: now}
+	s.schedule()
 }
 
 // Down ends the session.
@@ -98,6 +102,7 @@
 	if content && s.ackDue.IsZero() {
 		s.ackDue = now.Add(s.opts.AckDelay)
 	}
+	s.schedule()
 	return true
 }
 
@@ -113,6 +118,7 @@
 			s.unacked = now
 		}
 	}
+	s.schedule()
 	return s.sent, s.received
 }
 
@@ -146,13 +152,18 @@
 	if !s.up {
 		return time.Time{}
 	}
+	return s.next
+}
+
+// schedule sets next after a change.
+func (s *Session) schedule() {
 	next := s.lastSent.Add(s.opts.Heartbeat)
 	next = Earlier(next, s.lastHeard.Add(s.opts.HeartbeatTimeout))
 	next = Earlier(next, s.ackDue)
 	if !s.unacked.IsZero() {
 		next = Earlier(next, s.unacked.Add(s.opts.AckTimeout))
 	}
-	return next
+	s.next = next
 }
 
 // Earlier returns the earlier of two times; the zero time means never.
