--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -135,7 +135,8 @@
 	}
 	p := c.Profile.Preset
 	o.EntryCore.Link, o.AgentCore.Link = p.Link, p.Link
-	o.AgentCore.MaxQueued, o.EntryCore.GuessAfter = p.MaxQueued, p.GuessAfter
+	o.AgentCore.MaxQueued, o.EntryCore.OverbookAfter = p.MaxQueued, p.OverbookAfter
+	o.EntryCore.ExchangeAfter = p.ExchangeAfter
 	o.EntryCore.MessageCost = p.MessageCost
 	return nil
 }
@@ -148,6 +149,7 @@
 	clients []*client.Client
 
 	before, after         site.Messages // around the load
+	took                  time.Duration // from the first arrival to the last answer
 	idleBefore, idleAfter site.Messages
 
 	mu       sync.Mutex
@@ -211,6 +213,7 @@
 		r.progress(i, j.At)
 	}
 	wg.Wait()
+	r.took = time.Since(start)
 	stopFaults()
 	r.after = r.site.Messages()
 }
