--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -164,17 +164,11 @@
 		servers = append(servers, rpc.NewServer(a.operatorsHandler(), a.opts.OperatorsTLS))
 		listeners = append(listeners, a.admin)
 	}
-	failed := make(chan error, len(servers))
-	for i, s := range servers {
-		go func() { failed <- rpc.Serve(s, listeners[i]) }()
-	}
 	go a.announceLoop()
 	a.log.Info("serving", "nodes", a.NodesAddress())
-	var err error
-	select {
-	case <-ctx.Done():
+	err := rpc.ServeUntil(ctx, servers, listeners)
+	if err == nil {
 		a.drain()
-	case err = <-failed:
 	}
 	a.stop()
 	for _, s := range servers {
@@ -187,26 +181,23 @@
 	return nil
 }
 
-const drainPoll = 20 * time.Millisecond
-
 func (a *Agent) drain() {
 	a.log.Info("draining", "limit", a.opts.DrainTimeout)
 	a.leaving.Store(true)
 	a.decide(a.core.Leave)
-	limit := time.Now().Add(a.opts.DrainTimeout)
-	for time.Now().Before(limit) {
-		a.mu.Lock()
-		drained := a.core.Drained()
-		a.mu.Unlock()
-		if drained {
-			a.recordProcess(event.DrainEnded, "every result is acknowledged")
-			a.log.Info("drained")
-			return
-		}
-		time.Sleep(drainPoll)
+	if !rpc.Drain(a.opts.DrainTimeout, a.drained) {
+		a.recordProcess(event.DrainEnded, "at the limit, with work left")
+		a.log.Warn("drain limit reached")
+		return
 	}
-	a.recordProcess(event.DrainEnded, "at the limit, with work left")
-	a.log.Warn("drain limit reached")
+	a.recordProcess(event.DrainEnded, "every result is acknowledged")
+	a.log.Info("drained")
+}
+
+func (a *Agent) drained() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Drained()
 }
 
 func (a *Agent) stop() {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -209,16 +209,10 @@
 		servers = append(servers, rpc.NewServer(e.operatorsHandler(), e.opts.OperatorsTLS))
 		listeners = append(listeners, e.admin)
 	}
-	failed := make(chan error, len(servers))
-	for i, s := range servers {
-		go func() { failed <- rpc.Serve(s, listeners[i]) }()
-	}
 	e.log.Info("serving", "callers", e.CallersAddress(), "nodes", e.NodesAddress())
-	var err error
-	select {
-	case <-ctx.Done():
+	err := rpc.ServeUntil(ctx, servers, listeners)
+	if err == nil {
 		e.drain()
-	case err = <-failed:
 	}
 	e.stop(servers)
 	if err != nil {
@@ -228,7 +222,6 @@
 }
 
 const (
-	drainPoll  = 20 * time.Millisecond
 	closeGrace = 2 * time.Second
 	// endGrace lets the frames that say goodbye leave before their links close.
 	endGrace = 50 * time.Millisecond
@@ -238,20 +231,19 @@
 	e.log.Info("draining", "limit", e.opts.DrainTimeout)
 	e.leaving.Store(true)
 	e.decide(e.core.Leave)
-	limit := time.Now().Add(e.opts.DrainTimeout)
-	for time.Now().Before(limit) {
-		e.mu.Lock()
-		drained := e.core.Drained()
-		e.mu.Unlock()
-		if drained {
-			e.recordProcess(event.DrainEnded, "every job has its answer")
-			e.log.Info("drained")
-			return
-		}
-		time.Sleep(drainPoll)
+	if !rpc.Drain(e.opts.DrainTimeout, e.drained) {
+		e.recordProcess(event.DrainEnded, "at the limit, with jobs left")
+		e.log.Warn("drain limit reached")
+		return
 	}
-	e.recordProcess(event.DrainEnded, "at the limit, with jobs left")
-	e.log.Warn("drain limit reached")
+	e.recordProcess(event.DrainEnded, "every job has its answer")
+	e.log.Info("drained")
+}
+
+func (e *Entry) drained() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Drained()
 }
 
 func (e *Entry) stop(servers []*http.Server) {
