--- a/client/client.go
+++ b/client/client.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/base64"
@@ -85,12 +86,8 @@
 	if c.http == nil {
 		c.http = defaultHTTPClient()
 	}
-	if c.wait == 0 {
-		c.wait = DefaultWait
-	}
-	if c.silence == 0 {
-		c.silence = DefaultSilence
-	}
+	c.wait = cmp.Or(c.wait, DefaultWait)
+	c.silence = cmp.Or(c.silence, DefaultSilence)
 	return c, nil
 }
 
--- a/client/submit.go
+++ b/client/submit.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -63,9 +64,7 @@
 // bound ends ctx a little after the job's timeout, so that the entry's word on
 // what became of the job still arrives.
 func (c *Client) bound(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	if timeout == 0 {
-		timeout = jobs.MaxTimeout
-	}
+	timeout = cmp.Or(timeout, jobs.MaxTimeout)
 	return context.WithTimeout(ctx, timeout+c.silence)
 }
 
--- a/cmd/papayahoist/contract.go
+++ b/cmd/papayahoist/contract.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"crypto/rand"
 	"time"
 
@@ -85,8 +86,6 @@
 
 // newChangeID returns the change id asked for, or a new one.
 func (c *contractCommand) newChangeID() string {
-	if c.changeID == "" {
-		c.changeID = rand.Text()
-	}
+	c.changeID = cmp.Or(c.changeID, rand.Text())
 	return c.changeID
 }
--- a/dispatch/agent/options.go
+++ b/dispatch/agent/options.go
@@ -65,30 +65,14 @@
 
 func (o Options) withDefaults() Options {
 	o.Link = o.Link.WithDefaults()
-	if o.MaxRecords == 0 {
-		o.MaxRecords = DefaultMaxRecords
-	}
-	if o.MaxResultBytes == 0 {
-		o.MaxResultBytes = DefaultMaxResultBytes
-	}
-	if o.FenceTTL == 0 {
-		o.FenceTTL = DefaultFenceTTL
-	}
-	if o.MaxFences == 0 {
-		o.MaxFences = DefaultMaxFences
-	}
-	if o.MaxQueued == 0 {
-		o.MaxQueued = DefaultMaxQueued
-	}
-	if o.PeerLostAfter == 0 {
-		o.PeerLostAfter = DefaultPeerLostAfter
-	}
-	if o.Damping == 0 {
-		o.Damping = DefaultDamping
-	}
-	if o.LoadEvery == 0 {
-		o.LoadEvery = DefaultLoadEvery
-	}
+	o.MaxRecords = cmp.Or(o.MaxRecords, DefaultMaxRecords)
+	o.MaxResultBytes = cmp.Or(o.MaxResultBytes, DefaultMaxResultBytes)
+	o.FenceTTL = cmp.Or(o.FenceTTL, DefaultFenceTTL)
+	o.MaxFences = cmp.Or(o.MaxFences, DefaultMaxFences)
+	o.MaxQueued = cmp.Or(o.MaxQueued, DefaultMaxQueued)
+	o.PeerLostAfter = cmp.Or(o.PeerLostAfter, DefaultPeerLostAfter)
+	o.Damping = cmp.Or(o.Damping, DefaultDamping)
+	o.LoadEvery = cmp.Or(o.LoadEvery, DefaultLoadEvery)
 	return o
 }
 
--- a/dispatch/contract/validate.go
+++ b/dispatch/contract/validate.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"regexp"
@@ -48,15 +49,11 @@
 	if c.Class == pb.Class_CLASS_UNSPECIFIED {
 		c.Class = DefaultClass
 	}
-	if c.Weight == 0 {
-		c.Weight = DefaultWeight
-	}
+	c.Weight = cmp.Or(c.Weight, DefaultWeight)
 	if c.Burst == 0 && c.Rate > 0 && c.Rate <= MaxRate {
 		c.Burst = uint32(math.Ceil(c.Rate))
 	}
-	if c.DefaultTimeoutMs == 0 {
-		c.DefaultTimeoutMs = uint32(DefaultTimeout / time.Millisecond)
-	}
+	c.DefaultTimeoutMs = cmp.Or(c.DefaultTimeoutMs, uint32(DefaultTimeout/time.Millisecond))
 	return c
 }
 
--- a/dispatch/door/door.go
+++ b/dispatch/door/door.go
@@ -26,12 +26,8 @@
 
 // WithDefaults returns the options with zero fields set.
 func (o Options) WithDefaults() Options {
-	if o.Skew == 0 {
-		o.Skew = DefaultSkew
-	}
-	if o.KeyTTL == 0 {
-		o.KeyTTL = DefaultKeyTTL
-	}
+	o.Skew = cmp.Or(o.Skew, DefaultSkew)
+	o.KeyTTL = cmp.Or(o.KeyTTL, DefaultKeyTTL)
 	return o
 }
 
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -97,24 +97,19 @@
 
 func (o Options) withDefaults() Options {
 	o.Link = o.Link.WithDefaults()
-	set := func(d *time.Duration, def time.Duration) {
-		if *d == 0 {
-			*d = def
-		}
-	}
-	set(&o.AnswerTTL, DefaultAnswerTTL)
-	set(&o.TokenTTL, DefaultTokenTTL)
-	set(&o.TokenPeriod, min(job.TokenPeriod, o.TokenTTL/4))
-	set(&o.Door.KeyTTL, o.TokenTTL)
+	o.AnswerTTL = cmp.Or(o.AnswerTTL, DefaultAnswerTTL)
+	o.TokenTTL = cmp.Or(o.TokenTTL, DefaultTokenTTL)
+	o.TokenPeriod = cmp.Or(o.TokenPeriod, min(job.TokenPeriod, o.TokenTTL/4))
+	o.Door.KeyTTL = cmp.Or(o.Door.KeyTTL, o.TokenTTL)
 	o.Door = o.Door.WithDefaults()
-	set(&o.RevokeWait, DefaultRevokeWait)
-	set(&o.RecoverWait, DefaultRecoverWait)
-	set(&o.AgentLostAfter, DefaultAgentLostAfter)
-	set(&o.RedialAfter, DefaultRedialAfter)
-	set(&o.MessageCost, DefaultMessageCost)
-	set(&o.ExchangeAfter, DefaultExchangeAfter)
-	set(&o.OverbookAfter, DefaultOverbookAfter)
-	set(&o.RedialMax, DefaultRedialMax)
+	o.RevokeWait = cmp.Or(o.RevokeWait, DefaultRevokeWait)
+	o.RecoverWait = cmp.Or(o.RecoverWait, DefaultRecoverWait)
+	o.AgentLostAfter = cmp.Or(o.AgentLostAfter, DefaultAgentLostAfter)
+	o.RedialAfter = cmp.Or(o.RedialAfter, DefaultRedialAfter)
+	o.MessageCost = cmp.Or(o.MessageCost, DefaultMessageCost)
+	o.ExchangeAfter = cmp.Or(o.ExchangeAfter, DefaultExchangeAfter)
+	o.OverbookAfter = cmp.Or(o.OverbookAfter, DefaultOverbookAfter)
+	o.RedialMax = cmp.Or(o.RedialMax, DefaultRedialMax)
 	if o.Random == nil {
 		o.Random = func() float64 { return 1 }
 	}
@@ -123,16 +118,11 @@
 			return &place.Credits{MessageCost: o.MessageCost, SpreadCost: DefaultSpreadCost, CollisionCost: DefaultCollisionCost}
 		}
 	}
-	bound := func(n *int, def int) {
-		if *n == 0 {
-			*n = def
-		}
-	}
-	bound(&o.MaxWaiting, DefaultMaxWaiting)
-	bound(&o.MaxJobs, DefaultMaxJobs)
-	bound(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	bound(&o.MaxSpent, DefaultMaxSpent)
-	bound(&o.MaxRecoveries, DefaultMaxRecoveries)
+	o.MaxWaiting = cmp.Or(o.MaxWaiting, DefaultMaxWaiting)
+	o.MaxJobs = cmp.Or(o.MaxJobs, DefaultMaxJobs)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.MaxSpent = cmp.Or(o.MaxSpent, DefaultMaxSpent)
+	o.MaxRecoveries = cmp.Or(o.MaxRecoveries, DefaultMaxRecoveries)
 	return o
 }
 
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"time"
@@ -166,9 +167,7 @@
 	case len(e.deadlines) >= e.opts.MaxJobs:
 		return nil, refuse(j.Id, jobs.CodeOverloaded, "the entry holds as many jobs as it can", time.Second)
 	}
-	if j.TimeoutMs == 0 {
-		j.TimeoutMs = c.DefaultTimeoutMs
-	}
+	j.TimeoutMs = cmp.Or(j.TimeoutMs, c.DefaultTimeoutMs)
 	queued, request := e.plan(now, j, c)
 	queued.ID = name
 	if answer := e.refusal(now, j, request); answer != nil {
--- a/dispatch/entry/policy.go
+++ b/dispatch/entry/policy.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -96,9 +97,7 @@
 // plan estimates a job's tasks.
 func (e *Entry) plan(now time.Time, j *pb.Job, c *pb.Contract) (*place.Job, limit.Request) {
 	_, largest := e.policy.sched.Pool.Largest()
-	if largest == 0 {
-		largest = math.MaxUint64
-	}
+	largest = cmp.Or(largest, math.MaxUint64)
 	left := time.Duration(j.TimeoutMs) * time.Millisecond
 	r := limit.Request{Contract: j.Contract, Tasks: len(j.Tasks), Left: left, LargestMemory: largest}
 	w := &place.Job{
--- a/dispatch/entry/recover.go
+++ b/dispatch/entry/recover.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -60,9 +61,7 @@
 		results: make([]*pb.TaskResult, len(j.Tasks)), missing: len(j.Tasks),
 	}
 	timeout := j.TimeoutMs
-	if timeout == 0 {
-		timeout = c.DefaultTimeoutMs
-	}
+	timeout = cmp.Or(timeout, c.DefaultTimeoutMs)
 	r.deadline = now.Add(max(e.opts.RecoverWait, time.Duration(timeout)*time.Millisecond))
 	e.recoveries[name] = r
 	for _, a := range e.agents {
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -7,6 +7,7 @@
 package estimate
 
 import (
+	"cmp"
 	"container/list"
 	"time"
 
@@ -118,18 +119,10 @@
 
 // New returns an estimator that has seen nothing.
 func New(options Options) *Estimator {
-	if options.MaxKinds == 0 {
-		options.MaxKinds = DefaultMaxKinds
-	}
-	if options.DefaultMemory == 0 {
-		options.DefaultMemory = DefaultMemory
-	}
-	if options.DefaultRun == 0 {
-		options.DefaultRun = DefaultRun
-	}
-	if options.Fresh == 0 {
-		options.Fresh = DefaultFresh
-	}
+	options.MaxKinds = cmp.Or(options.MaxKinds, DefaultMaxKinds)
+	options.DefaultMemory = cmp.Or(options.DefaultMemory, DefaultMemory)
+	options.DefaultRun = cmp.Or(options.DefaultRun, DefaultRun)
+	options.Fresh = cmp.Or(options.Fresh, DefaultFresh)
 	return &Estimator{options: options, kinds: make(map[kindKey]*list.Element), recent: list.New()}
 }
 
@@ -139,9 +132,7 @@
 	if !declares {
 		declared.Memory = e.options.DefaultMemory
 	}
-	if declared.Run == 0 {
-		declared.Run = e.options.DefaultRun
-	}
+	declared.Run = cmp.Or(declared.Run, e.options.DefaultRun)
 	element := e.kinds[kindKey{contract, kindName}]
 	if element == nil {
 		return Estimate{Memory: declared.Memory, Run: declared.Run, Certain: declares}
--- a/dispatch/health/health.go
+++ b/dispatch/health/health.go
@@ -9,6 +9,7 @@
 package health
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -102,18 +103,10 @@
 
 // New returns a judge without agents.
 func New(options Options) *Judge {
-	if options.FirstBackoff == 0 {
-		options.FirstBackoff = DefaultFirstBackoff
-	}
-	if options.MaxBackoff == 0 {
-		options.MaxBackoff = DefaultMaxBackoff
-	}
-	if options.MaxSuspended == 0 {
-		options.MaxSuspended = DefaultMaxSuspended
-	}
-	if options.MaxKinds == 0 {
-		options.MaxKinds = DefaultMaxKinds
-	}
+	options.FirstBackoff = cmp.Or(options.FirstBackoff, DefaultFirstBackoff)
+	options.MaxBackoff = cmp.Or(options.MaxBackoff, DefaultMaxBackoff)
+	options.MaxSuspended = cmp.Or(options.MaxSuspended, DefaultMaxSuspended)
+	options.MaxKinds = cmp.Or(options.MaxKinds, DefaultMaxKinds)
 	return &Judge{options: options, agents: make(map[string]*agent), kinds: make(map[kindKey]*kindTable)}
 }
 
--- a/dispatch/link/link.go
+++ b/dispatch/link/link.go
@@ -9,7 +9,10 @@
 // AckTimeout, or nothing at all arrives in HeartbeatTimeout.
 package link
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options are the times of a link; the zero value of a field takes the default.
 type Options struct {
@@ -34,15 +37,10 @@
 
 // WithDefaults returns the options with zero fields set.
 func (o Options) WithDefaults() Options {
-	set := func(d *time.Duration, def time.Duration) {
-		if *d == 0 {
-			*d = def
-		}
-	}
-	set(&o.AckDelay, DefaultAckDelay)
-	set(&o.AckTimeout, DefaultAckTimeout)
-	set(&o.Heartbeat, DefaultHeartbeat)
-	set(&o.HeartbeatTimeout, DefaultHeartbeatTimeout)
+	o.AckDelay = cmp.Or(o.AckDelay, DefaultAckDelay)
+	o.AckTimeout = cmp.Or(o.AckTimeout, DefaultAckTimeout)
+	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
+	o.HeartbeatTimeout = cmp.Or(o.HeartbeatTimeout, DefaultHeartbeatTimeout)
 	return o
 }
 
--- a/dispatch/member/set.go
+++ b/dispatch/member/set.go
@@ -57,24 +57,17 @@
 )
 
 func (o Options) withDefaults() Options {
-	set := func(d *time.Duration, def time.Duration) {
-		if *d == 0 {
-			*d = def
-		}
-	}
-	set(&o.Exchange, DefaultExchange)
-	set(&o.DeadAfter, DefaultDeadAfter)
-	set(&o.GoneAfter, DefaultGoneAfter)
-	set(&o.LeaseTTL, DefaultLeaseTTL)
-	set(&o.RetryDead, DefaultRetryDead)
-	set(&o.Forget, DefaultForget)
-	set(&o.Damping, DefaultDamping)
-	set(&o.MaxDamping, DefaultMaxDamping)
-	set(&o.Steady, DefaultSteady)
-	set(&o.Join, DefaultJoin)
-	if o.DeadFailures == 0 {
-		o.DeadFailures = DefaultDeadFailures
-	}
+	o.Exchange = cmp.Or(o.Exchange, DefaultExchange)
+	o.DeadAfter = cmp.Or(o.DeadAfter, DefaultDeadAfter)
+	o.GoneAfter = cmp.Or(o.GoneAfter, DefaultGoneAfter)
+	o.LeaseTTL = cmp.Or(o.LeaseTTL, DefaultLeaseTTL)
+	o.RetryDead = cmp.Or(o.RetryDead, DefaultRetryDead)
+	o.Forget = cmp.Or(o.Forget, DefaultForget)
+	o.Damping = cmp.Or(o.Damping, DefaultDamping)
+	o.MaxDamping = cmp.Or(o.MaxDamping, DefaultMaxDamping)
+	o.Steady = cmp.Or(o.Steady, DefaultSteady)
+	o.Join = cmp.Or(o.Join, DefaultJoin)
+	o.DeadFailures = cmp.Or(o.DeadFailures, DefaultDeadFailures)
 	return o
 }
 
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -3,6 +3,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -98,9 +99,7 @@
 
 // New binds the agent's ports, so that its addresses are known before it runs.
 func New(opts Options) (*Agent, error) {
-	if opts.DrainTimeout == 0 {
-		opts.DrainTimeout = DefaultDrainTimeout
-	}
+	opts.DrainTimeout = cmp.Or(opts.DrainTimeout, DefaultDrainTimeout)
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewAgent(prometheus.NewRegistry(), metrics.Options{Role: "agent"})
 	}
@@ -115,9 +114,7 @@
 			return nil, ErrStart.Wrap(err, "listen on %s", opts.OperatorsListen)
 		}
 	}
-	if opts.Hello.Address == "" {
-		opts.Hello.Address = nodes.Addr().String()
-	}
+	opts.Hello.Address = cmp.Or(opts.Hello.Address, nodes.Addr().String())
 	if opts.Hello.OperatorAddress == "" && admin != nil {
 		opts.Hello.OperatorAddress = admin.Addr().String()
 	}
--- a/node/certs/certs.go
+++ b/node/certs/certs.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"log/slog"
@@ -113,9 +114,7 @@
 // Watch reloads the files of some ports until the context ends. Every is the time
 // between looks; zero is DefaultEvery.
 func Watch(ctx context.Context, log *slog.Logger, every time.Duration, ports ...*Files) {
-	if every == 0 {
-		every = DefaultEvery
-	}
+	every = cmp.Or(every, DefaultEvery)
 	broken := make(map[*Files]bool)
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"log/slog"
@@ -120,9 +121,7 @@
 
 // New binds the entry's ports, so that its addresses are known before it runs.
 func New(opts Options) (*Entry, error) {
-	if opts.DrainTimeout == 0 {
-		opts.DrainTimeout = DefaultDrainTimeout
-	}
+	opts.DrainTimeout = cmp.Or(opts.DrainTimeout, DefaultDrainTimeout)
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewEntry(prometheus.NewRegistry(), metrics.Options{Role: "entry"})
 	}
@@ -146,12 +145,8 @@
 		}
 		*l.to = ln
 	}
-	if opts.Hello.Address == "" {
-		opts.Hello.Address = e.nodes.Addr().String()
-	}
-	if opts.Hello.OperatorAddress == "" {
-		opts.Hello.OperatorAddress = e.OperatorsAddress()
-	}
+	opts.Hello.Address = cmp.Or(opts.Hello.Address, e.nodes.Addr().String())
+	opts.Hello.OperatorAddress = cmp.Or(opts.Hello.OperatorAddress, e.OperatorsAddress())
 	e.opts.Core.Hello = opts.Hello
 	e.opts.Core.Started = time.Now()
 	e.opts.Core.Random = rand.Float64
--- a/node/membership/exchange.go
+++ b/node/membership/exchange.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -124,9 +125,7 @@
 // answer tells what it lacks.
 func (m *Membership) question(a member.Ask) *pb.PeerState {
 	covered := a.Covered
-	if covered == 0 {
-		covered = m.opts.Config.Snapshot().Covered()
-	}
+	covered = cmp.Or(covered, m.opts.Config.Snapshot().Covered())
 	return m.state(a.Incarnation, covered)
 }
 
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -100,13 +101,9 @@
 
 // New returns a membership that knows no other entry.
 func New(o Options) *Membership {
-	if o.LeaseTTL == 0 {
-		o.LeaseTTL = member.DefaultLeaseTTL
-	}
+	o.LeaseTTL = cmp.Or(o.LeaseTTL, member.DefaultLeaseTTL)
 	o.Member.LeaseTTL = o.LeaseTTL
-	if o.ExchangeTimeout == 0 {
-		o.ExchangeTimeout = time.Second
-	}
+	o.ExchangeTimeout = cmp.Or(o.ExchangeTimeout, time.Second)
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
@@ -155,9 +156,7 @@
 	}
 	s := o.Settings
 	b := &entryBuilder{o: o, started: time.Now()}
-	if o.Events == 0 {
-		o.Events = defaultEvents
-	}
+	o.Events = cmp.Or(o.Events, defaultEvents)
 	b.ring = event.NewRing(event.Options{Process: s.Name, Size: o.Events})
 	b.metrics = metrics.NewEntry(o.Registry, metrics.Options{Role: string(s.Role), Version: o.Version, Ring: b.ring})
 	b.log = newLogger(o.Logger, s.Name, b.metrics.Process)
