Options nobody sets and a map nobody reads are gone

Cause: a reading of the whole change. Operators in the options of both drivers was left from before they served that port themselves, and no caller sets it; the load tool filled a map of ends that nothing read and passed a start time that nothing used. Change: taken out; no behaviour, check or expectation changes. Looked at and left: the drivers' drain, operators' handler and mount of services are alike in shape but call their own state and services; the two error files are declarations.

--- a/cmd/internal/bench/faults.go
+++ b/cmd/internal/bench/faults.go
@@ -61,7 +61,7 @@
 
 // startFaults lets the faults come one after another until stopped; the returned
 // function ends them and waits for what was broken to be whole again.
-func (r *run) startFaults(ctx context.Context, _ time.Time) (stop func()) {
+func (r *run) startFaults(ctx context.Context) (stop func()) {
 	if len(r.config.Faults) == 0 {
 		return func() {}
 	}
--- a/cmd/internal/bench/report.go
+++ b/cmd/internal/bench/report.go
@@ -94,14 +94,13 @@
 type seen struct {
 	starts map[standin.TaskKey]int
 	byJob  map[string]int // started tasks
-	ends   map[standin.TaskKey]time.Time
 	ended  map[string]int
 }
 
 func (r *run) seen() seen {
 	s := seen{
 		starts: make(map[standin.TaskKey]int), byJob: make(map[string]int),
-		ends: make(map[standin.TaskKey]time.Time), ended: make(map[string]int),
+		ended: make(map[string]int),
 	}
 	for _, a := range r.site.Agents() {
 		// Endpoints know a job by contract and id.
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -202,7 +202,7 @@
 	r.before = r.site.Messages()
 	var wg sync.WaitGroup
 	start := time.Now()
-	stopFaults := r.startFaults(ctx, start)
+	stopFaults := r.startFaults(ctx)
 	for i := range r.plan {
 		j := &r.plan[i]
 		if sleep(ctx, time.Until(start.Add(j.At))) != nil {
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -53,9 +53,6 @@
 	// Join lists node addresses of entries, or of the balancer before them.
 	Join     []string
 	Endpoint Endpoint
-	// Operators is served on the operators' port; nil: status, time line, metrics
-	// and probes of this agent.
-	Operators http.Handler
 	// OperatorsTLS is for the operators' port; nil: none.
 	OperatorsTLS *tls.Config
 	// Gatherer is what Metrics are registered with, for the operators' port.
--- a/node/agent/operators.go
+++ b/node/agent/operators.go
@@ -15,9 +15,6 @@
 
 // operatorsHandler serves the operators' port from the agent's own state.
 func (a *Agent) operatorsHandler() http.Handler {
-	if a.opts.Operators != nil {
-		return a.opts.Operators
-	}
 	return operator.NewHandler(operator.Options{
 		Status:      a,
 		Ring:        a.opts.Core.Events,
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -65,9 +65,6 @@
 	// StoreError tells why the platform's store can't be used, empty if it can; it
 	// must not block. Nil: never.
 	StoreError func() string
-	// Operators is served on the operators' port; nil: status, time line, metrics
-	// and probes of this entry.
-	Operators http.Handler
 	// OperatorsTLS is for the operators' port; nil: none.
 	OperatorsTLS *tls.Config
 	// Gatherer is what Metrics are registered with, for the operators' port.
--- a/node/entry/operators.go
+++ b/node/entry/operators.go
@@ -19,9 +19,6 @@
 
 // operatorsHandler serves the operators' port from the entry's own state.
 func (e *Entry) operatorsHandler() http.Handler {
-	if e.opts.Operators != nil {
-		return e.opts.Operators
-	}
 	return operator.NewHandler(operator.Options{
 		Status:      e,
 		Ring:        e.opts.Core.Events,
