--- a/api/generate.sh
+++ b/api/generate.sh
@@ -6,4 +6,4 @@
 protoc -I proto \
   --go_out=. --go_opt=module=github.com/papayahoist/papayahoist/api \
   --connect-go_out=. --connect-go_opt=module=github.com/papayahoist/papayahoist/api \
-  proto/papayahoist/v1/dispatch.proto
+  proto/papayahoist/v1/dispatch.proto proto/papayahoist/v1/work.proto
--- a/cmd/papayahoistd/main.go
+++ b/cmd/papayahoistd/main.go
@@ -15,7 +15,7 @@
 
 func main() { cli.Main("papayahoistd", help, commands...) }
 
-var commands = []cli.Register{registerEntry, registerAgent, registerCheck}
+var commands = []cli.Register{registerEntry, registerAgent, registerLeasedEntry, registerLeasedAgent, registerCheck}
 
 func registerCheck(app *kingpin.Application, env *cli.Env) {
 	check := app.Command("check", "Check a settings file of either role, and the TLS files that it names.")
--- /dev/null
+++ b/dispatch/dispatcher/agents.go
@@ -0,0 +1,500 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/health"
+	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/place"
+	"github.com/papayahoist/papayahoist/dispatch/runner"
+	"github.com/papayahoist/papayahoist/dispatch/size"
+)
+
+// agent is one agent process as this entry sees it.
+type agent struct {
+	name        string
+	incarnation string
+	domain      string
+	session     link.Session
+
+	state    *pb.WorkerState
+	stateAt  time.Time
+	capacity size.Size
+	// free is the room last reported less the orders that the report did not count.
+	free     size.Size
+	standing place.Standing
+
+	live     []*order // that have not ended, oldest first
+	lastSent time.Time
+	downAt   time.Time
+	gaveUp   bool // the jobs that can't wait for it have been answered
+
+	out         pb.OrderFrame // content of the next frame
+	dirty       bool
+	eager       bool
+	tellEntries bool
+}
+
+// order is one run of a task given to an agent.
+type order struct {
+	number uint64
+	task   *task
+	run    uint32
+	agent  *agent
+	size   size.Size
+	sentAt time.Time
+	// expected on a sound worker.
+	expected time.Duration
+	started  bool
+	stopped  bool // a stop was asked for
+}
+
+func (a *agent) hasLabel(label string) bool {
+	return label == "" || slices.Contains(a.state.GetLabels(), label)
+}
+
+// ofStep counts the live orders of the task's step here.
+func (a *agent) ofStep(t *task) int {
+	n := 0
+	for _, o := range a.live {
+		if o.task.job == t.job && o.task.step == t.step {
+			n++
+		}
+	}
+	return n
+}
+
+func (a *agent) stop(o *order) {
+	if o.stopped {
+		return
+	}
+	o.stopped = true
+	a.out.Stops = append(a.out.Stops, o.number)
+	a.dirty = true
+}
+
+// renewFree counts free anew from the last report.
+func (a *agent) renewFree() {
+	a.free = size.OfRoom(a.state.GetRoom())
+	for _, o := range a.live {
+		if o.number > a.state.GetSeenOrder() {
+			a.free = a.free.Minus(o.size)
+		}
+	}
+}
+
+func (d *Dispatcher) agent(incarnation string) *agent {
+	for _, a := range d.agents {
+		if a.incarnation == incarnation {
+			return a
+		}
+	}
+	return nil
+}
+
+// LinkUp takes in that an agent has attached, and returns the first frame for it.
+// An earlier process of the same agent has ended.
+func (d *Dispatcher) LinkUp(now time.Time, g *pb.AgentGreeting) *pb.OrderFrame {
+	for _, old := range slices.Clone(d.agents) {
+		if old.name == g.Agent && old.incarnation != g.Incarnation {
+			d.replaced(now, old)
+		}
+	}
+	a := d.agent(g.Incarnation)
+	if a == nil {
+		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain}
+		d.agents = append(d.agents, a)
+		d.health.Add(a.incarnation)
+	}
+	a.session.Up(now, g.Epoch, d.opts.Link)
+	a.lastSent, a.gaveUp = now, false
+	a.out = pb.OrderFrame{}
+	a.tellEntries, a.dirty, a.eager = true, true, false
+	d.opts.Decided(Decision{Event: "agent_linked", Agent: a.name, Waiting: len(a.live)})
+	d.reconcile(now, a, g)
+	return &pb.OrderFrame{
+		Hello: &pb.EntryGreeting{
+			Entry: d.opts.Entry, Incarnation: d.opts.Incarnation, FailureDomain: d.opts.FailureDomain,
+		},
+		SentNs: now.UnixNano(), Clock: d.opts.Events.Stamp(now),
+	}
+}
+
+// reconcile settles the orders of an earlier link with what the agent says it has
+// received: an order that did not arrive never will, since the agent has closed
+// that link. Ends that were lost with it come again as news.
+func (d *Dispatcher) reconcile(now time.Time, a *agent, g *pb.AgentGreeting) {
+	seen := uint64(0)
+	if g.EntryIncarnation == d.opts.Incarnation {
+		seen = g.SeenOrder
+	}
+	for _, o := range slices.Clone(a.live) {
+		switch {
+		case o.number > seen:
+			d.refused(now, o, "lost with its link")
+		case o.stopped:
+			a.out.Stops = append(a.out.Stops, o.number)
+		}
+	}
+}
+
+// replaced takes in that an agent's process has ended and another has begun beside
+// the same worker, which reports no orders before its predecessor's runs ended.
+func (d *Dispatcher) replaced(now time.Time, a *agent) {
+	d.opts.Decided(Decision{Event: "agent_replaced", Agent: a.name, Waiting: len(a.live)})
+	a.session.Down()
+	d.lost(now, a, "the agent was restarted")
+	d.remove(a)
+}
+
+func (d *Dispatcher) remove(a *agent) {
+	d.health.Remove(a.incarnation)
+	d.agents = slices.DeleteFunc(d.agents, func(x *agent) bool { return x == a })
+}
+
+// LinkDown takes in that a link was lost.
+func (d *Dispatcher) LinkDown(now time.Time, incarnation string, epoch uint64) {
+	a := d.agent(incarnation)
+	if a == nil || !a.session.IsUp() || a.session.Epoch() != epoch {
+		return
+	}
+	d.down(now, a, "the link broke")
+}
+
+func (d *Dispatcher) down(now time.Time, a *agent, why string) {
+	a.session.Down()
+	a.downAt = now
+	d.opts.Decided(Decision{Event: "agent_lost", Agent: a.name, Reason: why, Waiting: len(a.live), Age: now.Sub(a.stateAt)})
+	// Starts that are not framed yet have not left this process.
+	framed := a.out.Orders
+	a.out = pb.OrderFrame{}
+	for _, f := range framed {
+		if o := a.byNumber(f.Number); o != nil {
+			d.refused(now, o, "not sent")
+		}
+	}
+}
+
+func (a *agent) byNumber(n uint64) *order {
+	for _, o := range a.live {
+		if o.number == n {
+			return o
+		}
+	}
+	return nil
+}
+
+// forgetAgentAfter is how long an agent without link and orders is listed.
+const forgetAgentAfter = 10 * time.Second
+
+func (d *Dispatcher) tickAgents(now time.Time) {
+	for _, a := range slices.Clone(d.agents) {
+		if a.session.Silent(now) {
+			d.down(now, a, "the link has gone silent")
+			d.ready.Close = append(d.ready.Close, a.incarnation)
+		}
+		d.updateStanding(now, a)
+		if a.session.IsUp() {
+			continue
+		}
+		if !a.gaveUp && !now.Before(a.downAt.Add(d.opts.Times.GiveUp)) {
+			d.giveUpOn(now, a)
+		}
+		if len(a.live) > 0 && !now.Before(a.lastSent.Add(d.opts.Times.RunsOver)) {
+			// Nothing can still run of what was ordered there; see package bounds.
+			d.lost(now, a, "the agent can't be reached")
+		}
+		if len(a.live) == 0 && !now.Before(a.downAt.Add(forgetAgentAfter)) {
+			d.remove(a)
+		}
+	}
+}
+
+// giveUpOn answers the jobs whose runs on a lost agent can't be replaced in time.
+func (d *Dispatcher) giveUpOn(now time.Time, a *agent) {
+	a.gaveUp = true
+	free := a.lastSent.Add(d.opts.Times.RunsOver)
+	for _, o := range slices.Clone(a.live) {
+		j := o.task.job
+		if !j.ended && free.Add(o.expected).After(j.deadline) {
+			d.giveUp(now, j, ReasonAgentLost)
+		}
+	}
+}
+
+// lost takes in that what was ordered at an agent has ended without a result.
+func (d *Dispatcher) lost(now time.Time, a *agent, why string) {
+	for _, o := range slices.Clone(a.live) {
+		d.drop(o)
+		d.opts.Decided(Decision{Event: "run_lost", Job: o.task.job.ID, Task: o.task.name(), Run: o.run, Agent: a.name, Order: o.number, Reason: why})
+		d.requeue(o.task.job, o.task)
+	}
+}
+
+func (d *Dispatcher) nextAgent(a *agent) time.Time {
+	if a.session.IsUp() {
+		next := a.session.Next()
+		if len(a.live) > 0 {
+			next = link.Earlier(next, a.lastSent.Add(d.renewEvery()))
+		}
+		return next
+	}
+	if !a.gaveUp {
+		return a.downAt.Add(d.opts.Times.GiveUp)
+	}
+	if len(a.live) > 0 {
+		return a.lastSent.Add(d.opts.Times.RunsOver)
+	}
+	return a.downAt.Add(forgetAgentAfter)
+}
+
+func (d *Dispatcher) renewEvery() time.Duration {
+	return time.Duration(renewPart * float64(d.opts.Times.Silence))
+}
+
+// send orders a run.
+func (d *Dispatcher) send(now time.Time, a *agent, t *task, s *step, waits bool) {
+	d.orderNo++
+	t.runs++
+	o := &order{
+		number: d.orderNo, task: t, run: t.runs, agent: a, size: s.Size, sentAt: now, expected: s.expect,
+	}
+	t.order = o
+	a.live = append(a.live, o)
+	t.job.orders = append(t.job.orders, o)
+	t.job.ordered = true
+	a.free = a.free.Minus(s.Size)
+	a.out.Orders = append(a.out.Orders, &pb.Order{
+		Number: o.number, Task: t.name(), Run: o.run, Payload: t.job.Payload, Size: s.Size.Message(),
+		Priority: t.job.queue.Priority, WaitMs: uint32(d.mayWait(now, t.job).Milliseconds()),
+		ExpectedMs: uint32(s.expect.Milliseconds()),
+	})
+	a.dirty = true
+	reason := "has room"
+	if waits {
+		reason = "shortest queue"
+	}
+	d.opts.Decided(Decision{
+		Event: "task_ordered", Job: t.job.ID, Queue: t.job.queue.Name, Version: t.job.Version, Task: t.name(), Run: o.run,
+		Agent: a.name, Order: o.number, Reason: reason, Age: now.Sub(a.stateAt), Elapsed: now.Sub(t.job.arrived), Free: a.free,
+	})
+}
+
+// mayWait is how long an order may wait at an agent before the entry looks for
+// another: a job that nothing has started of, as long as it may wait at all.
+func (d *Dispatcher) mayWait(now time.Time, j *job) time.Duration {
+	return max(0, min(j.holdEnd.Sub(now), maxAgentWait))
+}
+
+// maxAgentWait bounds the wait behind a worker that turns out to be slow.
+const maxAgentWait = 50 * time.Millisecond
+
+// drop forgets an order that has ended.
+func (d *Dispatcher) drop(o *order) {
+	same := func(x *order) bool { return x == o }
+	o.agent.live = slices.DeleteFunc(o.agent.live, same)
+	o.task.job.orders = slices.DeleteFunc(o.task.job.orders, same)
+	if o.task.order == o {
+		o.task.order = nil
+	}
+}
+
+// refused takes in that a run has not begun and never will.
+func (d *Dispatcher) refused(now time.Time, o *order, reason string) {
+	t, a := o.task, o.agent
+	d.drop(o)
+	a.renewFree()
+	switch reason {
+	case runner.ReasonOldRun:
+		// Another entry has run the task before, at the caller's earlier attempt.
+		t.runs += runNumberStep
+	case runner.ReasonRoom, runner.ReasonWaited, runner.ReasonStopped, runner.ReasonHeld:
+	default:
+		if a.session.IsUp() {
+			t.avoid = append(t.avoid, a)
+		}
+	}
+	d.opts.Decided(Decision{
+		Event: "order_refused", Job: t.job.ID, Task: t.name(), Run: o.run, Agent: a.name, Order: o.number, Reason: reason,
+		Elapsed: now.Sub(t.job.arrived), Free: a.free,
+	})
+	j := t.job
+	if j.ended {
+		return
+	}
+	d.requeue(j, t)
+	if !j.started && !j.hasOrders() && !now.Before(j.holdEnd) {
+		d.giveUp(now, j, ReasonHeld)
+	}
+}
+
+// runNumberStep passes the run numbers that an earlier entry may have used.
+const runNumberStep = 1000
+
+// Step takes in a frame of the link with the given epoch.
+func (d *Dispatcher) Step(now time.Time, incarnation string, epoch uint64, f *pb.WorkerFrame) {
+	a := d.agent(incarnation)
+	if a == nil || !a.session.IsUp() || a.session.Epoch() != epoch {
+		return
+	}
+	if a.session.Silent(now) {
+		d.down(now, a, "the link has gone silent")
+		d.ready.Close = append(d.ready.Close, a.incarnation)
+		return
+	}
+	if !a.session.Received(now, f.Seq, f.Ack, len(f.News) > 0) {
+		return
+	}
+	d.opts.Events.Observe(f.Clock, now)
+	if f.State != nil {
+		d.takeState(now, a, f.State)
+	}
+	for _, n := range f.News {
+		if o := a.byNumber(n.Number); o != nil {
+			d.news(now, o, n)
+		}
+	}
+}
+
+func (d *Dispatcher) takeState(now time.Time, a *agent, s *pb.WorkerState) {
+	if a.state == nil || a.state.Accepting != s.Accepting || a.state.Worker != s.Worker {
+		d.opts.Decided(Decision{Event: "worker_state", Agent: a.name, Reason: s.Held, Outcome: s.Worker, Free: size.OfRoom(s.Room), Age: now.Sub(a.stateAt)})
+	}
+	if a.state != nil && a.state.Worker != s.Worker {
+		// What was learned of one life says little of the next.
+		d.health.Remove(a.incarnation)
+		d.health.Add(a.incarnation)
+	}
+	a.state, a.stateAt, a.capacity = s, now, size.Of(s.Capacity)
+	a.renewFree()
+	d.updateStanding(now, a)
+}
+
+func (d *Dispatcher) updateStanding(now time.Time, a *agent) {
+	s := d.health.Standing(a.incarnation, now)
+	if s != a.standing {
+		d.opts.Decided(Decision{Event: "worker_standing", Agent: a.name, Outcome: standingName(s)})
+		a.standing = s
+	}
+}
+
+func standingName(s place.Standing) string {
+	switch s {
+	case place.Trial:
+		return "trial"
+	case place.Suspended:
+		return "suspended"
+	}
+	return "open"
+}
+
+// news takes in what became of an order.
+func (d *Dispatcher) news(now time.Time, o *order, n *pb.OrderNews) {
+	t, a := o.task, o.agent
+	switch n.State {
+	case pb.OrderState_ORDER_STATE_REFUSED:
+		d.refused(now, o, n.Reason)
+	case pb.OrderState_ORDER_STATE_STARTED:
+		o.started, t.job.started = true, true
+	case pb.OrderState_ORDER_STATE_DONE:
+		ran := time.Duration(n.RunMs) * time.Millisecond
+		d.drop(o)
+		d.learnFrom(now, o, ran)
+		d.decideEnd(now, o, "done", ran)
+		d.taskDone(now, t)
+	case pb.OrderState_ORDER_STATE_FAILED:
+		d.drop(o)
+		t.job.started = true
+		d.decideEnd(now, o, "failed", time.Duration(n.RunMs)*time.Millisecond)
+		d.judge(now, a, t.job, health.Result{Failed: true})
+		d.taskFailed(now, t, a)
+	case pb.OrderState_ORDER_STATE_STOPPED, pb.OrderState_ORDER_STATE_LOST:
+		d.drop(o)
+		t.job.started = true
+		d.decideEnd(now, o, "stopped or lost", time.Duration(n.RunMs)*time.Millisecond)
+		d.requeue(t.job, t)
+	case pb.OrderState_ORDER_STATE_STALLED:
+		d.stalled(now, o, n)
+	}
+}
+
+func (d *Dispatcher) decideEnd(now time.Time, o *order, outcome string, ran time.Duration) {
+	d.opts.Decided(Decision{
+		Event: "run_ended", Job: o.task.job.ID, Queue: o.task.job.queue.Name, Task: o.task.name(), Run: o.run, Agent: o.agent.name,
+		Order: o.number, Outcome: outcome, Elapsed: ran, Age: now.Sub(o.sentAt),
+	})
+}
+
+// learnFrom compares a run with what was expected of it.
+func (d *Dispatcher) learnFrom(now time.Time, o *order, ran time.Duration) {
+	j := o.task.job
+	d.judge(now, o.agent, j, health.Result{Run: time.Duration(float64(ran) / float64(o.expected) * float64(time.Second))})
+	if o.agent.standing == place.Open {
+		d.learn(j.queue.Name, j.steps[o.task.step].Estimated, ran)
+	}
+}
+
+func (d *Dispatcher) judge(now time.Time, a *agent, j *job, r health.Result) {
+	r.Contract = j.queue.Name
+	if d.health.Report(a.incarnation, r, now) {
+		d.updateStanding(now, a)
+	}
+}
+
+// moveCost is what moving a run takes beside the run itself: the stop, two
+// messages, and the start.
+const moveCost = 20 * time.Millisecond
+
+// stalled takes in that a run is much slower than expected. It is moved when a new
+// run elsewhere ends sooner: the worker is the likely cause when it was, the
+// estimate otherwise, so the new run is taken to last as long as this one has.
+func (d *Dispatcher) stalled(now time.Time, o *order, n *pb.OrderNews) {
+	ran := time.Duration(n.RunMs) * time.Millisecond
+	left := time.Duration(n.RemainingMs) * time.Millisecond
+	j := o.task.job
+	d.judge(now, o.agent, j, health.Result{Run: time.Duration(float64(ran+left) / float64(o.expected) * float64(time.Second))})
+	anew := moveCost + d.opts.Times.Stop + max(ran, o.expected)
+	move := left > anew && !o.stopped && !j.ended && now.Add(anew).Before(j.deadline)
+	outcome := "left alone"
+	if move {
+		outcome = "moved"
+		o.task.avoid = append(o.task.avoid, o.agent)
+		o.agent.stop(o)
+	}
+	d.opts.Decided(Decision{
+		Event: "run_stalled", Job: j.ID, Queue: j.queue.Name, Task: o.task.name(), Run: o.run, Agent: o.agent.name, Order: o.number,
+		Outcome: outcome, Elapsed: ran, Age: left,
+	})
+}
+
+// flush makes the frame for an agent, if one is due.
+func (d *Dispatcher) flush(now time.Time, a *agent) {
+	if !a.session.IsUp() {
+		return
+	}
+	eager := len(d.waitlist(a.state.GetService()).jobs) > 0
+	renew := len(a.live) > 0 && !now.Before(a.lastSent.Add(d.renewEvery()))
+	if !a.dirty && !renew && !a.session.Due(now) && eager == a.eager && !a.tellEntries && !d.over {
+		return
+	}
+	f := &pb.OrderFrame{
+		Orders: a.out.Orders, Stops: a.out.Stops, SentNs: now.UnixNano(), Eager: eager,
+		ReportEveryMs: d.reportEveryMs(), Clock: d.opts.Events.Stamp(now), Ended: d.over,
+	}
+	if a.tellEntries {
+		f.Entries = d.entries
+	}
+	f.Seq, f.Ack = a.session.Send(now, len(f.Orders) > 0 || len(f.Stops) > 0)
+	a.out = pb.OrderFrame{}
+	a.dirty, a.tellEntries, a.eager, a.lastSent = false, false, eager, now
+	d.ready.Frames = append(d.ready.Frames, Out{Agent: a.incarnation, Epoch: a.session.Epoch(), Frame: f})
+}
+
+// minReportEvery is as often as reports tell anything new.
+const minReportEvery = 20
+
+func (d *Dispatcher) reportEveryMs() uint32 {
+	return uint32(max(minReportEvery, 1000*float64(len(d.agents))/d.opts.ReportsPerSecond))
+}
--- /dev/null
+++ b/dispatch/dispatcher/dispatcher.go
@@ -0,0 +1,289 @@
+package dispatcher
+
+import (
+	"cmp"
+	"container/heap"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
+	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/dispatch/health"
+	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/size"
+)
+
+// Options configure a Dispatcher.
+type Options struct {
+	Entry, Incarnation, FailureDomain string
+
+	Times bounds.Times
+	// Link are the times of links to agents.
+	Link link.Options
+	// DomainRoundTrip is the round trip to an agent in another failure domain,
+	// beyond the one to an agent in the entry's own.
+	DomainRoundTrip time.Duration
+	// RemoteFactor is how many times longer a task takes away from its data's rack.
+	RemoteFactor float64
+	// ReportsPerSecond is how many reports of agents' load the entry takes in for
+	// its processor's sake, beside those that come with news of its own orders.
+	ReportsPerSecond float64
+	// Random gives numbers in [0, 1), for jitter; nil: none.
+	Random func() float64
+	Health health.Options
+	// Events takes what happens, for the time line; nil: none.
+	Events *event.Ring
+	// Decided is told of each decision, for the log; nil: nobody.
+	Decided func(Decision)
+}
+
+// Defaults of Options.
+const (
+	// DefaultDomainRoundTrip is between failure domains of one region.
+	DefaultDomainRoundTrip = 2 * time.Millisecond
+	// DefaultReportsPerSecond costs about a hundredth of a core.
+	DefaultReportsPerSecond = 300
+	defaultRemoteFactor     = 1.5
+)
+
+const (
+	// holdPart is the part of a job's latency objective that it may wait without
+	// a start. Later than that a caller gains more from knowing than from waiting:
+	// with the time that is left it can do something else.
+	holdPart = 0.25
+	// renewPart is the part of the silence that an agent bears after which an entry
+	// with runs there speaks: two frames may be late.
+	renewPart = 0.33
+)
+
+// Decision is one decision for the log.
+type Decision struct {
+	Event   string
+	Job     string
+	Queue   string
+	Version uint64
+	Task    string
+	Run     uint32
+	Agent   string
+	Order   uint64
+	Reason  string
+	// Age of what is known of the agent.
+	Age     time.Duration
+	Elapsed time.Duration
+	Waiting int
+	Free    size.Size
+	Outcome string
+	Retry   time.Duration
+}
+
+// Outcome of a job.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Completed: every task has ended well.
+	Completed Outcome = iota
+	// Failed: a task failed as often as it may.
+	Failed
+	// NotRun: nothing has started, and nothing will.
+	NotRun
+	// Unknown: something has started, or may have, and not everything ended well.
+	Unknown
+)
+
+func (o Outcome) String() string {
+	return [...]string{"completed", "failed", "not run", "unknown"}[o]
+}
+
+// Answer ends a job.
+type Answer struct {
+	Number  uint64
+	Outcome Outcome
+	Reason  string
+	// Permanent: sending the job again would be answered alike.
+	Permanent bool
+	// RetryAfter is when a caller should come back; zero: not said.
+	RetryAfter time.Duration
+}
+
+// Reasons of answers.
+const (
+	ReasonNoWorkers   = "no workers known"
+	ReasonTooLarge    = "a task fits no worker"
+	ReasonOverload    = "more urgent work takes all workers"
+	ReasonHeld        = "no worker came free in time"
+	ReasonDeadline    = "time limit reached"
+	ReasonHopeless    = "too little time left"
+	ReasonAttempts    = "a task failed too often"
+	ReasonAgentLost   = "an agent can't be reached"
+	ReasonLeaving     = "the entry is shutting down"
+	ReasonUnsupported = "not supported"
+	ReasonCancelled   = "cancelled"
+)
+
+// Out is a frame for an agent.
+type Out struct {
+	Agent string // incarnation
+	Epoch uint64
+	Frame *pb.OrderFrame
+}
+
+// Ready is what the driver must carry out.
+type Ready struct {
+	Frames  []Out
+	Answers []Answer
+	// Close lists agents, by incarnation, whose links must be closed.
+	Close []string
+}
+
+// Dispatcher is the state of one entry.
+type Dispatcher struct {
+	opts   Options
+	health *health.Judge
+
+	agents  []*agent // in order of arrival
+	entries []string // addresses of living entries, for agents
+	cursor  int
+
+	number  uint64 // of the last job
+	orderNo uint64
+	jobs    map[uint64]*job
+	byID    map[string]*job // by queue and id
+	due     dueHeap
+	waits   map[string]*waitlist // by service
+	learned map[string]*learned  // by queue
+	config  *pb.Configuration
+
+	over  bool
+	ready Ready
+}
+
+// New returns a Dispatcher without agents.
+func New(o Options) *Dispatcher {
+	o.DomainRoundTrip = cmp.Or(o.DomainRoundTrip, DefaultDomainRoundTrip)
+	o.RemoteFactor = cmp.Or(o.RemoteFactor, defaultRemoteFactor)
+	o.ReportsPerSecond = cmp.Or(o.ReportsPerSecond, DefaultReportsPerSecond)
+	if o.Random == nil {
+		o.Random = func() float64 { return 0.5 }
+	}
+	if o.Decided == nil {
+		o.Decided = func(Decision) {}
+	}
+	return &Dispatcher{
+		opts: o, health: health.New(o.Health),
+		jobs: make(map[uint64]*job), byID: make(map[string]*job),
+		waits: make(map[string]*waitlist), learned: make(map[string]*learned),
+	}
+}
+
+// SetConfiguration takes in a version of the configuration; an older one than
+// that in force is ignored. It reports whether the version is in force now.
+func (d *Dispatcher) SetConfiguration(c *pb.Configuration) bool {
+	if d.config != nil && c.Version <= d.config.Version {
+		return false
+	}
+	old := d.config.GetVersion()
+	d.config = c
+	d.opts.Decided(Decision{Event: "configuration", Version: c.Version, Reason: "newer than " + utoa(old)})
+	return true
+}
+
+// Configuration in force; nil before the first.
+func (d *Dispatcher) Configuration() *pb.Configuration { return d.config }
+
+// SetEntries tells the addresses of the living entries, which agents are told.
+func (d *Dispatcher) SetEntries(addresses []string) {
+	d.entries = addresses
+	for _, a := range d.agents {
+		a.tellEntries = true
+	}
+}
+
+// Links is the number of agents with a link.
+func (d *Dispatcher) Links() int {
+	n := 0
+	for _, a := range d.agents {
+		if a.session.IsUp() {
+			n++
+		}
+	}
+	return n
+}
+
+// Waiting counts, per queue, the jobs of which nothing has started.
+func (d *Dispatcher) Waiting() map[string]int {
+	out := make(map[string]int)
+	for _, j := range d.jobs {
+		if !j.ended && !j.started {
+			out[j.queue.Name]++
+		}
+	}
+	return out
+}
+
+// Open is the number of jobs without an answer.
+func (d *Dispatcher) Open() int { return len(d.jobs) }
+
+// End tells agents that the process ends now.
+func (d *Dispatcher) End() { d.over = true }
+
+// Tick takes in the passing of time.
+func (d *Dispatcher) Tick(now time.Time) {
+	for len(d.due) > 0 && !now.Before(d.due[0].dueAt) {
+		d.jobDue(now, d.due[0])
+	}
+	d.tickAgents(now)
+}
+
+// Next is when Tick is due; zero: not before the next input.
+func (d *Dispatcher) Next() time.Time {
+	var next time.Time
+	if len(d.due) > 0 {
+		next = d.due[0].dueAt
+	}
+	for _, a := range d.agents {
+		next = link.Earlier(next, d.nextAgent(a))
+	}
+	return next
+}
+
+// Ready returns what has to be done since the last call.
+func (d *Dispatcher) Ready(now time.Time) Ready {
+	for len(d.due) > 0 && !now.Before(d.due[0].dueAt) {
+		d.jobDue(now, d.due[0])
+	}
+	d.place(now)
+	for _, a := range d.agents {
+		d.flush(now, a)
+	}
+	r := d.ready
+	d.ready = Ready{}
+	return r
+}
+
+// dueHeap holds the jobs without an answer, the one with the next deadline first.
+type dueHeap []*job
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].dueAt.Before(h[j].dueAt) }
+func (h dueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapPos, h[j].heapPos = i, j
+}
+
+// Push implements heap.Interface.
+func (h *dueHeap) Push(x any) {
+	j := x.(*job)
+	j.heapPos = len(*h)
+	*h = append(*h, j)
+}
+
+// Pop implements heap.Interface.
+func (h *dueHeap) Pop() any {
+	old := *h
+	j := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return j
+}
+
+var _ heap.Interface = (*dueHeap)(nil)
--- /dev/null
+++ b/dispatch/dispatcher/jobs.go
@@ -0,0 +1,404 @@
+package dispatcher
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"strconv"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/size"
+)
+
+// Job is what a caller asks for.
+type Job struct {
+	ID    string
+	Queue *pb.Queue
+	// Version of the configuration that the queue was found in.
+	Version uint64
+	Payload string
+	Steps   []Step
+	// TimeLimit is how long the caller waits; zero: as long as the queue allows.
+	TimeLimit time.Duration
+	// Unsupported names what the job asks for and this product can't do.
+	Unsupported string
+}
+
+// Step is tasks of a job that are alike.
+type Step struct {
+	Count     int
+	Size      size.Size
+	Estimated time.Duration
+	// After are the steps that must have ended before.
+	After []int
+	// Rack is where the tasks' data is; elsewhere they take longer.
+	Rack string
+	// Requires is a label that a worker must have.
+	Requires string
+	// MaxPerWorker bounds the step's tasks at one worker; zero: no bound.
+	MaxPerWorker int
+}
+
+// Limits of a job.
+const (
+	// MaxSteps and MaxTasks bound what one job may hold in memory.
+	MaxSteps = 64
+	MaxTasks = 4096
+)
+
+type job struct {
+	Job
+	number   uint64
+	queue    *pb.Queue
+	arrived  time.Time
+	holdEnd  time.Time // refused when nothing has been sent by then
+	deadline time.Time
+	// objective is when a caller expects the answer.
+	objective time.Time
+	dueAt     time.Time
+	heapPos   int
+
+	steps   []step
+	open    int // tasks not ended
+	waiting []*task
+	orders  []*order // that have not ended
+	ordered bool // some order has left this process and was not refused
+	started bool // some task has started
+	ended   bool
+	listed  bool // in its service's waitlist
+}
+
+type step struct {
+	Step
+	open    int
+	blocked int // steps that it waits for
+	expect  time.Duration
+}
+
+type task struct {
+	job      *job
+	step     int
+	index    int
+	order    *order // the one that has not ended; nil: none
+	runs     uint32
+	failures int
+	done     bool
+	// avoid are agents where the task failed, stalled or was refused for a reason
+	// that stays.
+	avoid []*agent
+}
+
+func (t *task) name() string {
+	return t.job.ID + ".0." + strconv.Itoa(t.step) + "." + strconv.Itoa(t.index)
+}
+
+// learned is how tasks of a queue compare with their estimates.
+type learned struct {
+	// ratio of run time to estimate, and mean run time.
+	ratio float64
+	mean  time.Duration
+}
+
+const (
+	// learnGain is the weight of a new run against all before: about the last
+	// fifty count.
+	learnGain = 0.02
+	// firstEstimate stands for a task without estimate of a queue that has run
+	// nothing: a usual sub-second task.
+	firstEstimate  = 200 * time.Millisecond
+	minRatio       = 0.25
+	maxRatio       = 4
+	minExpected    = time.Millisecond
+	defaultTimeout = 30 * time.Second
+)
+
+// expected is how long a task is taken to run on a sound worker.
+func (d *Dispatcher) expected(queue string, estimated time.Duration) time.Duration {
+	l := d.learned[queue]
+	if estimated <= 0 {
+		if l != nil && l.mean > 0 {
+			return l.mean
+		}
+		return firstEstimate
+	}
+	if l == nil {
+		return max(estimated, minExpected)
+	}
+	return max(time.Duration(float64(estimated)*l.ratio), minExpected)
+}
+
+func (d *Dispatcher) learn(queue string, estimated, ran time.Duration) {
+	l := d.learned[queue]
+	if l == nil {
+		l = &learned{ratio: 1, mean: ran}
+		d.learned[queue] = l
+	}
+	l.mean += time.Duration(learnGain * float64(ran-l.mean))
+	if estimated > 0 {
+		ratio := min(max(float64(ran)/float64(estimated), minRatio), maxRatio)
+		l.ratio += learnGain * (ratio - l.ratio)
+	}
+}
+
+// Submit takes in a job. The answer is set if it is refused at once. A job that is
+// here already is joined: starting it anew would run its tasks twice at a time.
+func (d *Dispatcher) Submit(now time.Time, in Job) (number uint64, refused *Answer) {
+	if j := d.byID[idKey(in.Queue.Name, in.ID)]; j != nil {
+		return j.number, nil
+	}
+	d.number++
+	j := &job{Job: in, number: d.number, queue: in.Queue, arrived: now}
+	longest := d.plan(j)
+	limit := cmp.Or(time.Duration(in.Queue.TimeoutMs)*time.Millisecond, defaultTimeout)
+	if in.TimeLimit > 0 {
+		limit = min(limit, in.TimeLimit)
+	}
+	objective := time.Duration(in.Queue.TargetMs)*time.Millisecond + time.Duration(in.Queue.Stretch*float64(longest))
+	objective = min(objective, limit)
+	j.objective = now.Add(objective)
+	j.holdEnd = now.Add(time.Duration(holdPart * float64(objective)))
+	j.deadline = now.Add(limit)
+	if a := d.refusal(now, j, longest); a != nil {
+		a.Number = j.number
+		d.decideAnswer(now, j, *a)
+		return j.number, a
+	}
+	d.jobs[j.number] = j
+	d.byID[idKey(in.Queue.Name, in.ID)] = j
+	j.dueAt = j.holdEnd
+	heap.Push(&d.due, j)
+	d.release(j)
+	return j.number, nil
+}
+
+func idKey(queue, id string) string { return queue + "/" + id }
+
+// plan fills in the steps and returns the expected time of the longest chain.
+func (d *Dispatcher) plan(j *job) time.Duration {
+	j.steps = make([]step, len(j.Steps))
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i, s := range j.Steps {
+		j.steps[i] = step{Step: s, open: s.Count, blocked: len(s.After), expect: d.expected(j.queue.Name, s.Estimated)}
+		j.open += s.Count
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += j.steps[i].expect
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// hopelessPart is the part of the expected time below which what is left of a
+// job's time is not enough: half of the jobs whose estimate is as far off as
+// usual would still make it above.
+const hopelessPart = 0.6
+
+func (d *Dispatcher) refusal(now time.Time, j *job, longest time.Duration) *Answer {
+	refuse := func(reason string, permanent bool, retry time.Duration) *Answer {
+		return &Answer{Outcome: NotRun, Reason: reason, Permanent: permanent, RetryAfter: retry}
+	}
+	if j.Unsupported != "" {
+		return refuse(ReasonUnsupported+": "+j.Unsupported, true, 0)
+	}
+	if time.Duration(hopelessPart*float64(longest)) > j.deadline.Sub(now) {
+		return refuse(ReasonHopeless, true, 0)
+	}
+	known, fits := d.fits(j)
+	switch {
+	case known == 0:
+		return refuse(ReasonNoWorkers, false, d.retryAfter(time.Second))
+	case !fits:
+		return refuse(ReasonTooLarge, true, 0)
+	}
+	if wait := d.predictWait(now, j); wait > j.holdEnd.Sub(now) {
+		return refuse(ReasonOverload, false, d.retryAfter(wait))
+	}
+	return nil
+}
+
+// fits reports how many workers of the service are known, and whether each step's
+// task fits one that may run it.
+func (d *Dispatcher) fits(j *job) (known int, fits bool) {
+	ok := make([]bool, len(j.steps))
+	for _, a := range d.agents {
+		if !a.session.IsUp() || a.state.GetService() != j.queue.Service {
+			continue
+		}
+		known++
+		for i := range j.steps {
+			s := &j.steps[i]
+			ok[i] = ok[i] || s.Size.FitsIn(a.capacity) && a.hasLabel(s.Requires)
+		}
+	}
+	return known, !slices.Contains(ok, false)
+}
+
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// retryAfter is when a refused caller is to come back: when the work ahead of it
+// will have been done, and spread over as long again, so that those refused
+// together don't return together and are refused together once more.
+func (d *Dispatcher) retryAfter(wait time.Duration) time.Duration {
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	return wait + time.Duration(d.opts.Random()*float64(wait))
+}
+
+// release moves the tasks of steps that wait for nothing to the waiting ones.
+func (d *Dispatcher) release(j *job) {
+	for i := range j.steps {
+		s := &j.steps[i]
+		if s.blocked != 0 {
+			continue
+		}
+		s.blocked = -1 // released
+		for n := range s.Count {
+			j.waiting = append(j.waiting, &task{job: j, step: i, index: n})
+		}
+	}
+	d.list(j)
+}
+
+// jobDue takes in that a job has waited as long as it may, or reached its deadline.
+func (d *Dispatcher) jobDue(now time.Time, j *job) {
+	switch {
+	case !now.Before(j.deadline):
+		d.giveUp(now, j, ReasonDeadline)
+	case !j.ordered:
+		d.giveUp(now, j, ReasonHeld)
+	default:
+		d.setDue(j, j.deadline)
+	}
+}
+
+func (d *Dispatcher) setDue(j *job, at time.Time) {
+	j.dueAt = at
+	heap.Fix(&d.due, j.heapPos)
+}
+
+// giveUp ends a job that can't be completed. "Not run" is said when no order is
+// out that could start, or has started, one of its tasks.
+func (d *Dispatcher) giveUp(now time.Time, j *job, reason string) {
+	a := Answer{Outcome: Unknown, Reason: reason}
+	if !j.started && !j.hasOrders() {
+		a.Outcome = NotRun
+		a.RetryAfter = d.retryAfter(d.predictWait(now, j))
+	}
+	d.answer(now, j, a)
+}
+
+func (j *job) hasOrders() bool { return len(j.orders) > 0 }
+
+// answer ends a job: what waits is dropped, what runs is stopped.
+func (d *Dispatcher) answer(now time.Time, j *job, a Answer) {
+	a.Number = j.number
+	d.endJob(now, j)
+	d.ready.Answers = append(d.ready.Answers, a)
+	d.decideAnswer(now, j, a)
+}
+
+func (d *Dispatcher) decideAnswer(now time.Time, j *job, a Answer) {
+	d.opts.Decided(Decision{
+		Event: "job_answered", Job: j.ID, Queue: j.queue.Name, Version: j.Version, Outcome: a.Outcome.String(),
+		Reason: a.Reason, Elapsed: now.Sub(j.arrived), Waiting: len(j.waiting), Retry: a.RetryAfter,
+	})
+}
+
+func (d *Dispatcher) endJob(now time.Time, j *job) {
+	j.ended = true
+	d.unlist(j)
+	for _, o := range j.orders {
+		o.agent.stop(o)
+	}
+	heap.Remove(&d.due, j.heapPos)
+	delete(d.jobs, j.number)
+	if key := idKey(j.queue.Name, j.ID); d.byID[key] == j {
+		delete(d.byID, key)
+	}
+}
+
+// CallerGone takes in that nobody waits for the answer any more.
+func (d *Dispatcher) CallerGone(now time.Time, number uint64) {
+	if j := d.jobs[number]; j != nil {
+		d.endJob(now, j)
+		d.opts.Decided(Decision{Event: "caller_gone", Job: j.ID, Queue: j.queue.Name, Elapsed: now.Sub(j.arrived)})
+	}
+}
+
+// Cancel ends the job of the id in a queue. False: it is not here.
+func (d *Dispatcher) Cancel(now time.Time, queue, id string) bool {
+	j := d.byID[idKey(queue, id)]
+	if j == nil {
+		return false
+	}
+	a := Answer{Outcome: Unknown, Reason: ReasonCancelled}
+	if !j.started && !j.hasOrders() {
+		a.Outcome = NotRun
+	}
+	d.answer(now, j, a)
+	return true
+}
+
+// State says whether a job of the id is here, and whether it has started.
+func (d *Dispatcher) State(queue, id string) (known, started bool) {
+	j := d.byID[idKey(queue, id)]
+	return j != nil, j != nil && j.started
+}
+
+// taskDone takes in that a task has ended well.
+func (d *Dispatcher) taskDone(now time.Time, t *task) {
+	j := t.job
+	if t.done || j.ended {
+		return
+	}
+	t.done = true
+	j.open--
+	s := &j.steps[t.step]
+	s.open--
+	if j.open == 0 {
+		d.answer(now, j, Answer{Outcome: Completed})
+		return
+	}
+	if s.open > 0 {
+		return
+	}
+	for i := range j.steps {
+		for _, before := range j.steps[i].After {
+			if before == t.step {
+				j.steps[i].blocked--
+			}
+		}
+	}
+	d.release(j)
+}
+
+// taskFailed takes in that a run ended through its own or its worker's fault.
+func (d *Dispatcher) taskFailed(now time.Time, t *task, at *agent) {
+	j := t.job
+	t.failures++
+	if j.ended {
+		return
+	}
+	if t.failures >= max(1, int(j.queue.Attempts)) {
+		d.answer(now, j, Answer{Outcome: Failed, Reason: ReasonAttempts, Permanent: true})
+		return
+	}
+	t.avoid = append(t.avoid, at)
+	d.requeue(j, t)
+}
+
+// requeue puts a task back that has no order.
+func (d *Dispatcher) requeue(j *job, t *task) {
+	if j.ended || t.done {
+		return
+	}
+	j.waiting = append(j.waiting, t)
+	d.list(j)
+}
+
+func utoa(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/dispatch/dispatcher/place.go
@@ -0,0 +1,275 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/place"
+	"github.com/papayahoist/papayahoist/dispatch/size"
+)
+
+// waitlist holds the jobs of one service that have tasks to place, in the order in
+// which they go: by urgency, then those begun before those not begun, whose
+// running tasks would be wasted, then by latency objective.
+type waitlist struct {
+	jobs  []*job
+	drain drainRate
+}
+
+func goesBefore(a, b *job) int {
+	switch {
+	case a.queue.Priority != b.queue.Priority:
+		return int(a.queue.Priority) - int(b.queue.Priority)
+	case a.ordered != b.ordered:
+		if a.ordered {
+			return -1
+		}
+		return 1
+	}
+	return a.objective.Compare(b.objective)
+}
+
+func (d *Dispatcher) waitlist(service string) *waitlist {
+	w := d.waits[service]
+	if w == nil {
+		w = &waitlist{}
+		d.waits[service] = w
+	}
+	return w
+}
+
+func (d *Dispatcher) list(j *job) {
+	if len(j.waiting) == 0 || j.listed || j.ended {
+		return
+	}
+	w := d.waitlist(j.queue.Service)
+	pos, _ := slices.BinarySearchFunc(w.jobs, j, goesBefore)
+	w.jobs = slices.Insert(w.jobs, pos, j)
+	j.listed = true
+}
+
+func (d *Dispatcher) unlist(j *job) {
+	if !j.listed {
+		return
+	}
+	w := d.waitlist(j.queue.Service)
+	w.jobs = slices.DeleteFunc(w.jobs, func(x *job) bool { return x == j })
+	j.listed = false
+}
+
+// maxSkipped bounds the jobs passed over because their own requirements can't be
+// met now, so that a long list costs no more than a short one.
+const maxSkipped = 32
+
+// place sends waiting tasks to workers that have room, the next job first.
+func (d *Dispatcher) place(now time.Time) {
+	for _, w := range d.waits {
+		skipped := 0
+		for i := 0; i < len(w.jobs) && skipped < maxSkipped; {
+			j := w.jobs[i]
+			began := j.ordered
+			full := d.placeJob(now, w, j)
+			if len(j.waiting) == 0 {
+				w.jobs = slices.Delete(w.jobs, i, i+1)
+				j.listed = false
+				continue
+			}
+			if full {
+				break
+			}
+			if j.ordered != began {
+				// It goes before others now; its place is found at the next call.
+				d.unlist(j)
+				d.list(j)
+			}
+			skipped++
+			i++
+		}
+	}
+}
+
+// placeJob sends what it can. Full: a task that any worker may run found none, so
+// no later one will either.
+func (d *Dispatcher) placeJob(now time.Time, w *waitlist, j *job) (full bool) {
+	left := j.waiting[:0]
+	for n, t := range j.waiting {
+		s := &j.steps[t.step]
+		a, waits := d.pick(t, s)
+		if a == nil && len(t.avoid) > 0 && len(t.avoid) >= d.accepting(j.queue.Service) {
+			// It has been everywhere; a second try beats none.
+			t.avoid = nil
+			a, waits = d.pick(t, s)
+		}
+		if a == nil {
+			left = append(left, t)
+			if s.Requires == "" && s.MaxPerWorker == 0 && len(t.avoid) == 0 {
+				left = append(left, j.waiting[n+1:]...)
+				full = true
+				break
+			}
+			continue
+		}
+		w.drain.add(now, s.Size, s.expect)
+		d.send(now, a, t, s, waits)
+	}
+	j.waiting = left
+	return full
+}
+
+const (
+	// scanLimit bounds the agents looked at for one task. A rotating start gives
+	// each its turn in larger fleets.
+	scanLimit = 64
+	// collisionCost is how much later a task is taken to start on a worker without
+	// free room than on an idle one: other entries may have filled it since.
+	collisionCost = 8 * time.Millisecond
+	// queuePart is the part of a worker's capacity that may wait there; as agents
+	// do it.
+	queuePart = 0.125
+	// waitCost is how much later a task is taken to start on a worker per full
+	// capacity of work that waits there.
+	waitCost = 200 * time.Millisecond
+)
+
+// pick chooses the worker where a task is expected to end first, among those with
+// room; without any, one where little waits. Nil: none.
+func (d *Dispatcher) pick(t *task, s *step) (best *agent, waits bool) {
+	var bestScore float64
+	var queueBest *agent
+	var queueScore float64
+	n := len(d.agents)
+	if n == 0 {
+		return nil, false
+	}
+	d.cursor = (d.cursor + 1) % n
+	for i := range min(n, scanLimit) {
+		a := d.agents[(d.cursor+i)%n]
+		if !d.mayRun(a, t, s) {
+			continue
+		}
+		score := d.score(a, t, s)
+		if s.Size.FitsIn(a.free) {
+			if best == nil || score < bestScore {
+				best, bestScore = a, score
+			}
+			continue
+		}
+		over := s.Size.Minus(a.free).Share(a.capacity)
+		if over > queuePart {
+			continue
+		}
+		score += over * float64(waitCost)
+		if queueBest == nil || score < queueScore {
+			queueBest, queueScore = a, score
+		}
+	}
+	if best != nil {
+		return best, false
+	}
+	return queueBest, queueBest != nil
+}
+
+// accepting counts the workers of a service that take orders.
+func (d *Dispatcher) accepting(service string) int {
+	n := 0
+	for _, a := range d.agents {
+		if a.session.IsUp() && a.state.GetAccepting() && a.state.GetService() == service {
+			n++
+		}
+	}
+	return n
+}
+
+// mayRun reports whether a worker may be given a task at all.
+func (d *Dispatcher) mayRun(a *agent, t *task, s *step) bool {
+	switch {
+	case !a.session.IsUp() || !a.state.GetAccepting() || a.state.GetService() != t.job.queue.Service:
+		return false
+	case a.standing == place.Suspended || a.standing == place.Trial && len(a.live) > 0:
+		return false
+	case !s.Size.FitsIn(a.capacity) || !a.hasLabel(s.Requires):
+		return false
+	case slices.Contains(t.avoid, a):
+		return false
+	}
+	return s.MaxPerWorker == 0 || a.ofStep(t) < s.MaxPerWorker
+}
+
+// score is the expected delay of a task at a worker against an idle, sound and
+// near one, in nanoseconds.
+func (d *Dispatcher) score(a *agent, t *task, s *step) float64 {
+	run := float64(s.expect)
+	score := run * max(0, d.health.Slowness(a.incarnation)-1)
+	if a.domain != d.opts.FailureDomain {
+		score += float64(d.opts.DomainRoundTrip)
+	}
+	if s.Rack != "" && !a.hasLabel(s.Rack) {
+		score += run * (d.opts.RemoteFactor - 1)
+	}
+	if a.state.GetColdMs() > 0 {
+		score += run
+	}
+	used := 1 - a.free.CPUShare(a.capacity)
+	return score + float64(collisionCost)*used*used
+}
+
+// drainRate measures how much work is placed over the last half second.
+type drainRate struct {
+	buckets [drainBuckets]float64
+	at      int64 // bucket of the last addition
+}
+
+const (
+	drainBuckets = 10
+	drainBucket  = 50 * time.Millisecond
+)
+
+// work is a task's processor time in thousandths of a core times seconds.
+func work(s size.Size, run time.Duration) float64 { return float64(s.CPUMillis) * run.Seconds() }
+
+func (r *drainRate) advance(now time.Time) {
+	at := now.UnixNano() / int64(drainBucket)
+	for i := range min(at-r.at, drainBuckets) {
+		r.buckets[(at-i)%drainBuckets] = 0
+	}
+	r.at = at
+}
+
+func (r *drainRate) add(now time.Time, s size.Size, run time.Duration) {
+	r.advance(now)
+	r.buckets[r.at%drainBuckets] += work(s, run)
+}
+
+// perSecond is the work placed a second.
+func (r *drainRate) perSecond(now time.Time) float64 {
+	r.advance(now)
+	sum := 0.0
+	for _, b := range r.buckets {
+		sum += b
+	}
+	return sum / (drainBuckets * drainBucket).Seconds()
+}
+
+// predictWait is how long a job would wait until what goes before it is placed, at
+// the pace of the last half second.
+func (d *Dispatcher) predictWait(now time.Time, j *job) time.Duration {
+	w := d.waitlist(j.queue.Service)
+	ahead := 0.0
+	for _, x := range w.jobs {
+		if x == j || goesBefore(x, j) > 0 {
+			continue
+		}
+		for _, t := range x.waiting {
+			s := &x.steps[t.step]
+			ahead += work(s.Size, s.expect)
+		}
+	}
+	if ahead == 0 {
+		return 0
+	}
+	rate := w.drain.perSecond(now)
+	if rate == 0 {
+		return maxRetryAfter
+	}
+	return min(time.Duration(ahead/rate*float64(time.Second)), maxRetryAfter)
+}
--- /dev/null
+++ b/dispatch/size/size.go
@@ -0,0 +1,68 @@
+// Package size adds and compares what tasks request with what workers have.
+package size
+
+import (
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+)
+
+// Size is an amount of each resource; it may be negative.
+type Size struct {
+	CPUMillis int64
+	MemoryMB  int64
+	GPUs      int64
+}
+
+// Of converts a message.
+func Of(m *pb.Size) Size {
+	return Size{int64(m.GetCpuMillis()), int64(m.GetMemoryMb()), int64(m.GetGpus())}
+}
+
+// OfRoom converts a message.
+func OfRoom(m *pb.Room) Size {
+	return Size{int64(m.GetCpuMillis()), int64(m.GetMemoryMb()), int64(m.GetGpus())}
+}
+
+// Message converts s, which must not be negative.
+func (s Size) Message() *pb.Size {
+	return &pb.Size{CpuMillis: uint32(s.CPUMillis), MemoryMb: uint32(s.MemoryMB), Gpus: uint32(s.GPUs)}
+}
+
+// Room converts s.
+func (s Size) Room() *pb.Room {
+	return &pb.Room{CpuMillis: int32(s.CPUMillis), MemoryMb: int32(s.MemoryMB), Gpus: int32(s.GPUs)}
+}
+
+// Plus is the sum.
+func (s Size) Plus(o Size) Size {
+	return Size{s.CPUMillis + o.CPUMillis, s.MemoryMB + o.MemoryMB, s.GPUs + o.GPUs}
+}
+
+// Minus is the difference.
+func (s Size) Minus(o Size) Size {
+	return Size{s.CPUMillis - o.CPUMillis, s.MemoryMB - o.MemoryMB, s.GPUs - o.GPUs}
+}
+
+// FitsIn reports whether the room has at least s of each resource.
+func (s Size) FitsIn(room Size) bool {
+	return s.CPUMillis <= room.CPUMillis && s.MemoryMB <= room.MemoryMB && s.GPUs <= room.GPUs
+}
+
+// Share is the largest part of the whole that s takes of any resource that the
+// whole has.
+func (s Size) Share(whole Size) float64 {
+	share := 0.0
+	for _, r := range [...][2]int64{{s.CPUMillis, whole.CPUMillis}, {s.MemoryMB, whole.MemoryMB}, {s.GPUs, whole.GPUs}} {
+		if r[1] > 0 {
+			share = max(share, float64(r[0])/float64(r[1]))
+		}
+	}
+	return share
+}
+
+// CPUShare is the part of the whole's processor that s has, between 0 and 1.
+func (s Size) CPUShare(whole Size) float64 {
+	if whole.CPUMillis <= 0 {
+		return 0
+	}
+	return min(max(float64(s.CPUMillis)/float64(whole.CPUMillis), 0), 1)
+}
--- /dev/null
+++ b/node/dispatcher/links.go
@@ -0,0 +1,104 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/node/rpc"
+)
+
+// link is one connection from an agent.
+type link struct {
+	epoch uint64
+	out   *rpc.Queue[*pb.OrderFrame]
+	end   context.CancelFunc
+}
+
+type service struct {
+	papayahoistv1connect.UnimplementedWorkServiceHandler
+	d *Dispatcher
+}
+
+type linkStream = connect.BidiStream[pb.WorkerFrame, pb.OrderFrame]
+
+// Attach serves one agent's link until it ends.
+func (s *service) Attach(ctx context.Context, stream *linkStream) error {
+	d := s.d
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	g := first.GetHello()
+	if g.GetIncarnation() == "" {
+		return connect.NewError(connect.CodeInvalidArgument, ErrLink.New("the first frame has no greeting"))
+	}
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	l := &link{epoch: g.Epoch, out: rpc.NewQueue[*pb.OrderFrame](), end: end}
+	if !d.linkUp(g, l) {
+		return connect.NewError(connect.CodeAborted, ErrLink.New("a newer link is open"))
+	}
+	defer d.linkDown(g, l)
+	go d.readLink(stream, g, end)
+	for {
+		frames, ok := l.out.Take(ctx)
+		if !ok {
+			return nil
+		}
+		for _, f := range frames {
+			if err := stream.Send(f); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (d *Dispatcher) linkUp(g *pb.AgentGreeting, l *link) (ok bool) {
+	d.decide(func(now time.Time) {
+		old := d.links[g.Incarnation]
+		if old != nil && old.epoch >= g.Epoch {
+			return
+		}
+		if old != nil {
+			old.end()
+		}
+		d.links[g.Incarnation] = l
+		l.out.Put(d.core.LinkUp(now, g))
+		ok = true
+	})
+	return ok
+}
+
+func (d *Dispatcher) linkDown(g *pb.AgentGreeting, l *link) {
+	d.decide(func(now time.Time) {
+		if d.links[g.Incarnation] == l {
+			delete(d.links, g.Incarnation)
+			d.core.LinkDown(now, g.Incarnation, g.Epoch)
+		}
+	})
+}
+
+func (d *Dispatcher) readLink(stream *linkStream, g *pb.AgentGreeting, end context.CancelFunc) {
+	defer end()
+	for {
+		f, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		d.decide(func(now time.Time) { d.core.Step(now, g.Incarnation, g.Epoch, f) })
+	}
+}
+
+// Share serves another entry's exchange.
+func (s *service) Share(_ context.Context, req *connect.Request[pb.ShareRequest]) (*connect.Response[pb.ShareResponse], error) {
+	return connect.NewResponse(s.d.peers.serve(req.Msg)), nil
+}
+
+// Cancel ends a job that another entry's caller has given up.
+func (s *service) Cancel(_ context.Context, req *connect.Request[pb.CancelRequest]) (*connect.Response[pb.CancelResponse], error) {
+	return connect.NewResponse(&pb.CancelResponse{Known: s.d.cancelHere(req.Msg.Queue, req.Msg.Job)}), nil
+}
--- /dev/null
+++ b/node/process/leased_agent.go
@@ -0,0 +1,103 @@
+package process
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	corerunner "github.com/papayahoist/papayahoist/dispatch/runner"
+	"github.com/papayahoist/papayahoist/node/decisionlog"
+	"github.com/papayahoist/papayahoist/node/entry"
+	"github.com/papayahoist/papayahoist/node/roster"
+	"github.com/papayahoist/papayahoist/node/rpc"
+	"github.com/papayahoist/papayahoist/node/runner"
+	"github.com/papayahoist/papayahoist/node/settings"
+	"github.com/papayahoist/papayahoist/platform/adapter"
+)
+
+// LeasedAgentOptions configure a LeasedAgent.
+type LeasedAgentOptions struct {
+	Settings settings.LeasedAgent
+	// Out takes the log.
+	Out     io.Writer
+	Version string
+}
+
+// LeasedAgent is a whole agent process beside a worker with leases.
+type LeasedAgent struct {
+	o       LeasedAgentOptions
+	log     *decisionlog.Log
+	logger  *slog.Logger
+	r       *runner.Runner
+	reports net.Listener
+}
+
+// NewLeasedAgent puts an agent together and binds its ports. Errors are of type
+// ErrStart.
+func NewLeasedAgent(o LeasedAgentOptions) (*LeasedAgent, error) {
+	s := o.Settings
+	times, err := timesOf(s.Bounds)
+	if err != nil {
+		return nil, err
+	}
+	limitMemory(s.MemoryMB)
+	a := &LeasedAgent{o: o, log: decisionlog.New(o.Out, slog.String("process", s.Name))}
+	a.logger = slog.New(a.log.Handler())
+	if a.reports, err = net.Listen("tcp", s.ReportsListen); err != nil {
+		return nil, ErrStart.Wrap(err, "port for reports")
+	}
+	incarnation := entry.NewIncarnation()
+	client := adapter.NewStore(s.StoreAddress, adapter.StoreOptions{})
+	a.r = runner.New(runner.Options{
+		Entries: s.Seeds, Worker: adapter.NewWorker(s.WorkerAddress, int(s.Connections)), Logger: a.logger,
+		FindEntries: func(ctx context.Context) ([]string, error) { return roster.Find(ctx, client) },
+		Core: corerunner.Options{
+			Agent: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Times: times, Link: leasedLink(times),
+			// A later process beside the same worker starts at a later time of day.
+			Token: uint64(time.Now().UnixMilli()), Decided: logRunner(a.log),
+		},
+	})
+	a.logger.Info("process_started", "version", o.Version, "incarnation", incarnation, "silence_ms", times.Silence.Milliseconds(),
+		"lease_ms", times.Lease.Milliseconds())
+	return a, nil
+}
+
+// Run serves until the context ends, then drains: nothing new is started, and what
+// runs may end within the grace.
+func (a *LeasedAgent) Run(ctx context.Context) error {
+	kept, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { a.log.Run(kept) })
+	reports := &http.Server{Handler: adapter.NewReportsHandler(a.r), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- serveHTTP(reports, a.reports) }()
+	go a.r.Run()
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		a.logger.Info("drain_begun")
+		a.r.Leave()
+		drained := rpc.Drain(a.o.Settings.Bounds.Grace-endBefore, a.r.Drained)
+		a.logger.Info("drain_ended", "all_ended", drained)
+	}
+	a.r.Close()
+	_ = reports.Close()
+	a.logger.Info("process_stopped")
+	cancel()
+	wg.Wait()
+	if err != nil {
+		return ErrServe.Wrap(err, "agent")
+	}
+	return nil
+}
+
+// Reload takes in a replaced settings file.
+func (a *LeasedAgent) Reload(s settings.LeasedAgent) {
+	a.r.Learn(s.Seeds)
+	a.logger.Info("settings_reloaded", "seeds", len(s.Seeds))
+}
--- /dev/null
+++ b/node/process/leased_log.go
@@ -0,0 +1,78 @@
+package process
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
+	"github.com/papayahoist/papayahoist/dispatch/runner"
+	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/node/decisionlog"
+)
+
+// attrs collects the fields of a line that are set.
+type attrs []slog.Attr
+
+func (a *attrs) text(key, value string) {
+	if value != "" {
+		*a = append(*a, slog.String(key, value))
+	}
+}
+
+func (a *attrs) number(key string, n uint64) {
+	if n != 0 {
+		*a = append(*a, slog.Uint64(key, n))
+	}
+}
+
+// millis keeps a tenth of a millisecond.
+func (a *attrs) millis(key string, d time.Duration) {
+	if d != 0 {
+		*a = append(*a, slog.Float64(key, float64(d.Round(100*time.Microsecond).Microseconds())/1000))
+	}
+}
+
+func (a *attrs) free(s size.Size) {
+	if s != (size.Size{}) {
+		*a = append(*a, slog.Int64("free_cpu", s.CPUMillis))
+	}
+}
+
+// routineEvents are those of work that goes as it should.
+var routineEvents = map[string]bool{"task_ordered": true, "run_ended": true, "run_started": true, "run_done": true}
+
+func logDispatcher(l *decisionlog.Log) func(dispatcher.Decision) {
+	return func(d dispatcher.Decision) {
+		var a attrs
+		a.text("job", d.Job)
+		a.text("queue", d.Queue)
+		a.number("version", d.Version)
+		a.text("task", d.Task)
+		a.number("run", uint64(d.Run))
+		a.text("agent", d.Agent)
+		a.number("order", d.Order)
+		a.text("outcome", d.Outcome)
+		a.text("reason", d.Reason)
+		a.millis("age_ms", d.Age)
+		a.millis("elapsed_ms", d.Elapsed)
+		a.number("waiting", uint64(d.Waiting))
+		a.free(d.Free)
+		a.millis("retry_ms", d.Retry)
+		l.Add(decisionlog.Line{At: time.Now(), Event: d.Event, Attrs: a}, routineEvents[d.Event])
+	}
+}
+
+func logRunner(l *decisionlog.Log) func(runner.Decision) {
+	return func(d runner.Decision) {
+		var a attrs
+		a.text("task", d.Task)
+		a.number("run", uint64(d.Run))
+		a.text("entry", d.Entry)
+		a.number("order", d.Order)
+		a.text("reason", d.Reason)
+		a.millis("age_ms", d.Age)
+		a.millis("elapsed_ms", d.Elapsed)
+		a.free(d.Free)
+		l.Add(decisionlog.Line{At: time.Now(), Event: d.Event, Attrs: a}, routineEvents[d.Event])
+	}
+}
--- a/node/settings/decode.go
+++ b/node/settings/decode.go
@@ -179,6 +179,8 @@
 		return fmt.Sprintf("a whole number, 0 to %d", uint32(math.MaxUint32))
 	case reflect.Uint64:
 		return fmt.Sprintf("a whole number, 0 to %d", uint64(math.MaxUint64))
+	case reflect.Float64:
+		return "a number"
 	default:
 		return "a string"
 	}
--- /dev/null
+++ b/node/settings/leased.go
@@ -0,0 +1,180 @@
+package settings
+
+import (
+	"log/slog"
+	"reflect"
+	"time"
+)
+
+// Roles of a process beside workers that run tasks under leases, on a platform
+// that keeps the configuration.
+const (
+	RoleLeasedEntry Role = "leased-entry"
+	RoleLeasedAgent Role = "leased-agent"
+)
+
+// Bounds are what the platform and its workers promise. Zero: not stated.
+type Bounds struct {
+	// Resend is the least time after which a caller without an answer sends a job
+	// again.
+	Resend time.Duration `json:"resend"`
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration `json:"max_lease"`
+	// Stop is the longest time that a worker takes to end a run.
+	Stop time.Duration `json:"stop"`
+	// Grace is the time between a planned stop's signal and the kill.
+	Grace time.Duration `json:"grace"`
+	// RemoteFactor is how many times longer a task takes away from its data's rack.
+	RemoteFactor float64 `json:"remote_factor"`
+}
+
+// LeasedEntry is the settings of an entry for workers with leases.
+type LeasedEntry struct {
+	Role          Role   `json:"role"`
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	// CallersListen, ReadyListen and NodesListen are the "ip:port" that callers, the
+	// balancer's question for readiness, and agents and other entries reach.
+	CallersListen string `json:"callers_listen"`
+	ReadyListen   string `json:"ready_listen"`
+	NodesListen   string `json:"nodes_listen"`
+	// MetricsListen is for operators; empty: none.
+	MetricsListen string `json:"metrics_listen"`
+	// StoreAddress is that of the platform's key-value service.
+	StoreAddress string `json:"store_address"`
+	// Seeds are nodes' addresses of entries, which may be stale.
+	Seeds  []string `json:"seeds"`
+	Bounds Bounds   `json:"bounds"`
+	// ProcessorShare is the part of a core that the process may use.
+	ProcessorShare float64    `json:"processor_share"`
+	MemoryMB       uint32     `json:"memory_mb"`
+	LogLevel       slog.Level `json:"log_level"`
+}
+
+// LeasedAgent is the settings of an agent beside a worker with leases.
+type LeasedAgent struct {
+	Role          Role   `json:"role"`
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	// ReportsListen is the "ip:port" at which the worker reports itself.
+	ReportsListen string `json:"reports_listen"`
+	MetricsListen string `json:"metrics_listen"`
+	// WorkerAddress is the worker's on this machine.
+	WorkerAddress string `json:"worker_address"`
+	// Connections is how many the worker takes; zero: the default.
+	Connections  uint32     `json:"connections"`
+	StoreAddress string     `json:"store_address"`
+	Seeds        []string   `json:"seeds"`
+	Bounds       Bounds     `json:"bounds"`
+	MemoryMB     uint32     `json:"memory_mb"`
+	LogLevel     slog.Level `json:"log_level"`
+}
+
+// Defaults of both.
+const (
+	defaultGrace = 6 * time.Second
+	// defaultLeasedConnections serve the calls to a worker that overlap.
+	defaultLeasedConnections = 16
+	maxBound                 = time.Hour
+)
+
+// LoadLeasedEntry reads and checks the settings of an entry for leased workers.
+func LoadLeasedEntry(path string) (*LeasedEntry, error) {
+	text, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := wantRole(path, text, RoleLeasedEntry); err != nil {
+		return nil, err
+	}
+	return parseLeasedEntry(path, text)
+}
+
+// LoadLeasedAgent reads and checks the settings of an agent beside a leased worker.
+func LoadLeasedAgent(path string) (*LeasedAgent, error) {
+	text, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := wantRole(path, text, RoleLeasedAgent); err != nil {
+		return nil, err
+	}
+	return parseLeasedAgent(path, text)
+}
+
+func parseLeasedEntry(file string, text []byte) (*LeasedEntry, error) {
+	e := LeasedEntry{Role: RoleLeasedEntry, Bounds: Bounds{Grace: defaultGrace}, LogLevel: slog.LevelInfo}
+	d, err := decode(file, text, valueOf(&e))
+	if err != nil {
+		return nil, err
+	}
+	if err := e.validate(d.source); err != nil {
+		return nil, err
+	}
+	return &e, nil
+}
+
+func parseLeasedAgent(file string, text []byte) (*LeasedAgent, error) {
+	a := LeasedAgent{
+		Role: RoleLeasedAgent, Connections: defaultLeasedConnections, Bounds: Bounds{Grace: defaultGrace}, LogLevel: slog.LevelInfo,
+	}
+	d, err := decode(file, text, valueOf(&a))
+	if err != nil {
+		return nil, err
+	}
+	if err := a.validate(d.source); err != nil {
+		return nil, err
+	}
+	return &a, nil
+}
+
+func (e *LeasedEntry) validate(from source) error {
+	v := validator{source: from}
+	v.oneOf("role", string(e.Role), string(RoleLeasedEntry))
+	v.name("name", e.Name)
+	v.text("failure_domain", e.FailureDomain)
+	v.listen("callers_listen", e.CallersListen)
+	v.listen("ready_listen", e.ReadyListen)
+	v.listen("nodes_listen", e.NodesListen)
+	v.announced("nodes_listen", "", e.NodesListen)
+	v.optionalListen("metrics_listen", e.MetricsListen)
+	v.address("store_address", e.StoreAddress)
+	v.addresses("seeds", e.Seeds, 0)
+	v.bounds(e.Bounds)
+	v.level("log_level", e.LogLevel)
+	return join(v.problems)
+}
+
+func (a *LeasedAgent) validate(from source) error {
+	v := validator{source: from}
+	v.oneOf("role", string(a.Role), string(RoleLeasedAgent))
+	v.name("name", a.Name)
+	v.text("failure_domain", a.FailureDomain)
+	v.listen("reports_listen", a.ReportsListen)
+	v.optionalListen("metrics_listen", a.MetricsListen)
+	v.address("worker_address", a.WorkerAddress)
+	v.number("connections", uint64(a.Connections), 1, MaxConnections)
+	v.address("store_address", a.StoreAddress)
+	v.addresses("seeds", a.Seeds, 0)
+	v.bounds(a.Bounds)
+	v.level("log_level", a.LogLevel)
+	return join(v.problems)
+}
+
+func (v *validator) optionalListen(key, value string) {
+	if value != "" {
+		v.listen(key, value)
+	}
+}
+
+func (v *validator) bounds(b Bounds) {
+	v.duration("bounds.resend", b.Resend, 0, maxBound)
+	v.duration("bounds.max_lease", b.MaxLease, 0, maxBound)
+	v.duration("bounds.stop", b.Stop, 0, maxBound)
+	v.duration("bounds.grace", b.Grace, time.Second, maxBound)
+	if b.RemoteFactor < 0 {
+		v.wrong("bounds.remote_factor", "negative", "zero or more")
+	}
+}
+
+func valueOf(target any) reflect.Value { return reflect.ValueOf(target).Elem() }
--- a/node/settings/load.go
+++ b/node/settings/load.go
@@ -47,6 +47,14 @@
 	if err != nil {
 		return "", err
 	}
+	switch role {
+	case RoleLeasedEntry:
+		_, err := parseLeasedEntry(path, text)
+		return role, err
+	case RoleLeasedAgent:
+		_, err := parseLeasedAgent(path, text)
+		return role, err
+	}
 	if role == RoleAgent {
 		agent, err := parseAgent(path, text)
 		if err != nil {
@@ -133,7 +141,8 @@
 
 // roleOf finds the role of a file whose other keys may be wrong.
 func roleOf(file string, text []byte) (Role, error) {
-	return findRole(file, text, `"entry" or "agent"`, RoleEntry, RoleAgent)
+	return findRole(file, text, `"entry", "agent", "leased-entry" or "leased-agent"`,
+		RoleEntry, RoleAgent, RoleLeasedEntry, RoleLeasedAgent)
 }
 
 // findRole returns the file's role if it is one of known, and otherwise an error
