--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -30,6 +30,7 @@
 	lastSent time.Time
 	downAt   time.Time
 	gaveUp   bool // the jobs that can't wait for it have been answered
+	replaced bool // another process has taken its place
 
 	out         pb.OrderFrame // content of the next frame
 	dirty       bool
@@ -49,6 +50,8 @@
 	expected time.Duration
 	started  bool
 	stopped  bool // a stop was asked for
+	// lag is what was said last of a run that is slower than expected.
+	lag lag
 }
 
 func (a *agent) hasLabel(label string) bool {
@@ -97,8 +100,8 @@
 // LinkUp takes in that an agent has attached, and returns the first frame for it.
 // An earlier process of the same agent has ended.
 func (d *Dispatcher) LinkUp(now time.Time, g *pb.AgentGreeting) *pb.OrderFrame {
-	for _, old := range slices.Clone(d.agents) {
-		if old.name == g.Agent && old.incarnation != g.Incarnation {
+	for _, old := range d.agents {
+		if old.name == g.Agent && old.incarnation != g.Incarnation && !old.replaced {
 			d.replaced(now, old)
 		}
 	}
@@ -141,12 +144,25 @@
 }
 
 // replaced takes in that an agent's process has ended and another has begun beside
-// the same worker, which reports no orders before its predecessor's runs ended.
+// the same worker. The worker goes on with what the first one started until its
+// lease ends, so these runs count as live until the second one has found none.
 func (d *Dispatcher) replaced(now time.Time, a *agent) {
+	a.replaced = true
+	if a.session.IsUp() {
+		d.down(now, a, "the agent was restarted")
+	}
 	d.opts.Decided(Decision{Event: "agent_replaced", Agent: a.name, Waiting: len(a.live)})
-	a.session.Down()
-	d.lost(now, a, "the agent was restarted")
-	d.remove(a)
+}
+
+// settlePredecessors takes in that nothing is left of what an agent's earlier
+// processes started.
+func (d *Dispatcher) settlePredecessors(now time.Time, a *agent) {
+	for _, old := range slices.Clone(d.agents) {
+		if old.name == a.name && old.replaced {
+			d.lost(now, old, "the agent was restarted")
+			d.remove(old)
+		}
+	}
 }
 
 func (d *Dispatcher) remove(a *agent) {
@@ -370,6 +386,9 @@
 	a.state, a.stateAt, a.capacity = s, now, size.Of(s.Capacity)
 	a.renewFree()
 	d.updateStanding(now, a)
+	if s.Clean {
+		d.settlePredecessors(now, a)
+	}
 }
 
 func (d *Dispatcher) updateStanding(now time.Time, a *agent) {
@@ -403,6 +422,7 @@
 		d.drop(o)
 		d.learnFrom(now, o, ran)
 		d.decideEnd(now, o, "done", ran)
+		d.siblingDone(now, o, ran)
 		d.taskDone(now, t)
 	case pb.OrderState_ORDER_STATE_FAILED:
 		d.drop(o)
@@ -430,7 +450,7 @@
 // learnFrom compares a run with what was expected of it.
 func (d *Dispatcher) learnFrom(now time.Time, o *order, ran time.Duration) {
 	j := o.task.job
-	d.judge(now, o.agent, j, health.Result{Run: time.Duration(float64(ran) / float64(o.expected) * float64(time.Second))})
+	d.judge(now, o.agent, j, health.Result{Run: relative(ran, o.expected)})
 	if o.agent.standing == place.Open {
 		d.learn(j.queue.Name, j.steps[o.task.step].Estimated, ran)
 	}
@@ -443,32 +463,6 @@
 	}
 }
 
-// moveCost is what moving a run takes beside the run itself: the stop, two
-// messages, and the start.
-const moveCost = 20 * time.Millisecond
-
-// stalled takes in that a run is much slower than expected. It is moved when a new
-// run elsewhere ends sooner: the worker is the likely cause when it was, the
-// estimate otherwise, so the new run is taken to last as long as this one has.
-func (d *Dispatcher) stalled(now time.Time, o *order, n *pb.OrderNews) {
-	ran := time.Duration(n.RunMs) * time.Millisecond
-	left := time.Duration(n.RemainingMs) * time.Millisecond
-	j := o.task.job
-	d.judge(now, o.agent, j, health.Result{Run: time.Duration(float64(ran+left) / float64(o.expected) * float64(time.Second))})
-	anew := moveCost + d.opts.Times.Stop + max(ran, o.expected)
-	move := left > anew && !o.stopped && !j.ended && now.Add(anew).Before(j.deadline)
-	outcome := "left alone"
-	if move {
-		outcome = "moved"
-		o.task.avoid = append(o.task.avoid, o.agent)
-		o.agent.stop(o)
-	}
-	d.opts.Decided(Decision{
-		Event: "run_stalled", Job: j.ID, Queue: j.queue.Name, Task: o.task.name(), Run: o.run, Agent: o.agent.name, Order: o.number,
-		Outcome: outcome, Elapsed: ran, Age: left,
-	})
-}
-
 // flush makes the frame for an agent, if one is due.
 func (d *Dispatcher) flush(now time.Time, a *agent) {
 	if !a.session.IsUp() {
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -54,8 +54,8 @@
 	arrived  time.Time
 	holdEnd  time.Time // refused when nothing has been sent by then
 	deadline time.Time
-	// objective is when a caller expects the answer.
-	objective time.Time
+	// startBy is when its longest chain must begin to end by the deadline.
+	startBy time.Time
 	dueAt     time.Time
 	heapPos   int
 
@@ -63,8 +63,8 @@
 	open    int // tasks not ended
 	waiting []*task
 	orders  []*order // that have not ended
-	ordered bool // some order has left this process and was not refused
-	started bool // some task has started
+	ordered bool     // some order has left this process and was not refused
+	started bool     // some task has started
 	ended   bool
 	listed  bool // in its service's waitlist
 }
@@ -74,6 +74,8 @@
 	open    int
 	blocked int // steps that it waits for
 	expect  time.Duration
+	// observed is the shortest run of a task of the step; zero: none has ended.
+	observed time.Duration
 }
 
 type task struct {
@@ -156,9 +158,9 @@
 	}
 	objective := time.Duration(in.Queue.TargetMs)*time.Millisecond + time.Duration(in.Queue.Stretch*float64(longest))
 	objective = min(objective, limit)
-	j.objective = now.Add(objective)
 	j.holdEnd = now.Add(time.Duration(holdPart * float64(objective)))
 	j.deadline = now.Add(limit)
+	j.startBy = now.Add(objective - longest)
 	if a := d.refusal(now, j, longest); a != nil {
 		a.Number = j.number
 		d.decideAnswer(now, j, *a)
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -10,7 +10,8 @@
 
 // waitlist holds the jobs of one service that have tasks to place, in the order in
 // which they go: by urgency, then those begun before those not begun, whose
-// running tasks would be wasted, then by latency objective.
+// running tasks would be wasted, then by how soon they must start: of two jobs, the
+// longer one has less time to lose.
 type waitlist struct {
 	jobs  []*job
 	drain drainRate
@@ -26,7 +27,7 @@
 		}
 		return 1
 	}
-	return a.objective.Compare(b.objective)
+	return a.startBy.Compare(b.startBy)
 }
 
 func (d *Dispatcher) waitlist(service string) *waitlist {
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -327,6 +327,7 @@
 func (r *Runner) state(e *entry) *pb.WorkerState {
 	s := &pb.WorkerState{SeenOrder: e.seen, Held: r.held()}
 	s.Accepting = s.Held == HeldNone
+	s.Clean = r.known && r.looked && !r.hasForeign()
 	if r.known {
 		s.Worker, s.Service, s.Labels = r.worker.ID, r.worker.Service, r.worker.Labels
 		s.Capacity, s.Room = r.worker.Capacity.Message(), r.room().Room()
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -51,9 +51,12 @@
 	// stallFactor is how many times longer than expected a run must take, at its
 	// pace so far, to be reported; estimates alone are off by half either way.
 	stallFactor = 2.5
-	// stallSlack keeps the first instants of a run, whose progress is a rounded
-	// percentage, from counting as a stall.
+	// stallSlack keeps short runs, whose start takes a part of their time, from
+	// counting as stalled.
 	stallSlack = 30 * time.Millisecond
+	// judgeAfter is when a run's progress says something: before, a task that has
+	// only begun shows none.
+	judgeAfter = 40 * time.Millisecond
 )
 
 // Reasons of refusals. Entries act on some of them.
@@ -248,10 +251,11 @@
 	waitEnd time.Time
 	sentAt  time.Time // start or stop, for repeats
 	began   time.Time
-	stalled bool
-	wanted  bool // false: its entry has asked to stop it
-	stopped bool // the worker has answered a stop
-	foreign bool
+	// reportAt is how long the run must have lasted to be reported as stalled again.
+	reportAt time.Duration
+	wanted   bool // false: its entry has asked to stop it
+	stopped  bool // the worker has answered a stop
+	foreign  bool
 }
 
 // New returns a Runner that knows no worker.
@@ -458,7 +462,8 @@
 func (r *Runner) Tick(now time.Time) {
 	r.tickEntries(now)
 	for _, x := range slices.Clone(r.queue) {
-		if !now.Before(x.waitEnd) {
+		// The end of one may have started the next.
+		if x.phase == queued && !now.Before(x.waitEnd) {
 			r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonWaited)
 		}
 	}
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -288,10 +288,10 @@
 	elapsed := now.Sub(x.began)
 	// The percentage is rounded down: the run may be almost one further.
 	least := elapsed * 100 / time.Duration(min(percent, 99)+1)
-	if x.stalled || least < time.Duration(stallFactor*float64(x.expected))+stallSlack {
+	if elapsed < max(x.reportAt, judgeAfter) || least < time.Duration(stallFactor*float64(x.expected))+stallSlack {
 		return
 	}
-	x.stalled = true
+	x.reportAt = elapsed * 3 / 2
 	remaining := least - elapsed
 	x.entry.tell(&pb.OrderNews{
 		Number: x.order, State: pb.OrderState_ORDER_STATE_STALLED,
--- a/node/decisionlog/decisionlog.go
+++ b/node/decisionlog/decisionlog.go
@@ -109,7 +109,9 @@
 }
 
 // Enabled implements slog.Handler.
-func (h ringHandler) Enabled(_ context.Context, level slog.Level) bool { return level >= slog.LevelInfo }
+func (h ringHandler) Enabled(_ context.Context, level slog.Level) bool {
+	return level >= slog.LevelInfo
+}
 
 // Handle implements slog.Handler.
 func (h ringHandler) Handle(_ context.Context, r slog.Record) error {
