--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -56,8 +56,8 @@
 	deadline time.Time
 	// startBy is when its longest chain must begin to end by the deadline.
 	startBy time.Time
-	dueAt     time.Time
-	heapPos   int
+	dueAt   time.Time
+	heapPos int
 
 	steps   []step
 	open    int // tasks not ended
