A job that can't end in its time is given up as soon as its progress shows it

Cause: break reports and grades whose tasks last longer than their caller waits ran to the time limit: the caller learned it last, and the workers were taken meanwhile. Change: an agent reports a run whose least time at its pace so far passes the job's limit; the entry moves it if that helps, else answers at once.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -285,7 +285,7 @@
 	a.out.Orders = append(a.out.Orders, &pb.Order{
 		Number: o.number, Task: t.name(), Run: o.run, Payload: t.job.Payload, Size: s.Size.Message(),
 		Priority: t.job.queue.Priority, WaitMs: uint32(d.mayWait(now, t.job).Milliseconds()),
-		ExpectedMs: uint32(s.expect.Milliseconds()),
+		ExpectedMs: uint32(s.expect.Milliseconds()), LimitMs: uint32(max(0, t.job.deadline.Sub(now).Milliseconds())),
 	})
 	a.dirty = true
 	reason := "has room"
--- a/dispatch/dispatcher/move.go
+++ b/dispatch/dispatcher/move.go
@@ -31,11 +31,16 @@
 	suspectSlowness = 1.7
 )
 
-// stalled takes in that a run is much slower than expected.
+// stalled takes in that a run is much slower than expected, or can't end in time.
+// When neither it nor a new run of the task can, the caller is told at once: it can
+// use the time that is left, and others the worker.
 func (d *Dispatcher) stalled(now time.Time, o *order, n *pb.OrderNews) {
 	o.lag = lag{now, time.Duration(n.RunMs) * time.Millisecond, time.Duration(n.RemainingMs) * time.Millisecond}
 	d.judge(now, o.agent, o.task.job, health.Result{Run: relative(o.lag.ran+o.lag.left, o.expected)})
 	d.considerMove(now, o)
+	if !o.stopped && !o.task.job.ended && now.Add(o.lag.left).After(o.task.job.deadline) {
+		d.giveUp(now, o.task.job, ReasonHopeless)
+	}
 }
 
 // relative is a run time as others of its queue are compared: against what was
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -190,6 +190,7 @@
 		expected: time.Duration(o.ExpectedMs) * time.Millisecond,
 		entry:    e, order: o.Number, arrived: now, wanted: true,
 		waitEnd: now.Add(time.Duration(o.WaitMs) * time.Millisecond),
+		limit:   now.Add(time.Duration(o.LimitMs) * time.Millisecond),
 	}
 	if reason := r.refuse(x, late); reason != "" {
 		e.tell(&pb.OrderNews{Number: o.Number, State: pb.OrderState_ORDER_STATE_REFUSED, Reason: reason})
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -249,6 +249,7 @@
 
 	arrived time.Time
 	waitEnd time.Time
+	limit   time.Time // when nobody waits for the result any more
 	sentAt  time.Time // start or stop, for repeats
 	began   time.Time
 	// reportAt is how long the run must have lasted to be reported as stalled again.
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -283,12 +283,15 @@
 	}
 }
 
-// progress reports a run that is much slower than expected.
+// progress reports a run that is much slower than expected, or can't end in its
+// job's time.
 func (r *Runner) progress(now time.Time, x *run, percent int) {
 	elapsed := now.Sub(x.began)
 	// The percentage is rounded down: the run may be almost one further.
 	least := elapsed * 100 / time.Duration(min(percent, 99)+1)
-	if elapsed < max(x.reportAt, judgeAfter) || least < time.Duration(stallFactor*float64(x.expected))+stallSlack {
+	slow := least >= time.Duration(stallFactor*float64(x.expected))+stallSlack
+	tooLong := x.began.Add(least).After(x.limit)
+	if elapsed < max(x.reportAt, judgeAfter) || !slow && !tooLong {
 		return
 	}
 	x.reportAt = elapsed * 3 / 2
