A job is given up on its progress only when that is sure

Cause: at 50 ms a rounded two percent made a run of 1.4 s look like one of 1.7 s. Change: at least a tenth of the run, or 300 ms without it, and the age of the figure.

--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -57,6 +57,14 @@
 	// judgeAfter is when a run's progress says something: before, a task that has
 	// only begun shows none.
 	judgeAfter = 40 * time.Millisecond
+	// surePercent is the progress at which rounding and delays change the time that
+	// a run is taken to last by a tenth at most, and sureAfter when a run with less
+	// has shown enough: it lasts three seconds or more.
+	surePercent = 10
+	sureAfter   = 300 * time.Millisecond
+	// progressLag is how old a progress is when it is taken in, at most, but for a
+	// processor that is held up.
+	progressLag = 20 * time.Millisecond
 )
 
 // Reasons of refusals. Entries act on some of them.
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -290,7 +290,7 @@
 	// The percentage is rounded down: the run may be almost one further.
 	least := elapsed * 100 / time.Duration(min(percent, 99)+1)
 	slow := least >= time.Duration(stallFactor*float64(x.expected))+stallSlack
-	tooLong := x.began.Add(least).After(x.limit)
+	tooLong := (percent >= surePercent || elapsed >= sureAfter) && x.began.Add(least-progressLag).After(x.limit)
 	if elapsed < max(x.reportAt, judgeAfter) || !slow && !tooLong {
 		return
 	}
