Work waits at the agents, where it starts soonest and urgent work goes first

Load that it answers: at 1.1 times the capacity three entries competed for a tenth of a worker's queue; one task was sent and refused 24 times, and gauge checks were refused for room while stamps waited ahead of them. Change: agents tell what will come free and what waits, by priority; an entry sends a task where it is expected to start in the time that it may wait, and refuses a job at the door when one of its tasks finds no such worker; agents sort by urgency and by the latest start.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/forecast"
 	"github.com/papayahoist/papayahoist/dispatch/health"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/place"
@@ -22,8 +23,10 @@
 	state    *pb.WorkerState
 	stateAt  time.Time
 	capacity size.Size
-	// free is the room last reported less the orders that the report did not count.
+	// free is the room last reported less the orders that the report did not count;
+	// it is negative when these are more.
 	free     size.Size
+	frees    forecast.Frees
 	standing place.Standing
 
 	live     []*order // that have not ended, oldest first
@@ -88,6 +91,22 @@
 	}
 }
 
+// wait is how long a task is expected to wait for room: behind what waits there and
+// goes before it, and what was ordered since.
+func (a *agent) wait(now time.Time, s size.Size, priority uint32) time.Duration {
+	need := s.CPUMillis - a.free.CPUMillis
+	for _, q := range a.state.GetQueued() {
+		if q.Priority <= priority {
+			need += int64(q.CpuMillis)
+		}
+	}
+	if need <= 0 && !s.FitsIn(a.free) {
+		// Memory or accelerators are what is short; these come free with processor.
+		need = s.CPUMillis
+	}
+	return a.frees.Wait(need, now.Sub(a.stateAt))
+}
+
 func (d *Dispatcher) agent(incarnation string) *agent {
 	for _, a := range d.agents {
 		if a.incarnation == incarnation {
@@ -271,7 +290,7 @@
 }
 
 // send orders a run.
-func (d *Dispatcher) send(now time.Time, a *agent, t *task, s *step, waits bool) {
+func (d *Dispatcher) send(now time.Time, a *agent, t *task, s *step, wait time.Duration) {
 	d.orderNo++
 	t.runs++
 	o := &order{
@@ -281,7 +300,6 @@
 	a.live = append(a.live, o)
 	t.job.orders = append(t.job.orders, o)
 	t.job.ordered = true
-	a.free = a.free.Minus(s.Size)
 	a.out.Orders = append(a.out.Orders, &pb.Order{
 		Number: o.number, Task: t.name(), Run: o.run, Payload: t.job.Payload, Size: s.Size.Message(),
 		Priority: t.job.queue.Priority, WaitMs: uint32(d.mayWait(now, t.job).Milliseconds()),
@@ -289,23 +307,27 @@
 	})
 	a.dirty = true
 	reason := "has room"
-	if waits {
-		reason = "shortest queue"
+	if wait > 0 {
+		reason = "shortest wait"
 	}
 	d.opts.Decided(Decision{
 		Event: "task_ordered", Job: t.job.ID, Queue: t.job.queue.Name, Version: t.job.Version, Task: t.name(), Run: o.run,
-		Agent: a.name, Order: o.number, Reason: reason, Age: now.Sub(a.stateAt), Elapsed: now.Sub(t.job.arrived), Free: a.free,
+		Agent: a.name, Order: o.number, Reason: reason, Age: now.Sub(a.stateAt), Elapsed: now.Sub(t.job.arrived), Free: a.free, Retry: wait,
 	})
 }
 
-// mayWait is how long an order may wait at an agent before the entry looks for
-// another: a job that nothing has started of, as long as it may wait at all.
+// mayWait is how long a task may wait for room: a job that nothing has started of,
+// as long as it may wait at all; otherwise until the task must start, and a little
+// longer, since an answer that comes late is worth more than none.
 func (d *Dispatcher) mayWait(now time.Time, j *job) time.Duration {
-	return max(0, min(j.holdEnd.Sub(now), maxAgentWait))
+	if j.started {
+		return max(j.startBy.Sub(now), lateWait)
+	}
+	return max(0, j.holdEnd.Sub(now))
 }
 
-// maxAgentWait bounds the wait behind a worker that turns out to be slow.
-const maxAgentWait = 50 * time.Millisecond
+// lateWait bounds the wait at one agent of a task that is late already.
+const lateWait = 50 * time.Millisecond
 
 // drop forgets an order that has ended.
 func (d *Dispatcher) drop(o *order) {
@@ -384,6 +406,12 @@
 		d.health.Add(a.incarnation)
 	}
 	a.state, a.stateAt, a.capacity = s, now, size.Of(s.Capacity)
+	for i := range a.frees {
+		a.frees[i] = 0
+		if i < len(s.Frees) {
+			a.frees[i] = int64(s.Frees[i])
+		}
+	}
 	a.renewFree()
 	d.updateStanding(now, a)
 	if s.Clean {
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -170,7 +170,7 @@
 	d.byID[idKey(in.Queue.Name, in.ID)] = j
 	j.dueAt = j.holdEnd
 	heap.Push(&d.due, j)
-	d.release(j)
+	d.list(j)
 	return j.number, nil
 }
 
@@ -215,8 +215,9 @@
 	case !fits:
 		return refuse(ReasonTooLarge, true, 0)
 	}
-	if wait := d.predictWait(now, j); wait > j.holdEnd.Sub(now) {
-		return refuse(ReasonOverload, false, d.retryAfter(wait))
+	d.unblock(j)
+	if !d.fitsInTime(now, j) {
+		return refuse(ReasonOverload, false, d.retryAfter(d.predictWait(now, j)))
 	}
 	return nil
 }
@@ -251,8 +252,14 @@
 	return wait + time.Duration(d.opts.Random()*float64(wait))
 }
 
-// release moves the tasks of steps that wait for nothing to the waiting ones.
+// release makes the tasks of steps that wait for nothing more eligible.
 func (d *Dispatcher) release(j *job) {
+	d.unblock(j)
+	d.list(j)
+}
+
+// unblock moves the tasks of steps that wait for nothing to the waiting ones.
+func (d *Dispatcher) unblock(j *job) {
 	for i := range j.steps {
 		s := &j.steps[i]
 		if s.blocked != 0 {
@@ -263,7 +270,6 @@
 			j.waiting = append(j.waiting, &task{job: j, step: i, index: n})
 		}
 	}
-	d.list(j)
 }
 
 // jobDue takes in that a job has waited as long as it may, or reached its deadline.
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -89,34 +89,60 @@
 	}
 }
 
-// placeJob sends what it can. Full: a task that any worker may run found none, so
-// no later one will either.
-func (d *Dispatcher) placeJob(now time.Time, w *waitlist, j *job) (full bool) {
-	left := j.waiting[:0]
+// placement is a task and the worker chosen for it.
+type placement struct {
+	task  *task
+	step  *step
+	agent *agent
+	wait  time.Duration
+}
+
+// choose finds workers for the job's waiting tasks, and takes the room that they
+// need from what is known to be free. Full: a task that any worker may run found
+// none, so no later one will either.
+func (d *Dispatcher) choose(now time.Time, j *job) (chosen []placement, left []*task, full bool) {
 	for n, t := range j.waiting {
 		s := &j.steps[t.step]
-		a, waits := d.pick(t, s)
+		a, wait := d.pick(now, t, s)
 		if a == nil && len(t.avoid) > 0 && len(t.avoid) >= d.accepting(j.queue.Service) {
 			// It has been everywhere; a second try beats none.
 			t.avoid = nil
-			a, waits = d.pick(t, s)
+			a, wait = d.pick(now, t, s)
 		}
 		if a == nil {
 			left = append(left, t)
 			if s.Requires == "" && s.MaxPerWorker == 0 && len(t.avoid) == 0 {
-				left = append(left, j.waiting[n+1:]...)
-				full = true
-				break
+				return chosen, append(left, j.waiting[n+1:]...), true
 			}
 			continue
 		}
-		w.drain.add(now, s.Size, s.expect)
-		d.send(now, a, t, s, waits)
+		a.free = a.free.Minus(s.Size)
+		chosen = append(chosen, placement{t, s, a, wait})
 	}
+	return chosen, left, false
+}
+
+// placeJob sends what it can.
+func (d *Dispatcher) placeJob(now time.Time, w *waitlist, j *job) (full bool) {
+	chosen, left, full := d.choose(now, j)
 	j.waiting = left
+	for _, p := range chosen {
+		w.drain.add(now, p.step.Size, p.step.expect)
+		d.send(now, p.agent, p.task, p.step, p.wait)
+	}
 	return full
 }
 
+// fitsInTime reports whether every waiting task of a new job finds a worker that
+// starts it in time, and takes no room.
+func (d *Dispatcher) fitsInTime(now time.Time, j *job) bool {
+	chosen, left, _ := d.choose(now, j)
+	for _, p := range chosen {
+		p.agent.free = p.agent.free.Plus(p.step.Size)
+	}
+	return len(left) == 0
+}
+
 const (
 	// scanLimit bounds the agents looked at for one task. A rotating start gives
 	// each its turn in larger fleets.
@@ -124,50 +150,32 @@
 	// collisionCost is how much later a task is taken to start on a worker without
 	// free room than on an idle one: other entries may have filled it since.
 	collisionCost = 8 * time.Millisecond
-	// queuePart is the part of a worker's capacity that may wait there; as agents
-	// do it.
-	queuePart = 0.125
-	// waitCost is how much later a task is taken to start on a worker per full
-	// capacity of work that waits there.
-	waitCost = 200 * time.Millisecond
 )
 
-// pick chooses the worker where a task is expected to end first, among those with
-// room; without any, one where little waits. Nil: none.
-func (d *Dispatcher) pick(t *task, s *step) (best *agent, waits bool) {
+// pick chooses the worker where a task is expected to end first, among those that
+// are expected to start it in the time that it may wait. Nil: none.
+func (d *Dispatcher) pick(now time.Time, t *task, s *step) (best *agent, bestWait time.Duration) {
 	var bestScore float64
-	var queueBest *agent
-	var queueScore float64
 	n := len(d.agents)
 	if n == 0 {
-		return nil, false
+		return nil, 0
 	}
+	limit := d.mayWait(now, t.job)
 	d.cursor = (d.cursor + 1) % n
 	for i := range min(n, scanLimit) {
 		a := d.agents[(d.cursor+i)%n]
 		if !d.mayRun(a, t, s) {
 			continue
 		}
-		score := d.score(a, t, s)
-		if s.Size.FitsIn(a.free) {
-			if best == nil || score < bestScore {
-				best, bestScore = a, score
-			}
+		wait := a.wait(now, s.Size, t.job.queue.Priority)
+		if wait > limit {
 			continue
 		}
-		over := s.Size.Minus(a.free).Share(a.capacity)
-		if over > queuePart {
-			continue
-		}
-		score += over * float64(waitCost)
-		if queueBest == nil || score < queueScore {
-			queueBest, queueScore = a, score
+		if score := float64(wait) + d.score(a, t, s); best == nil || score < bestScore {
+			best, bestScore, bestWait = a, score, wait
 		}
 	}
-	if best != nil {
-		return best, false
-	}
-	return queueBest, queueBest != nil
+	return best, bestWait
 }
 
 // accepting counts the workers of a service that take orders.
--- /dev/null
+++ b/dispatch/forecast/forecast.go
@@ -0,0 +1,47 @@
+// Package forecast tells how long a task would wait for room on a worker, from what
+// runs there and what waits ahead of it. Agents and entries use the same figures, so
+// that an order which an entry sends is one that the agent will take.
+package forecast
+
+import "time"
+
+// Horizons are the times for which an agent tells how much processor will have come
+// free: fine where the slack of short tasks lies, coarse beyond.
+var Horizons = [...]time.Duration{
+	5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 35 * time.Millisecond,
+	60 * time.Millisecond, 100 * time.Millisecond, 180 * time.Millisecond, 350 * time.Millisecond, 700 * time.Millisecond,
+}
+
+// Never is the wait where nothing is expected to come free.
+const Never = time.Minute
+
+// Frees is how much processor, in thousandths of a core, will have come free within
+// each of Horizons.
+type Frees [len(Horizons)]int64
+
+// Add takes in a run that will end after left.
+func (f *Frees) Add(left time.Duration, cpu int64) {
+	for i, h := range Horizons {
+		if left <= h {
+			f[i] += cpu
+		}
+	}
+}
+
+// Wait is how long it takes until need has come free, when the figures have the
+// given age.
+func (f *Frees) Wait(need int64, age time.Duration) time.Duration {
+	if need <= 0 {
+		return 0
+	}
+	for i, h := range Horizons {
+		if f[i] >= need {
+			return max(h-age, Horizons[0])
+		}
+	}
+	last := len(Horizons) - 1
+	if f[last] <= 0 {
+		return Never
+	}
+	return min(Horizons[last]*time.Duration(need)/time.Duration(f[last]), Never)
+}
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/forecast"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
@@ -192,7 +193,7 @@
 		waitEnd: now.Add(time.Duration(o.WaitMs) * time.Millisecond),
 		limit:   now.Add(time.Duration(o.LimitMs) * time.Millisecond),
 	}
-	if reason := r.refuse(x, late); reason != "" {
+	if reason := r.refuse(now, x, late); reason != "" {
 		e.tell(&pb.OrderNews{Number: o.Number, State: pb.OrderState_ORDER_STATE_REFUSED, Reason: reason})
 		e.stale = true
 		r.decided(now, Decision{Event: "run_refused", Task: o.Task, Run: o.Run, Entry: e.name, Order: o.Number, Reason: reason})
@@ -208,7 +209,7 @@
 	r.start(now, x)
 }
 
-func (r *Runner) refuse(x *run, late time.Duration) string {
+func (r *Runner) refuse(now time.Time, x *run, late time.Duration) string {
 	switch {
 	case late > r.opts.Times.MaxLate:
 		// A cut or a freeze held the order up. Its entry has given it up by now, and
@@ -218,40 +219,79 @@
 		return ReasonHeld
 	case r.runs[x.task] != nil:
 		return ReasonDouble
-	case r.mustWait(x) && !r.mayWait(x):
+	case r.mustWait(x) && !r.mayWait(now, x):
 		return ReasonRoom
 	}
 	return ""
 }
 
 // mustWait reports whether an order can't start at once. One that fits still
-// doesn't overtake what waits and is as urgent.
+// doesn't overtake what waits and goes before it.
 func (r *Runner) mustWait(x *run) bool {
-	if !x.size.FitsIn(r.worker.Capacity.Minus(r.used)) {
-		return true
-	}
-	return len(r.queue) > 0 && r.queue[0].priority <= x.priority
+	return !x.size.FitsIn(r.room()) || len(r.queue) > 0 && goesBefore(r.queue[0], x)
 }
 
-func (r *Runner) mayWait(x *run) bool {
-	if !x.size.FitsIn(r.worker.Capacity) || !x.waitEnd.After(x.arrived) {
+// mayWait reports whether room is expected in the time that an order may wait. More
+// urgent orders pass those that wait already; what then waits too long goes back to
+// its entry.
+func (r *Runner) mayWait(now time.Time, x *run) bool {
+	if !x.size.FitsIn(r.worker.Capacity) || !x.waitEnd.After(now) {
 		return false
 	}
-	return r.waiting.Share(r.worker.Capacity) < r.opts.QueuePart
+	need := x.size.CPUMillis - r.room().CPUMillis
+	for _, y := range r.queue {
+		if goesBefore(y, x) {
+			need += y.size.CPUMillis
+		}
+	}
+	frees := r.frees(now)
+	return !now.Add(frees.Wait(need, 0)).After(x.waitEnd)
+}
+
+// goesBefore orders what waits: by urgency, then by the time by which it must start
+// to end in its job's time.
+func goesBefore(a, b *run) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	return a.limit.Add(-a.expected).Before(b.limit.Add(-b.expected))
 }
 
 func (r *Runner) enqueue(x *run) {
 	x.phase = queued
 	pos, _ := slices.BinarySearchFunc(r.queue, x, func(a, b *run) int {
-		if a.priority <= b.priority {
-			return -1
+		if goesBefore(b, a) {
+			return 1
 		}
-		return 1
+		return -1
 	})
 	r.queue = slices.Insert(r.queue, pos, x)
-	r.waiting = r.waiting.Plus(x.size)
 }
 
+// frees is what is expected to come free, by the runs' progress or, before they
+// show any, by their estimates.
+func (r *Runner) frees(now time.Time) *forecast.Frees {
+	var f forecast.Frees
+	for _, x := range r.order {
+		if x.phase == queued || x.foreign {
+			continue
+		}
+		total := x.total
+		if total == 0 {
+			total = x.expected
+		}
+		left := max(total-now.Sub(x.began), overdue)
+		if x.phase == stopping || x.phase == fencing {
+			left = r.opts.Times.Stop
+		}
+		f.Add(left, x.size.CPUMillis)
+	}
+	return &f
+}
+
+// overdue is how much longer a run is taken to last that should have ended.
+const overdue = 20 * time.Millisecond
+
 // tickEntries notices silent links and entries.
 func (r *Runner) tickEntries(now time.Time) {
 	for _, e := range slices.Clone(r.entries) {
@@ -313,7 +353,7 @@
 func (r *Runner) send(now time.Time, e *entry) {
 	f := &pb.WorkerFrame{News: e.unsent}
 	if e.stale {
-		f.State = r.state(e)
+		f.State = r.state(now, e)
 		e.stale, e.reportedAt = false, now
 	}
 	f.Seq, f.Ack = e.session.Send(now, len(f.News) > 0)
@@ -325,7 +365,7 @@
 	r.ready.Frames = append(r.ready.Frames, Out{Entry: e.incarnation, Epoch: e.session.Epoch(), Frame: f})
 }
 
-func (r *Runner) state(e *entry) *pb.WorkerState {
+func (r *Runner) state(now time.Time, e *entry) *pb.WorkerState {
 	s := &pb.WorkerState{SeenOrder: e.seen, Held: r.held()}
 	s.Accepting = s.Held == HeldNone
 	s.Clean = r.known && r.looked && !r.hasForeign()
@@ -333,10 +373,26 @@
 		s.Worker, s.Service, s.Labels = r.worker.ID, r.worker.Service, r.worker.Labels
 		s.Capacity, s.Room = r.worker.Capacity.Message(), r.room().Room()
 		s.ColdMs = uint32(r.worker.Cold.Milliseconds())
+		s.Queued = r.queuedWork()
+		for _, cpu := range r.frees(now) {
+			s.Frees = append(s.Frees, uint32(cpu))
+		}
 	}
 	return s
 }
 
+// queuedWork sums up what waits, most urgent first.
+func (r *Runner) queuedWork() []*pb.QueuedWork {
+	var out []*pb.QueuedWork
+	for _, x := range r.queue {
+		if len(out) == 0 || out[len(out)-1].Priority != x.priority {
+			out = append(out, &pb.QueuedWork{Priority: x.priority})
+		}
+		out[len(out)-1].CpuMillis += uint32(x.size.CPUMillis)
+	}
+	return out
+}
+
 // lateness tells how much later than the fastest frame a frame has arrived, from
 // two clocks that run alike and show different times. The smallest difference of
 // the last one to two periods stands for a frame that was not held up.
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -22,21 +21,12 @@
 	// Token is the first fencing token. A later process beside the same worker
 	// must use a higher one, or raise it when the worker says so.
 	Token uint64
-	// QueuePart is the part of the capacity that may wait for room here.
-	QueuePart float64
 	// Events takes what happens, for the time line; nil: none.
 	Events *event.Ring
 	// Decided is told of each decision, for the log; nil: nobody.
 	Decided func(Decision)
 }
 
-// Defaults of Options.
-const (
-	// DefaultQueuePart keeps about one task of a tenth of the worker waiting: it
-	// starts the moment another ends, instead of a round trip to an entry later.
-	DefaultQueuePart = 0.125
-)
-
 const (
 	// lookWhileRunning is the time between two looks at the worker while something
 	// runs there: a renewal of the lease, and the progress of its tasks. A task
@@ -198,11 +188,10 @@
 	lastEnd  uint64
 	number   uint64 // of looks and starts, to tell which came first
 
-	runs    map[string]*run // by task
-	order   []*run          // the same, oldest first
-	queue   []*run          // waiting for room
-	used    size.Size
-	waiting size.Size
+	runs  map[string]*run // by task
+	order []*run          // the same, oldest first
+	queue []*run          // waiting for room
+	used  size.Size
 
 	// recent holds ends taken note of lately. Answers of two looks may overtake each
 	// other, and the older one still lists what the newer one has shown as ended.
@@ -260,6 +249,8 @@
 	limit   time.Time // when nobody waits for the result any more
 	sentAt  time.Time // start or stop, for repeats
 	began   time.Time
+	// total is how long the run lasts at its pace so far; zero: not known yet.
+	total time.Duration
 	// reportAt is how long the run must have lasted to be reported as stalled again.
 	reportAt time.Duration
 	wanted   bool // false: its entry has asked to stop it
@@ -269,7 +260,6 @@
 
 // New returns a Runner that knows no worker.
 func New(o Options) *Runner {
-	o.QueuePart = cmp.Or(o.QueuePart, DefaultQueuePart)
 	if o.Decided == nil {
 		o.Decided = func(Decision) {}
 	}
@@ -372,7 +362,8 @@
 	r.opts.Decided(d)
 }
 
-func (r *Runner) room() size.Size { return r.worker.Capacity.Minus(r.used).Minus(r.waiting) }
+// room is what no run takes.
+func (r *Runner) room() size.Size { return r.worker.Capacity.Minus(r.used) }
 
 // changed marks the state to be told.
 func (r *Runner) changed() {
@@ -396,7 +387,6 @@
 
 func (r *Runner) forget(x *run) {
 	if x.phase == queued {
-		r.waiting = r.waiting.Minus(x.size)
 		r.queue = slices.DeleteFunc(r.queue, func(y *run) bool { return y == x })
 	} else {
 		r.used = r.used.Minus(x.size)
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -21,11 +21,10 @@
 func (r *Runner) startQueued(now time.Time) {
 	for len(r.queue) > 0 && r.held() == HeldNone {
 		x := r.queue[0]
-		if !x.size.FitsIn(r.worker.Capacity.Minus(r.used)) {
+		if !x.size.FitsIn(r.room()) {
 			return
 		}
 		r.queue = r.queue[1:]
-		r.waiting = r.waiting.Minus(x.size)
 		r.start(now, x)
 	}
 }
@@ -289,6 +288,9 @@
 	elapsed := now.Sub(x.began)
 	// The percentage is rounded down: the run may be almost one further.
 	least := elapsed * 100 / time.Duration(min(percent, 99)+1)
+	if percent >= surePercent || elapsed >= sureAfter {
+		x.total = least
+	}
 	slow := least >= time.Duration(stallFactor*float64(x.expected))+stallSlack
 	tooLong := (percent >= surePercent || elapsed >= sureAfter) && x.began.Add(least-progressLag).After(x.limit)
 	if elapsed < max(x.reportAt, judgeAfter) || !slow && !tooLong {
