Run times are learned by regression on the estimate

Cause: jobs with a long estimate were refused at the door as hopeless although half of them would have ended: an estimate is off by half either way, and a long one is more often too long. Change: expected run time and its spread from a regression of the logarithms, per queue; runs that are given up count with what they would have lasted.

--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -74,6 +74,9 @@
 	Free    size.Size
 	Outcome string
 	Retry   time.Duration
+	// Tasks of the job, and the longest time that one is expected to run.
+	Tasks   int
+	Longest time.Duration
 }
 
 // Outcome of a job.
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -56,6 +56,8 @@
 	deadline time.Time
 	// startBy is when its longest chain must begin to end by the deadline.
 	startBy time.Time
+	// longest is the expected time of its longest chain.
+	longest time.Duration
 	dueAt   time.Time
 	heapPos int
 
@@ -95,53 +97,7 @@
 	return t.job.ID + ".0." + strconv.Itoa(t.step) + "." + strconv.Itoa(t.index)
 }
 
-// learned is how tasks of a queue compare with their estimates.
-type learned struct {
-	// ratio of run time to estimate, and mean run time.
-	ratio float64
-	mean  time.Duration
-}
-
-const (
-	// learnGain is the weight of a new run against all before: about the last
-	// fifty count.
-	learnGain = 0.02
-	// firstEstimate stands for a task without estimate of a queue that has run
-	// nothing: a usual sub-second task.
-	firstEstimate  = 200 * time.Millisecond
-	minRatio       = 0.25
-	maxRatio       = 4
-	minExpected    = time.Millisecond
-	defaultTimeout = 30 * time.Second
-)
-
-// expected is how long a task is taken to run on a sound worker.
-func (d *Dispatcher) expected(queue string, estimated time.Duration) time.Duration {
-	l := d.learned[queue]
-	if estimated <= 0 {
-		if l != nil && l.mean > 0 {
-			return l.mean
-		}
-		return firstEstimate
-	}
-	if l == nil {
-		return max(estimated, minExpected)
-	}
-	return max(time.Duration(float64(estimated)*l.ratio), minExpected)
-}
-
-func (d *Dispatcher) learn(queue string, estimated, ran time.Duration) {
-	l := d.learned[queue]
-	if l == nil {
-		l = &learned{ratio: 1, mean: ran}
-		d.learned[queue] = l
-	}
-	l.mean += time.Duration(learnGain * float64(ran-l.mean))
-	if estimated > 0 {
-		ratio := min(max(float64(ran)/float64(estimated), minRatio), maxRatio)
-		l.ratio += learnGain * (ratio - l.ratio)
-	}
-}
+const defaultTimeout = 30 * time.Second
 
 // Submit takes in a job. The answer is set if it is refused at once. A job that is
 // here already is joined: starting it anew would run its tasks twice at a time.
@@ -152,6 +108,7 @@
 	d.number++
 	j := &job{Job: in, number: d.number, queue: in.Queue, arrived: now}
 	longest := d.plan(j)
+	j.longest = longest
 	limit := cmp.Or(time.Duration(in.Queue.TimeoutMs)*time.Millisecond, defaultTimeout)
 	if in.TimeLimit > 0 {
 		limit = min(limit, in.TimeLimit)
@@ -193,11 +150,6 @@
 	return longest
 }
 
-// hopelessPart is the part of the expected time below which what is left of a
-// job's time is not enough: half of the jobs whose estimate is as far off as
-// usual would still make it above.
-const hopelessPart = 0.6
-
 func (d *Dispatcher) refusal(now time.Time, j *job, longest time.Duration) *Answer {
 	refuse := func(reason string, permanent bool, retry time.Duration) *Answer {
 		return &Answer{Outcome: NotRun, Reason: reason, Permanent: permanent, RetryAfter: retry}
@@ -205,7 +157,7 @@
 	if j.Unsupported != "" {
 		return refuse(ReasonUnsupported+": "+j.Unsupported, true, 0)
 	}
-	if time.Duration(hopelessPart*float64(longest)) > j.deadline.Sub(now) {
+	if d.learned[j.queue.Name].atLeast(longest) > j.deadline.Sub(now) {
 		return refuse(ReasonHopeless, true, 0)
 	}
 	known, fits := d.fits(j)
@@ -300,6 +252,14 @@
 	d.answer(now, j, a)
 }
 
+func (j *job) tasks() int {
+	n := 0
+	for i := range j.steps {
+		n += j.steps[i].Count
+	}
+	return n
+}
+
 func (j *job) hasOrders() bool { return len(j.orders) > 0 }
 
 // answer ends a job: what waits is dropped, what runs is stopped.
@@ -313,7 +273,7 @@
 func (d *Dispatcher) decideAnswer(now time.Time, j *job, a Answer) {
 	d.opts.Decided(Decision{
 		Event: "job_answered", Job: j.ID, Queue: j.queue.Name, Version: j.Version, Outcome: a.Outcome.String(),
-		Reason: a.Reason, Elapsed: now.Sub(j.arrived), Waiting: len(j.waiting), Retry: a.RetryAfter,
+		Reason: a.Reason, Elapsed: now.Sub(j.arrived), Waiting: len(j.waiting), Retry: a.RetryAfter, Tasks: j.tasks(), Longest: j.longest,
 	})
 }
 
--- a/dispatch/dispatcher/move.go
+++ b/dispatch/dispatcher/move.go
@@ -39,7 +39,13 @@
 	d.judge(now, o.agent, o.task.job, health.Result{Run: relative(o.lag.ran+o.lag.left, o.expected)})
 	d.considerMove(now, o)
 	if !o.stopped && !o.task.job.ended && now.Add(o.lag.left).After(o.task.job.deadline) {
-		d.giveUp(now, o.task.job, ReasonHopeless)
+		// Runs that are too long never end here; without them the queue's run times
+		// would seem shorter than they are.
+		j := o.task.job
+		if o.agent.standing == place.Open {
+			d.learn(j.queue.Name, j.steps[o.task.step].Estimated, o.lag.ran+o.lag.left)
+		}
+		d.giveUp(now, j, ReasonHopeless)
 	}
 }
 
--- a/node/process/leased_log.go
+++ b/node/process/leased_log.go
@@ -58,6 +58,8 @@
 		a.number("waiting", uint64(d.Waiting))
 		a.free(d.Free)
 		a.millis("retry_ms", d.Retry)
+		a.number("tasks", uint64(d.Tasks))
+		a.millis("longest_ms", d.Longest)
 		l.Add(decisionlog.Line{At: time.Now(), Event: d.Event, Attrs: a}, routineEvents[d.Event])
 	}
 }
