A job's time limit is what its caller states

Cause: the queue's timeout of 1.5 s cut jobs whose tasks last longer, although their callers state that they wait for two to thirteen seconds: one long request in six. Ruled out: the price for work held past a route's time stayed at nothing. Change: the queue's timeout is for callers that state no limit. Whether the queue's timeout should bound jobs as well is a question to the users.

--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -77,6 +77,8 @@
 	// Tasks of the job, and the longest time that one is expected to run.
 	Tasks   int
 	Longest time.Duration
+	// Limit is the time that the job had.
+	Limit time.Duration
 }
 
 // Outcome of a job.
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -19,7 +19,9 @@
 	Version uint64
 	Payload string
 	Steps   []Step
-	// TimeLimit is how long the caller waits; zero: as long as the queue allows.
+	// TimeLimit is how long the caller waits; zero: as long as the queue says. The
+	// queue's own limit doesn't cut it: a task that lasts longer still has an answer
+	// that the caller waits for.
 	TimeLimit time.Duration
 	// Unsupported names what the job asks for and this product can't do.
 	Unsupported string
@@ -111,7 +113,7 @@
 	j.longest = longest
 	limit := cmp.Or(time.Duration(in.Queue.TimeoutMs)*time.Millisecond, defaultTimeout)
 	if in.TimeLimit > 0 {
-		limit = min(limit, in.TimeLimit)
+		limit = in.TimeLimit
 	}
 	objective := time.Duration(in.Queue.TargetMs)*time.Millisecond + time.Duration(in.Queue.Stretch*float64(longest))
 	objective = min(objective, limit)
@@ -274,6 +276,7 @@
 	d.opts.Decided(Decision{
 		Event: "job_answered", Job: j.ID, Queue: j.queue.Name, Version: j.Version, Outcome: a.Outcome.String(),
 		Reason: a.Reason, Elapsed: now.Sub(j.arrived), Waiting: len(j.waiting), Retry: a.RetryAfter, Tasks: j.tasks(), Longest: j.longest,
+		Limit: j.deadline.Sub(j.arrived),
 	})
 }
 
--- a/node/process/leased_log.go
+++ b/node/process/leased_log.go
@@ -60,6 +60,7 @@
 		a.millis("retry_ms", d.Retry)
 		a.number("tasks", uint64(d.Tasks))
 		a.millis("longest_ms", d.Longest)
+		a.millis("limit_ms", d.Limit)
 		l.Add(decisionlog.Line{At: time.Now(), Event: d.Event, Attrs: a}, routineEvents[d.Event])
 	}
 }
