--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -272,6 +272,8 @@
 func (d *Dispatcher) lost(now time.Time, a *agent, why string) {
 	for _, o := range slices.Clone(a.live) {
 		d.drop(o)
+		// Whether it began was not heard.
+		o.task.job.started = true
 		d.opts.Decided(Decision{Event: "run_lost", Job: o.task.job.ID, Task: o.task.name(), Run: o.run, Agent: a.name, Order: o.number, Reason: why})
 		d.requeue(o.task.job, o.task)
 	}
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -544,3 +544,22 @@
 		t.Errorf("orders %v, stops %v, free %v", a.orders, a.stops, b.d.agents[0].free)
 	}
 }
+
+// An agent was lost with an order of which nothing was heard, and the next worker
+// refuses the task. What the first one did is not known, so "not run" can't be said.
+func TestNotRunIsNotSaidOfALostOrder(t *testing.T) {
+	b := newBed(t, "a")
+	j := tasks(1, 1000, 200*time.Millisecond)
+	j.TimeLimit = 10 * time.Second
+	n := b.accepted(j)
+	b.attach("b", "b-1")
+	b.d.LinkDown(b.now, "a-1", b.agents["a-1"].epoch)
+	b.wait(b.times.RunsOver + 50*time.Millisecond)
+	second := b.agents["b-1"].orders[0]
+	b.agents["b-1"].used = 4000
+	b.tell(second, pb.OrderState_ORDER_STATE_REFUSED, runner.ReasonWaited, 0)
+	b.wait(10 * time.Second)
+	if a, ok := b.answers[n]; !ok || a.Outcome != Unknown {
+		t.Errorf("answer %+v (%v), want unknown", a, ok)
+	}
+}
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -82,7 +82,6 @@
 func waits(ms uint32) orderOption      { return func(o *pb.Order) { o.WaitMs = ms } }
 func urgency(p uint32) orderOption     { return func(o *pb.Order) { o.Priority = p } }
 func expected(ms uint32) orderOption   { return func(o *pb.Order) { o.ExpectedMs = ms } }
-func numbered(run uint32) orderOption  { return func(o *pb.Order) { o.Run = run } }
 func (b *bed) started() (out []string) { return names(b.last.Starts) }
 
 func names(starts []Start) (out []string) {
@@ -479,3 +478,25 @@
 		t.Errorf("link up %v with starts %v, want the link refused", up, got)
 	}
 }
+
+// An agent was restarted, and the worker's answers are lost while a run of the
+// process before goes on. That run's lease was renewed by a process that is gone, up
+// to the moment of its end; taking the run for over at once would let its task run
+// elsewhere beside it.
+func TestRunOfAnEarlierProcessIsLostOnlyAfterALease(t *testing.T) {
+	b := newBed(t, "e1")
+	b.r.renewed, b.r.clock = time.Time{}, 0
+	b.running["old"] = 1
+	b.look()
+	l, _ := b.r.NextLook(b.now, false)
+	b.r.LookFailed(b.now, l, false)
+	began := b.now
+	for !b.r.Drained() && b.now.Sub(began) < 5*time.Second {
+		b.now = b.now.Add(10 * time.Millisecond)
+		b.r.Tick(b.now)
+		b.ready()
+	}
+	if took := b.now.Sub(began); took < bounds.Lapse(b.times.Lease) {
+		t.Errorf("lost after %v; the lease may last %v", took, bounds.Lapse(b.times.Lease))
+	}
+}
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -275,6 +275,8 @@
 		x = &run{task: row.Task, run: row.Run, foreign: true, phase: stopping}
 		r.runs[x.task] = x
 		r.order = append(r.order, x)
+		// The process that renewed its lease ended before this look at the latest.
+		r.renewed = now
 		r.decided(now, Decision{Event: "run_foreign", Task: x.task, Run: x.run})
 		r.flushQueue(now)
 		r.sendStop(now, x)
