An entry with little processor; starts ride on later news; a greeting names every entry met

Cause: on the grown site a small entry ran out of processor in a burst, took its links for silent, and answered jobs as not run whose orders had run: agents forgot after 20 s which entry they had met at an address, and the entry then took every order for never received (REFUSED). Change: a greeting names every entry process met, with the highest order received; the entry measures how late its own timer fires, refuses at the door what it would place too late, and doesn't judge links meanwhile; the news that a run has begun rides on later frames; a new job's workers are chosen once; slowness is cached.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -28,6 +28,7 @@
 	free     size.Size
 	frees    forecast.Frees
 	standing place.Standing
+	slowness float64 // against others, as judged last
 
 	live     []*order // that have not ended, oldest first
 	lastSent time.Time
@@ -135,7 +136,7 @@
 	}
 	a := d.agent(g.Incarnation)
 	if a == nil {
-		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain}
+		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1}
 		d.agents = append(d.agents, a)
 		d.health.Add(a.incarnation)
 	}
@@ -158,8 +159,10 @@
 // that link. Ends that were lost with it come again as news.
 func (d *Dispatcher) reconcile(now time.Time, a *agent, g *pb.AgentGreeting) {
 	seen := uint64(0)
-	if g.EntryIncarnation == d.opts.Incarnation {
-		seen = g.SeenOrder
+	for _, m := range g.Met {
+		if m.Incarnation == d.opts.Incarnation {
+			seen = m.SeenOrder
+		}
 	}
 	for _, o := range slices.Clone(a.live) {
 		switch {
@@ -235,7 +238,7 @@
 
 func (d *Dispatcher) tickAgents(now time.Time) {
 	for _, a := range slices.Clone(d.agents) {
-		if a.session.Silent(now) {
+		if a.session.Silent(now) && !d.late(now) {
 			d.down(now, a, "the link has gone silent")
 			d.ready.Close = append(d.ready.Close, a.incarnation)
 		}
@@ -332,7 +335,7 @@
 // as long as it may wait at all; otherwise until the task must start, and a little
 // longer, since an answer that comes late is worth more than none.
 func (d *Dispatcher) mayWait(now time.Time, j *job) time.Duration {
-	if j.started {
+	if j.started || j.hasOrders() {
 		return max(j.startBy.Sub(now), lateWait)
 	}
 	return max(0, j.holdEnd.Sub(now))
@@ -392,11 +395,6 @@
 	if a == nil || !a.session.IsUp() || a.session.Epoch() != epoch {
 		return
 	}
-	if a.session.Silent(now) {
-		d.down(now, a, "the link has gone silent")
-		d.ready.Close = append(d.ready.Close, a.incarnation)
-		return
-	}
 	if !a.session.Received(now, f.Seq, f.Ack, len(f.News) > 0) {
 		return
 	}
@@ -419,6 +417,7 @@
 		// What was learned of one life says little of the next.
 		d.health.Remove(a.incarnation)
 		d.health.Add(a.incarnation)
+		a.slowness = 1
 	}
 	a.state, a.stateAt, a.capacity = s, now, size.Of(s.Capacity)
 	for i := range a.frees {
@@ -506,6 +505,7 @@
 	if d.health.Report(a.incarnation, r, now) {
 		d.updateStanding(now, a)
 	}
+	a.slowness = d.health.Slowness(a.incarnation)
 }
 
 // flush makes the frame for an agent, if one is due.
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -116,6 +116,7 @@
 	ReasonNoWorkers   = "no workers known"
 	ReasonTooLarge    = "a task fits no worker"
 	ReasonOverload    = "more urgent work takes all workers"
+	ReasonBusy        = "the entry itself is behind"
 	ReasonHeld        = "no worker came free in time"
 	ReasonDeadline    = "time limit reached"
 	ReasonHopeless    = "too little time left"
@@ -160,6 +161,12 @@
 	learned map[string]*learned  // by queue
 	config  *pb.Configuration
 
+	// dueAt is when a tick was asked for, and lag how late the process is, as ticks
+	// and inputs have shown lately.
+	dueAt   time.Time
+	readyAt time.Time // of the last call of Ready
+	lag     lagMeter
+
 	over  bool
 	ready Ready
 }
@@ -235,6 +242,9 @@
 
 // Tick takes in the passing of time.
 func (d *Dispatcher) Tick(now time.Time) {
+	if !d.dueAt.IsZero() && !now.Before(d.dueAt) {
+		d.lag.take(now, now.Sub(d.dueAt))
+	}
 	for len(d.due) > 0 && !now.Before(d.due[0].dueAt) {
 		d.jobDue(now, d.due[0])
 	}
@@ -250,11 +260,20 @@
 	for _, a := range d.agents {
 		next = link.Earlier(next, d.nextAgent(a))
 	}
+	// A tick at least this often shows whether the process keeps up.
+	if len(d.jobs) > 0 {
+		next = link.Earlier(next, d.lag.next())
+	}
+	d.dueAt = next
+	if next.Before(d.readyAt) {
+		d.dueAt = d.readyAt
+	}
 	return next
 }
 
 // Ready returns what has to be done since the last call.
 func (d *Dispatcher) Ready(now time.Time) Ready {
+	d.readyAt = now
 	for len(d.due) > 0 && !now.Before(d.due[0].dueAt) {
 		d.jobDue(now, d.due[0])
 	}
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -126,18 +126,25 @@
 	j.holdEnd = now.Add(time.Duration(holdPart * float64(objective)))
 	j.deadline = now.Add(limit)
 	j.startBy = now.Add(objective - longest)
-	if a := d.refusal(now, j, longest); a != nil {
+	j.before = d.ending[idKey(in.Queue.Name, in.ID)]
+	a := d.refusal(now, j, longest)
+	var chosen []placement
+	if a == nil && j.before == nil {
+		chosen, a = d.admit(now, j)
+	}
+	if a != nil {
 		a.Number = j.number
 		d.decideAnswer(now, j, *a)
 		return j.number, a
 	}
-	if j.before = d.ending[idKey(in.Queue.Name, in.ID)]; j.before != nil {
+	if j.before != nil {
 		j.before.next = j
 	}
 	d.jobs[j.number] = j
 	d.byID[idKey(in.Queue.Name, in.ID)] = j
 	j.dueAt = j.holdEnd
 	heap.Push(&d.due, j)
+	d.sendChosen(now, chosen)
 	d.list(j)
 	return j.number, nil
 }
@@ -179,12 +186,27 @@
 		return refuse(ReasonTooLarge, true, 0)
 	}
 	d.unblock(j)
-	if !d.fitsInTime(now, j) {
-		return refuse(ReasonOverload, false, d.retryAfter(d.predictWait(now, j)))
+	if lag := d.lag.now(now); lag > j.holdEnd.Sub(now) {
+		// This process itself is later than the job may wait.
+		return refuse(ReasonBusy, false, d.retryAfter(lag))
 	}
 	return nil
 }
 
+// admit finds a worker that starts it in time for every task of a new job, or refuses
+// the job.
+func (d *Dispatcher) admit(now time.Time, j *job) ([]placement, *Answer) {
+	chosen, left, _ := d.choose(now, j)
+	if len(left) == 0 {
+		j.waiting = nil
+		return chosen, nil
+	}
+	for _, p := range chosen {
+		p.agent.free = p.agent.free.Plus(p.step.Size)
+	}
+	return nil, &Answer{Outcome: NotRun, Reason: ReasonOverload, RetryAfter: d.retryAfter(d.predictWait(now, j))}
+}
+
 // fits reports how many workers of the service are known, and whether each step's
 // task fits one that may run it.
 func (d *Dispatcher) fits(j *job) (known int, fits bool) {
--- a/dispatch/dispatcher/move.go
+++ b/dispatch/dispatcher/move.go
@@ -84,7 +84,7 @@
 	switch {
 	case s.observed > 0:
 		should, factor, sign = s.observed, siblingFactor, "task of the same step"
-	case o.agent.standing != place.Open || d.health.Slowness(o.agent.incarnation) > suspectSlowness:
+	case o.agent.standing != place.Open || o.agent.slowness > suspectSlowness:
 		factor, sign = suspectFactor, "slow worker"
 	}
 	anew := moveCost + d.opts.Times.Stop + should
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -69,7 +69,7 @@
 		for i := 0; i < len(w.jobs) && skipped < maxSkipped; {
 			j := w.jobs[i]
 			began := j.ordered
-			full := d.placeJob(now, w, j)
+			full := d.placeJob(now, j)
 			if len(j.waiting) == 0 {
 				w.jobs = slices.Delete(w.jobs, i, i+1)
 				j.listed = false
@@ -123,24 +123,18 @@
 }
 
 // placeJob sends what it can.
-func (d *Dispatcher) placeJob(now time.Time, w *waitlist, j *job) (full bool) {
+func (d *Dispatcher) placeJob(now time.Time, j *job) (full bool) {
 	chosen, left, full := d.choose(now, j)
 	j.waiting = left
-	for _, p := range chosen {
-		w.drain.add(now, p.step.Size, p.step.expect)
-		d.send(now, p.agent, p.task, p.step, p.wait)
-	}
+	d.sendChosen(now, chosen)
 	return full
 }
 
-// fitsInTime reports whether every waiting task of a new job finds a worker that
-// starts it in time, and takes no room.
-func (d *Dispatcher) fitsInTime(now time.Time, j *job) bool {
-	chosen, left, _ := d.choose(now, j)
+func (d *Dispatcher) sendChosen(now time.Time, chosen []placement) {
 	for _, p := range chosen {
-		p.agent.free = p.agent.free.Plus(p.step.Size)
+		d.waitlist(p.task.job.queue.Service).drain.add(now, p.step.Size, p.step.expect)
+		d.send(now, p.agent, p.task, p.step, p.wait)
 	}
-	return len(left) == 0
 }
 
 const (
@@ -208,7 +202,7 @@
 // near one, in nanoseconds.
 func (d *Dispatcher) score(a *agent, t *task, s *step) float64 {
 	run := float64(s.expect)
-	score := run * max(0, d.health.Slowness(a.incarnation)-1)
+	score := run * max(0, a.slowness-1)
 	if a.domain != d.opts.FailureDomain {
 		score += float64(d.opts.DomainRoundTrip)
 	}
--- a/dispatch/leasedcheck/links.go
+++ b/dispatch/leasedcheck/links.go
@@ -99,7 +99,7 @@
 	a.conns[e.index] = c
 	met := a.met[e.index]
 	a.decide(func(now time.Time) { a.core.Closing(now, met) })
-	greeting := a.core.Greeting(met, a.epoch)
+	greeting := a.core.Greeting(a.epoch)
 	asked := a.w.now
 	a.after(400*time.Millisecond, func() {
 		if c.aOpen && !c.eOpen && a.conns[e.index] == c && a.linked[e.index] != c {
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -24,6 +24,9 @@
 	downAt time.Time
 
 	unsent []*pb.OrderNews
+	urgent bool // some of it must go out at once
+	// mentionBy is when the rest must; zero: there is none.
+	mentionBy time.Time
 	// unacked is news of ends that the entry has not acknowledged, with the frame
 	// that carried each; after a lost link they go out again.
 	unacked []sentNews
@@ -47,7 +50,24 @@
 // wants them.
 const defaultReportEvery = 200 * time.Millisecond
 
-func (e *entry) tell(n *pb.OrderNews) { e.unsent = append(e.unsent, n) }
+// tell puts news of an end, or of something to decide on, into the next frame.
+func (e *entry) tell(n *pb.OrderNews) {
+	e.unsent = append(e.unsent, n)
+	e.urgent = true
+}
+
+// mention puts news into the next frame that goes out anyway, or soon: that a run has
+// begun changes no decision of the entry while nothing fails, and a frame for it alone
+// would be one of three that a short task costs.
+func (e *entry) mention(now time.Time, n *pb.OrderNews) {
+	e.unsent = append(e.unsent, n)
+	if e.mentionBy.IsZero() {
+		e.mentionBy = now.Add(mentionWithin)
+	}
+}
+
+// mentionWithin is less than a link's acknowledgement may take.
+const mentionWithin = 60 * time.Millisecond
 
 func (r *Runner) entry(incarnation string) *entry {
 	for _, e := range r.entries {
@@ -58,19 +78,13 @@
 	return nil
 }
 
-// Greeting is what opens a link to an entry process that was met before, or to an
-// unknown one when incarnation is empty.
-func (r *Runner) Greeting(incarnation string, epoch uint64) *pb.AgentGreeting {
+// Greeting is what opens a link.
+func (r *Runner) Greeting(epoch uint64) *pb.AgentGreeting {
 	g := &pb.AgentGreeting{
 		Agent: r.opts.Agent, Incarnation: r.opts.Incarnation, FailureDomain: r.opts.FailureDomain, Epoch: epoch,
 	}
-	if e := r.entry(incarnation); e != nil {
-		g.EntryIncarnation, g.SeenOrder = e.incarnation, e.seen
-		for _, x := range r.order {
-			if x.entry == e {
-				g.Live = append(g.Live, x.order)
-			}
-		}
+	for _, e := range r.entries {
+		g.Met = append(g.Met, &pb.MetEntry{Incarnation: e.incarnation, SeenOrder: e.seen})
 	}
 	return g
 }
@@ -107,7 +121,7 @@
 	for _, n := range e.unacked {
 		e.unsent = append(e.unsent, n.news)
 	}
-	e.unacked = nil
+	e.unacked, e.urgent = nil, len(e.unsent) > 0
 	return true
 }
 
@@ -343,6 +357,9 @@
 		if r.wantedBy(e) {
 			next = link.Earlier(next, e.heard.Add(r.opts.Times.Silence))
 		}
+		if e.session.IsUp() {
+			next = link.Earlier(next, e.mentionBy)
+		}
 		if e.stale && e.session.IsUp() {
 			next = link.Earlier(next, e.reportedAt.Add(e.reportEvery))
 		}
@@ -357,7 +374,8 @@
 			continue
 		}
 		report := e.stale && (e.eager || !now.Before(e.reportedAt.Add(e.reportEvery)))
-		if len(e.unsent) > 0 || report || e.session.Due(now) {
+		mention := !e.mentionBy.IsZero() && !now.Before(e.mentionBy)
+		if e.urgent || mention || report || e.session.Due(now) {
 			r.send(now, e)
 		}
 	}
@@ -373,7 +391,7 @@
 	for _, n := range f.News {
 		e.unacked = append(e.unacked, sentNews{f.Seq, n})
 	}
-	e.unsent = nil
+	e.unsent, e.urgent, e.mentionBy = nil, false, time.Time{}
 	f.Clock = r.opts.Events.Stamp(now)
 	r.ready.Frames = append(r.ready.Frames, Out{Entry: e.incarnation, Epoch: e.session.Epoch(), Frame: f})
 }
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -100,7 +100,7 @@
 		return
 	}
 	x.phase = running
-	x.entry.tell(&pb.OrderNews{Number: x.order, State: pb.OrderState_ORDER_STATE_STARTED})
+	x.entry.mention(now, &pb.OrderNews{Number: x.order, State: pb.OrderState_ORDER_STATE_STARTED})
 	r.decided(now, Decision{Event: "run_started", Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order})
 }
 
--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -218,6 +218,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t.linked = linked
+	t.named = clock.Now()
 	if linked {
 		t.incarnation = incarnation
 	}
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -218,7 +218,7 @@
 func (r *Runner) greeting(incarnation string, epoch uint64) (g *pb.AgentGreeting) {
 	r.decide(func(now time.Time) {
 		r.core.Closing(now, incarnation)
-		g = r.core.Greeting(incarnation, epoch)
+		g = r.core.Greeting(epoch)
 	})
 	return g
 }
