--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -91,12 +91,20 @@
 	a.dirty = true
 }
 
-// renewFree counts free anew from the last report.
+// renewFree counts what is free and comes free anew, from the last report and the
+// orders that it did not count.
 func (a *agent) renewFree() {
 	a.free = size.OfRoom(a.state.GetRoom())
+	a.frees = forecast.Frees{}
+	for i, cpu := range a.state.GetFrees() {
+		if i < len(a.frees) {
+			a.frees[i] = int64(cpu)
+		}
+	}
 	for _, o := range a.live {
 		if o.number > a.state.GetSeenOrder() {
 			a.free = a.free.Minus(o.size)
+			a.frees.Add(o.expected, o.size.CPUMillis)
 		}
 	}
 }
@@ -313,6 +321,7 @@
 	}
 	t.order = o
 	a.live = append(a.live, o)
+	a.frees.Add(o.expected, s.Size.CPUMillis)
 	t.job.orders = append(t.job.orders, o)
 	t.job.ordered = true
 	a.out.Orders = append(a.out.Orders, &pb.Order{
@@ -420,12 +429,6 @@
 		a.slowness = 1
 	}
 	a.state, a.stateAt, a.capacity = s, now, size.Of(s.Capacity)
-	for i := range a.frees {
-		a.frees[i] = 0
-		if i < len(s.Frees) {
-			a.frees[i] = int64(s.Frees[i])
-		}
-	}
 	a.renewFree()
 	d.updateStanding(now, a)
 	if s.Clean {
--- a/dispatch/forecast/forecast.go
+++ b/dispatch/forecast/forecast.go
@@ -39,9 +39,16 @@
 			return max(h-age, Horizons[0])
 		}
 	}
-	last := len(Horizons) - 1
-	if f[last] <= 0 {
+	all := f[len(f)-1]
+	if all <= 0 {
 		return Never
 	}
-	return min(Horizons[last]*time.Duration(need)/time.Duration(f[last]), Never)
+	// More than what runs now has to end. What comes after it is taken to last as long:
+	// the worker turns over once in the time in which all that runs will have ended.
+	for i, h := range Horizons {
+		if f[i] == all {
+			return min(time.Duration(float64(h)*float64(need)/float64(all)), Never)
+		}
+	}
+	return Never
 }
--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -34,6 +34,7 @@
 	logger  *slog.Logger
 	r       *runner.Runner
 	reports net.Listener
+	metrics *leasedMetrics
 }
 
 // NewLeasedAgent puts an agent together and binds its ports. Errors are of type
@@ -45,20 +46,20 @@
 		return nil, err
 	}
 	limitMemory(s.MemoryMB)
-	a := &LeasedAgent{o: o, log: decisionlog.New(o.Out, slog.String("process", s.Name))}
+	a := &LeasedAgent{o: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics()}
 	a.logger = slog.New(a.log.Handler())
 	if a.reports, err = net.Listen("tcp", s.ReportsListen); err != nil {
 		return nil, ErrStart.Wrap(err, "port for reports")
 	}
 	incarnation := entry.NewIncarnation()
-	client := adapter.NewStore(s.StoreAddress, adapter.StoreOptions{})
+	client := adapter.NewStore(s.StoreAddress, adapter.StoreOptions{OnCall: a.metrics.storeCall})
 	a.r = runner.New(runner.Options{
 		Entries: s.Seeds, Worker: adapter.NewWorker(s.WorkerAddress, int(s.Connections)), Logger: a.logger,
 		FindEntries: func(ctx context.Context) ([]string, error) { return roster.Find(ctx, client) },
 		Core: corerunner.Options{
 			Agent: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Times: times, Link: leasedLink(times),
 			// A later process beside the same worker starts at a later time of day.
-			Token: uint64(time.Now().UnixMilli()), Decided: logRunner(a.log),
+			Token: uint64(time.Now().UnixMilli()), Decided: logRunner(a.log, a.metrics),
 		},
 	})
 	a.logger.Info("process_started", "version", o.Version, "incarnation", incarnation, "silence_ms", times.Silence.Milliseconds(),
@@ -72,11 +73,15 @@
 	kept, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() { a.log.Run(kept) })
+	scrapes, err := a.metrics.serve(a.o.Settings.MetricsListen)
+	if err != nil {
+		cancel()
+		return err
+	}
 	reports := &http.Server{Handler: adapter.NewReportsHandler(a.r), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- serveHTTP(reports, a.reports) }()
 	go a.r.Run()
-	var err error
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
@@ -86,6 +91,9 @@
 		a.logger.Info("drain_ended", "all_ended", drained)
 	}
 	a.r.Close()
+	if scrapes != nil {
+		_ = scrapes.Close()
+	}
 	_ = reports.Close()
 	a.logger.Info("process_stopped")
 	cancel()
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -78,7 +78,7 @@
 	ready   net.Listener
 	leaving atomic.Bool
 	linked  atomic.Bool // an agent has been linked once
-	started time.Time
+	metrics *leasedMetrics
 }
 
 // NewLeasedEntry puts an entry together and binds its ports. Errors are of type
@@ -90,7 +90,7 @@
 		return nil, err
 	}
 	limitMemory(s.MemoryMB)
-	e := &LeasedEntry{o: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), started: time.Now()}
+	e := &LeasedEntry{o: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics()}
 	e.logger = slog.New(e.log.Handler())
 	incarnation := entry.NewIncarnation()
 	e.d, err = dispatcher.New(dispatcher.Options{
@@ -98,7 +98,7 @@
 		Core: coredispatcher.Options{
 			Entry: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Times: times, Link: leasedLink(times),
 			RemoteFactor: s.Bounds.RemoteFactor, ReportsPerSecond: reportsPerCore * s.ProcessorShare,
-			Random: rand.Float64, Decided: logDispatcher(e.log),
+			Random: rand.Float64, Decided: logDispatcher(e.log, e.metrics),
 		},
 	})
 	if err != nil {
@@ -110,7 +110,7 @@
 	if e.ready, err = net.Listen("tcp", s.ReadyListen); err != nil {
 		return nil, ErrStart.Wrap(err, "port for readiness")
 	}
-	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{})
+	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{OnCall: e.metrics.storeCall})
 	e.roster = roster.New(roster.Options{Store: e.store, Name: s.Name, Address: s.NodesListen, Logger: e.logger})
 	e.logger.Info("process_started", "version", o.Version, "incarnation", incarnation, "silence_ms", times.Silence.Milliseconds(),
 		"lease_ms", times.Lease.Milliseconds(), "give_up_ms", times.GiveUp.Milliseconds())
@@ -159,18 +159,28 @@
 		Handler: adapter.NewJobsHandler(e.d), MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
+	e.metrics.gauge("papayahoist_links", "Agents with a link.", func() float64 { return float64(e.d.Links()) })
+	e.metrics.gauge("papayahoist_open_jobs", "Jobs without an answer.", func() float64 { return float64(e.d.Open()) })
+	e.metrics.gauge("papayahoist_configuration_version", "Version in force.", func() float64 { return float64(e.d.Configuration().GetVersion()) })
+	scrapes, err := e.metrics.serve(e.o.Settings.MetricsListen)
+	if err != nil {
+		cancel()
+		return err
+	}
 	ready := &http.Server{Handler: adapter.NewReadyHandler(e.readiness), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
 	go func() { failed <- e.d.Serve() }()
 	go func() { failed <- serveHTTP(jobs, e.callers) }()
 	go func() { failed <- serveHTTP(ready, e.ready) }()
-	var err error
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
 		e.drain(jobs)
 	}
 	e.d.Close()
+	if scrapes != nil {
+		_ = scrapes.Close()
+	}
 	_ = ready.Close()
 	_ = jobs.Close()
 	e.logger.Info("process_stopped", "open_jobs", e.d.Open())
--- a/node/process/leased_log.go
+++ b/node/process/leased_log.go
@@ -41,8 +41,17 @@
 // routineEvents are those of work that goes as it should.
 var routineEvents = map[string]bool{"task_ordered": true, "run_ended": true, "run_started": true, "run_done": true}
 
-func logDispatcher(l *decisionlog.Log) func(dispatcher.Decision) {
+func logDispatcher(l *decisionlog.Log, m *leasedMetrics) func(dispatcher.Decision) {
 	return func(d dispatcher.Decision) {
+		m.decided(d.Event, d.Reason)
+		switch d.Event {
+		case "job_answered":
+			m.jobs.WithLabelValues(d.Outcome).Observe(d.Elapsed.Seconds())
+		case "task_ordered":
+			m.waits.Observe(d.Elapsed.Seconds())
+		case "run_ended":
+			m.runs.WithLabelValues(d.Outcome).Observe(d.Elapsed.Seconds())
+		}
 		var a attrs
 		a.text("job", d.Job)
 		a.text("queue", d.Queue)
@@ -65,8 +74,9 @@
 	}
 }
 
-func logRunner(l *decisionlog.Log) func(runner.Decision) {
+func logRunner(l *decisionlog.Log, m *leasedMetrics) func(runner.Decision) {
 	return func(d runner.Decision) {
+		m.decided(d.Event, d.Reason)
 		var a attrs
 		a.text("task", d.Task)
 		a.number("run", uint64(d.Run))
--- /dev/null
+++ b/node/roster/roster_test.go
@@ -0,0 +1,50 @@
+package roster
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/papayahoist/papayahoist/platform/adapter"
+	"github.com/papayahoist/papayahoist/platform/adapter/standin"
+)
+
+// All seeds that a process starts with may be stale. It finds the living entries by
+// the list in the store, on which an entry that has left is no more.
+func TestEntriesAreFoundByTheList(t *testing.T) {
+	server := httptest.NewServer(standin.NewStore())
+	defer server.Close()
+	client := adapter.NewStore(strings.TrimPrefix(server.URL, "http://"), adapter.StoreOptions{})
+	first := New(Options{Store: client, Name: "entry-1", Address: "127.0.0.1:1", Logger: slog.New(slog.DiscardHandler)})
+	second := New(Options{Store: client, Name: "entry-2", Address: "127.0.0.1:2", Logger: slog.New(slog.DiscardHandler)})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	found := make(chan []string, 10)
+	go first.Run(ctx, func([]string) {})
+	go second.Run(ctx, func(addresses []string) { found <- addresses })
+	if got := <-found; !slices.Contains(got, "127.0.0.1:2") {
+		t.Errorf("found %v, want the entry itself at least", got)
+	}
+	for {
+		got, err := Find(ctx, client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(got) == 2 {
+			break
+		}
+	}
+	first.Leave()
+	for {
+		got, err := Find(ctx, client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(got) == 1 && got[0] == "127.0.0.1:2" {
+			return
+		}
+	}
+}
