--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -119,7 +119,7 @@
 		x := &peer{
 			address: address, http: client,
 			client: papayahoistv1connect.NewWorkServiceClient(client, rpc.URL(address, nil), rpc.NoCompressionWanted),
-			wake: make(chan struct{}, 1), since: clock.Now(),
+			wake:   make(chan struct{}, 1), since: clock.Now(),
 		}
 		p.all[address] = x
 		go p.exchange(p.ctx, x)
