--- a/dispatch/leasedcheck/check.go
+++ b/dispatch/leasedcheck/check.go
@@ -111,6 +111,10 @@
 	if w.chance(0.2) {
 		length += time.Duration(w.rand.IntN(1500)) * time.Millisecond
 	}
+	if w.chance(0.05) {
+		// Longer than a caller takes to come back after a loss.
+		length += time.Duration(w.rand.IntN(4000)) * time.Millisecond
+	}
 	estimated := time.Duration(float64(length) * (0.5 + w.rand.Float64()))
 	x := &caller{w: w, id: fmt.Sprintf("%016x", len(w.callers)+1)}
 	limit := 3*length + 500*time.Millisecond + w.upTo(2*time.Second)
