--- /dev/null
+++ b/cmd/internal/timeline/logs.go
@@ -0,0 +1,113 @@
+package timeline
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxLineBytes bounds a log line that is read.
+const maxLineBytes = 1 << 20
+
+// logLine is what a time line takes from a process's log line.
+type logLine struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"msg"`
+	Process string    `json:"process"`
+	Job     string    `json:"job"`
+	Task    string    `json:"task"`
+	Run     uint32    `json:"run"`
+	Queue   string    `json:"queue"`
+	Agent   string    `json:"agent"`
+	Entry   string    `json:"entry"`
+	Outcome string    `json:"outcome"`
+	Reason  string    `json:"reason"`
+	Age     float64   `json:"age_ms"`
+	Elapsed float64   `json:"elapsed_ms"`
+}
+
+// ReadLogs makes a time line of the log lines of many processes, by their own wall
+// clocks. Anything before a line's first brace is passed over, as collectors put
+// their own fields there; what is no such line is counted as missing.
+func ReadLogs(readers map[string]io.Reader, filter Filter) (*Timeline, error) {
+	t := &Timeline{Filter: filter}
+	for name, r := range readers {
+		unread := 0
+		lines := bufio.NewScanner(r)
+		lines.Buffer(nil, maxLineBytes)
+		for lines.Scan() {
+			l, ok := parseLogLine(lines.Text())
+			if !ok {
+				unread++
+				continue
+			}
+			if l.matches(filter) {
+				t.Events = append(t.Events, l.event())
+			}
+		}
+		if err := lines.Err(); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		if unread > 0 {
+			t.Missing = append(t.Missing, Missing{Address: name, Reason: fmt.Sprintf("%d lines can't be read", unread)})
+		}
+	}
+	slices.SortStableFunc(t.Events, func(a, b Event) int { return a.Time.Compare(b.Time) })
+	if over := len(t.Events) - filter.Limit; filter.Limit > 0 && over > 0 {
+		t.Dropped, t.Events = over, t.Events[over:]
+	}
+	return t, nil
+}
+
+func parseLogLine(text string) (l logLine, ok bool) {
+	i := strings.IndexByte(text, '{')
+	if i < 0 || json.Unmarshal([]byte(text[i:]), &l) != nil || l.Message == "" {
+		return l, false
+	}
+	if l.Job == "" {
+		l.Job, _, _ = strings.Cut(l.Task, ".")
+	}
+	return l, true
+}
+
+func (l *logLine) matches(f Filter) bool {
+	switch {
+	case f.Job != "" && l.Job != f.Job, f.Contract != "" && l.Queue != f.Contract, f.Worker != "" && l.Process != f.Worker && l.Agent != f.Worker:
+		return false
+	case !f.From.IsZero() && l.Time.Before(f.From):
+		return false
+	}
+	return f.Until.IsZero() || l.Time.Before(f.Until)
+}
+
+func (l *logLine) event() Event {
+	e := Event{Time: l.Time, Process: l.Process, Kind: l.Message, Job: l.Job, Contract: l.Queue, Peer: l.Agent + l.Entry}
+	if i := strings.LastIndexByte(l.Task, '.'); i >= 0 {
+		if n, err := strconv.ParseUint(l.Task[i+1:], 10, 32); err == nil {
+			number := uint32(n)
+			e.Task = &number
+		}
+	}
+	var words []string
+	if l.Run > 0 {
+		words = append(words, fmt.Sprintf("run %d", l.Run))
+	}
+	for _, w := range []string{l.Outcome, l.Reason} {
+		if w != "" {
+			words = append(words, w)
+		}
+	}
+	if l.Elapsed > 0 {
+		words = append(words, fmt.Sprintf("after %g ms", l.Elapsed))
+	}
+	if l.Age > 0 {
+		words = append(words, fmt.Sprintf("known for %g ms", l.Age))
+	}
+	e.Detail = strings.Join(words, ", ")
+	return e
+}
--- a/cmd/papayahoist/timeline.go
+++ b/cmd/papayahoist/timeline.go
@@ -30,6 +30,7 @@
 	format      string
 	json        bool
 	output      string
+	logs        []string
 }
 
 func registerTimeline(app *kingpin.Application, env *cli.Env) {
@@ -48,6 +49,8 @@
 	command.Flag("json", `Same as "--format json".`).BoolVar(&c.json)
 	command.Flag("format", "text, json, or html: one self-contained page.").Default(formatText).
 		EnumVar(&c.format, formatText, formatJSON, formatHTML)
+	command.Flag("logs", `Read processes' logs from this file in place of asking them; "-" is the standard input. May be repeated.`).
+		StringsVar(&c.logs)
 	command.Flag("output", "File to write to instead of the output.").Short('o').StringVar(&c.output)
 	command.Action(cli.Action(c.run))
 }
@@ -61,15 +64,10 @@
 	if c.filter.Until, err = parseTime(c.until, now); err != nil {
 		return cli.Fail(cli.CodeUsage, err)
 	}
-	options, err := c.fleet.options()
-	if err != nil {
-		return err
-	}
-	found, err := fleet.Discover(c.env.Context, options)
+	collected, err := c.collect()
 	if err != nil {
 		return err
 	}
-	collected := timeline.Collect(c.env.Context, found, c.filter)
 	if c.output == "" {
 		return c.write(c.env.Out, collected)
 	}
@@ -86,6 +84,39 @@
 	return file.Close()
 }
 
+// collect asks the processes, or reads their logs.
+func (c *timelineCommand) collect() (*timeline.Timeline, error) {
+	if len(c.logs) > 0 {
+		return c.readLogs()
+	}
+	options, err := c.fleet.options()
+	if err != nil {
+		return nil, err
+	}
+	found, err := fleet.Discover(c.env.Context, options)
+	if err != nil {
+		return nil, err
+	}
+	return timeline.Collect(c.env.Context, found, c.filter), nil
+}
+
+func (c *timelineCommand) readLogs() (*timeline.Timeline, error) {
+	readers := make(map[string]io.Reader)
+	for _, name := range c.logs {
+		if name == "-" {
+			readers[name] = os.Stdin
+			continue
+		}
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, cli.Fail(cli.CodeUsage, err)
+		}
+		defer file.Close()
+		readers[name] = file
+	}
+	return timeline.ReadLogs(readers, c.filter)
+}
+
 func (c *timelineCommand) write(w io.Writer, t *timeline.Timeline) error {
 	if c.json {
 		c.format = formatJSON
