--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -279,7 +279,7 @@
 				return
 			}
 			a.run(life, func() {
-				if a.lookDone(l.Worker, &life) {
+				if a.lookDone(&life) {
 					a.decide(func(now time.Time) { a.core.Looked(now, l, seen) })
 					next()
 				}
@@ -287,7 +287,7 @@
 		})
 	}
 	a.after(l.Wait+150*time.Millisecond, func() {
-		if a.lookDone(l.Worker, &life) {
+		if a.lookDone(&life) {
 			a.decide(func(now time.Time) { a.core.LookFailed(now, l, false) })
 			a.after(20*time.Millisecond, next)
 		}
@@ -296,7 +296,7 @@
 		switch {
 		case !s.up && s.w.chance(0.7), s.up && l.Worker != s.id():
 			a.run(life, func() {
-				if a.lookDone(l.Worker, &life) {
+				if a.lookDone(&life) {
 					a.decide(func(now time.Time) { a.core.LookFailed(now, l, true) })
 					a.after(20*time.Millisecond, next)
 				}
@@ -306,7 +306,7 @@
 			return
 		case l.Token < s.token:
 			a.run(life, func() {
-				if a.lookDone(l.Worker, &life) {
+				if a.lookDone(&life) {
 					a.decide(func(now time.Time) { a.core.LookFenced(now, s.clock()) })
 					a.after(20*time.Millisecond, next)
 				}
@@ -328,7 +328,7 @@
 }
 
 // lookDone reports, once for each look, that its answer or time-out may be taken.
-func (a *agentNode) lookDone(_ string, life *int) bool {
+func (a *agentNode) lookDone(life *int) bool {
 	if *life != a.life {
 		return false
 	}
