--- a/docs/measure
+++ b/docs/measure/process.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Prints what a process on this machine spends: docs/measure PID SECONDS.
+# Prints what a process on this machine spends: docs/measure/process.sh PID SECONDS.
 # Bytes are of TCP with 52 bytes of headers a segment, both directions, over the
 # connections open at both readings. Needs Linux and ss.
 set -euo pipefail
