One bound for calls to the worker; a field nobody reads is gone

Found on reading the change again: the agent's decisions and its driver each had the 40 ms after which a call to the worker counts as lost, and a task kept its order without a reader.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -319,7 +319,6 @@
 	o := &order{
 		number: d.orderNo, task: t, run: t.runs, agent: a, size: s.Size, sentAt: now, expected: s.expect,
 	}
-	t.order = o
 	a.live = append(a.live, o)
 	a.frees.Add(o.expected, s.Size.CPUMillis)
 	t.job.orders = append(t.job.orders, o)
@@ -358,9 +357,6 @@
 	same := func(x *order) bool { return x == o }
 	o.agent.live = slices.DeleteFunc(o.agent.live, same)
 	o.task.job.orders = slices.DeleteFunc(o.task.job.orders, same)
-	if o.task.order == o {
-		o.task.order = nil
-	}
 	if j := o.task.job; j.ended && len(j.orders) == 0 {
 		d.settled(j)
 	}
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -92,7 +92,6 @@
 	job      *job
 	step     int
 	index    int
-	order    *order // the one that has not ended; nil: none
 	runs     uint32
 	failures int
 	done     bool
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -35,9 +35,10 @@
 	// looksPerLease bounds the time between two looks at an idle worker: an order
 	// that starts just after one look must have its lease renewed by the next.
 	looksPerLease = 2
-	// answerWithin is when a call to the worker on the same machine, which takes a
-	// millisecond or two, is taken for lost.
-	answerWithin = 40 * time.Millisecond
+	// AnswerWithin is when a call to the worker on the same machine, which takes a
+	// millisecond or two, is taken for lost. What is left unanswered is looked into,
+	// so a short bound costs little where a longer one delays a task.
+	AnswerWithin = 40 * time.Millisecond
 	// stallFactor is how many times longer than expected a run must take, at its
 	// pace so far, to be reported; estimates alone are off by half either way.
 	stallFactor = 2.5
@@ -477,7 +478,7 @@
 }
 
 // stopAgainAfter is when a stop without an answer is sent again.
-const stopAgainAfter = 2 * answerWithin
+const stopAgainAfter = 2 * AnswerWithin
 
 func (r *Runner) tickRun(now time.Time, x *run) {
 	switch x.phase {
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -35,10 +35,6 @@
 }
 
 const (
-	// callTimeout bounds a call to the worker, which takes a millisecond or two on
-	// the same machine. What is left unanswered is looked into, so a short bound
-	// costs little where a longer one delays a task.
-	callTimeout = 40 * time.Millisecond
 	// lookSlack is how much longer than its wait a look may take.
 	lookSlack = 150 * time.Millisecond
 	// lookAgainAfter keeps failing looks from taking the whole processor.
@@ -143,14 +139,14 @@
 }
 
 func (r *Runner) start(s runner.Start) {
-	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(r.ctx, runner.AnswerWithin)
 	defer cancel()
 	v, at, why := r.opts.Worker.Start(ctx, s)
 	r.decide(func(now time.Time) { r.core.StartAnswered(now, s, v, at, why) })
 }
 
 func (r *Runner) stop(s runner.Stop) {
-	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(r.ctx, runner.AnswerWithin)
 	defer cancel()
 	if answered, at := r.opts.Worker.Stop(ctx, s); answered {
 		r.decide(func(now time.Time) { r.core.StopAnswered(now, s, at) })
