A fault soak: entries and agents as processes, faults by seed, promises from outside

papayahoist soak starts the real programs beside stand-ins of the store and of workers, with a relay on each path, and plays a schedule that is a function of the seed: storms of overlapping faults, then calm spans in which promises with a time bound are held as well. A leased entry can announce another address than it listens on (nodes_address), which the relays need; relays can hold bytes one way and deliver them late; the stand-in worker's clock may run slow, and tells what it was asked to run.

--- a/cmd/papayahoist/main.go
+++ b/cmd/papayahoist/main.go
@@ -17,5 +17,6 @@
 	registerTimeline,
 	registerBench,
 	registerDemo,
+	registerSoak,
 	registerStandin,
 }
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -94,7 +94,7 @@
 	e.logger = slog.New(e.log.Handler())
 	incarnation := entry.NewIncarnation()
 	e.d, err = dispatcher.New(dispatcher.Options{
-		NodesListen: s.NodesListen, Address: s.NodesListen, Seeds: s.Seeds, Logger: e.logger,
+		NodesListen: s.NodesListen, Address: s.Address(), Seeds: s.Seeds, Logger: e.logger,
 		Core: coredispatcher.Options{
 			Entry: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Times: times, Link: leasedLink(times),
 			RemoteFactor: s.Bounds.RemoteFactor, ReportsPerSecond: reportsPerCore * s.ProcessorShare,
@@ -111,7 +111,7 @@
 		return nil, ErrStart.Wrap(err, "port for readiness")
 	}
 	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{OnCall: e.metrics.storeCall})
-	e.roster = roster.New(roster.Options{Store: e.store, Name: s.Name, Address: s.NodesListen, Logger: e.logger})
+	e.roster = roster.New(roster.Options{Store: e.store, Name: s.Name, Address: s.Address(), Logger: e.logger})
 	e.logger.Info("process_started", "version", o.Version, "incarnation", incarnation, "silence_ms", times.Silence.Milliseconds(),
 		"lease_ms", times.Lease.Milliseconds(), "give_up_ms", times.GiveUp.Milliseconds())
 	return e, nil
--- a/node/process/leased_test.go
+++ b/node/process/leased_test.go
@@ -45,7 +45,7 @@
 	began   int
 }
 
-func (w *runWatch) start(task string, run uint32) {
+func (w *runWatch) start(task string, run uint32, _ string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.began++
--- a/node/settings/leased.go
+++ b/node/settings/leased.go
@@ -38,6 +38,9 @@
 	CallersListen string `json:"callers_listen"`
 	ReadyListen   string `json:"ready_listen"`
 	NodesListen   string `json:"nodes_listen"`
+	// NodesAddress is the "ip:port" that agents and other entries are told; empty:
+	// NodesListen.
+	NodesAddress string `json:"nodes_address"`
 	// MetricsListen is for operators; empty: none.
 	MetricsListen string `json:"metrics_listen"`
 	// StoreAddress is that of the platform's key-value service.
@@ -128,6 +131,14 @@
 	return &a, nil
 }
 
+// Address is what agents and other entries are told.
+func (e *LeasedEntry) Address() string {
+	if e.NodesAddress != "" {
+		return e.NodesAddress
+	}
+	return e.NodesListen
+}
+
 func (e *LeasedEntry) validate(from source) error {
 	v := validator{source: from}
 	v.oneOf("role", string(e.Role), string(RoleLeasedEntry))
@@ -136,7 +147,7 @@
 	v.listen("callers_listen", e.CallersListen)
 	v.listen("ready_listen", e.ReadyListen)
 	v.listen("nodes_listen", e.NodesListen)
-	v.announced("nodes_listen", "", e.NodesListen)
+	v.announced("nodes_address", e.NodesAddress, e.NodesListen)
 	v.optionalListen("metrics_listen", e.MetricsListen)
 	v.address("store_address", e.StoreAddress)
 	v.addresses("seeds", e.Seeds, 0)
