Entries: a link counts from the agent's first frame; a leaving entry takes only what it can end

The entry took a job of 2.1 s when 2.1 s of its grace were left, and its connection broke at the end. Ruled out: a fault near it (calm for 6 s), the caller (it waited). Now the decisions know when the process ends: what is expected to last longer is refused at once (retry after 1 s, others have room), and what does last longer is answered and stopped 100 ms before the end.

An agent's process had ended and another was linked when the first one's greeting arrived, held by a cut; it counted as the newer, and its old order numbers made a started run seem never to have arrived. Now a link counts from the agent's first frame, and of two processes of one agent the one whose greeting arrived later is the later one.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -35,6 +35,8 @@
 	downAt   time.Time
 	gaveUp   bool // the jobs that can't wait for it have been answered
 	replaced bool // another process has taken its place
+	// greetedAt is when the greeting of its link arrived.
+	greetedAt time.Time
 
 	out         pb.OrderFrame // content of the next frame
 	dirty       bool
@@ -134,104 +136,6 @@
 	return nil
 }
 
-// LinkUp takes in that an agent has attached, and returns the first frame for it.
-// An earlier process of the same agent has ended.
-func (d *Dispatcher) LinkUp(now time.Time, g *pb.AgentGreeting) *pb.OrderFrame {
-	for _, old := range d.agents {
-		if old.name == g.Agent && old.incarnation != g.Incarnation && !old.replaced {
-			d.replaced(now, old)
-		}
-	}
-	a := d.agent(g.Incarnation)
-	if a == nil {
-		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1}
-		d.agents = append(d.agents, a)
-		d.health.Add(a.incarnation)
-	}
-	a.session.Up(now, g.Epoch, d.opts.Link)
-	a.lastSent, a.gaveUp = now, false
-	a.out = pb.OrderFrame{}
-	a.tellEntries, a.dirty, a.eager = true, true, false
-	d.opts.Decided(Decision{Event: "agent_linked", Agent: a.name, Waiting: len(a.live)})
-	d.reconcile(now, a, g)
-	return &pb.OrderFrame{
-		Hello: &pb.EntryGreeting{
-			Entry: d.opts.Entry, Incarnation: d.opts.Incarnation, FailureDomain: d.opts.FailureDomain,
-		},
-		SentNs: now.UnixNano(), Clock: d.opts.Events.Stamp(now),
-	}
-}
-
-// reconcile settles the orders of an earlier link with what the agent says it has
-// received: an order that did not arrive never will, since the agent has closed
-// that link. Ends that were lost with it come again as news.
-func (d *Dispatcher) reconcile(now time.Time, a *agent, g *pb.AgentGreeting) {
-	seen := uint64(0)
-	for _, m := range g.Met {
-		if m.Incarnation == d.opts.Incarnation {
-			seen = m.SeenOrder
-		}
-	}
-	for _, o := range slices.Clone(a.live) {
-		switch {
-		case o.number > seen:
-			d.refused(now, o, "lost with its link")
-		case o.stopped:
-			a.out.Stops = append(a.out.Stops, o.number)
-		}
-	}
-}
-
-// replaced takes in that an agent's process has ended and another has begun beside
-// the same worker. The worker goes on with what the first one started until its
-// lease ends, so these runs count as live until the second one has found none.
-func (d *Dispatcher) replaced(now time.Time, a *agent) {
-	a.replaced = true
-	if a.session.IsUp() {
-		d.down(now, a, "the agent was restarted")
-	}
-	d.opts.Decided(Decision{Event: "agent_replaced", Agent: a.name, Waiting: len(a.live)})
-}
-
-// settlePredecessors takes in that nothing is left of what an agent's earlier
-// processes started.
-func (d *Dispatcher) settlePredecessors(now time.Time, a *agent) {
-	for _, old := range slices.Clone(d.agents) {
-		if old.name == a.name && old.replaced {
-			d.lost(now, old, "the agent was restarted")
-			d.remove(old)
-		}
-	}
-}
-
-func (d *Dispatcher) remove(a *agent) {
-	d.health.Remove(a.incarnation)
-	d.agents = slices.DeleteFunc(d.agents, func(x *agent) bool { return x == a })
-}
-
-// LinkDown takes in that a link was lost.
-func (d *Dispatcher) LinkDown(now time.Time, incarnation string, epoch uint64) {
-	a := d.agent(incarnation)
-	if a == nil || !a.session.IsUp() || a.session.Epoch() != epoch {
-		return
-	}
-	d.down(now, a, "the link broke")
-}
-
-func (d *Dispatcher) down(now time.Time, a *agent, why string) {
-	a.session.Down()
-	a.downAt = now
-	d.opts.Decided(Decision{Event: "agent_lost", Agent: a.name, Reason: why, Waiting: len(a.live), Age: now.Sub(a.stateAt)})
-	// Starts that are not framed yet have not left this process.
-	framed := a.out.Orders
-	a.out = pb.OrderFrame{}
-	for _, f := range framed {
-		if o := a.byNumber(f.Number); o != nil {
-			d.refused(now, o, "not sent")
-		}
-	}
-}
-
 func (a *agent) byNumber(n uint64) *order {
 	for _, o := range a.live {
 		if o.number == n {
@@ -245,6 +149,7 @@
 const forgetAgentAfter = 10 * time.Second
 
 func (d *Dispatcher) tickAgents(now time.Time) {
+	d.dropUnconfirmed(now)
 	for _, a := range slices.Clone(d.agents) {
 		if a.session.Silent(now) && !d.late(now) {
 			d.down(now, a, "the link has gone silent")
@@ -396,6 +301,9 @@
 
 // Step takes in a frame of the link with the given epoch.
 func (d *Dispatcher) Step(now time.Time, incarnation string, epoch uint64, f *pb.WorkerFrame) {
+	if g, ok := d.greeted[incarnation]; ok && g.Epoch == epoch {
+		d.confirm(now, g)
+	}
 	a := d.agent(incarnation)
 	if a == nil || !a.session.IsUp() || a.session.Epoch() != epoch {
 		return
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -147,8 +147,9 @@
 	opts   Options
 	health *health.Judge
 
-	agents  []*agent // in order of arrival
-	entries []string // addresses of living entries, for agents
+	agents  []*agent            // in order of arrival
+	greeted map[string]greeting // links that their agents have not taken, by incarnation
+	entries []string            // addresses of living entries, for agents
 	cursor  int
 
 	number  uint64 // of the last job
@@ -167,8 +168,10 @@
 	readyAt time.Time // of the last call of Ready
 	lag     lagMeter
 
-	over  bool
-	ready Ready
+	// endsAt is when a process that leaves ends; zero: it stays.
+	endsAt time.Time
+	over   bool
+	ready  Ready
 }
 
 // New returns a Dispatcher without agents.
@@ -185,7 +188,7 @@
 	return &Dispatcher{
 		opts: o, health: health.New(o.Health),
 		jobs: make(map[uint64]*job), byID: make(map[string]*job), ending: make(map[string]*job),
-		waits: make(map[string]*waitlist), learned: make(map[string]*learned),
+		waits: make(map[string]*waitlist), learned: make(map[string]*learned), greeted: make(map[string]greeting),
 	}
 }
 
@@ -257,6 +260,7 @@
 	if len(d.due) > 0 {
 		next = d.due[0].dueAt
 	}
+	next = link.Earlier(next, d.nextUnconfirmed())
 	for _, a := range d.agents {
 		next = link.Earlier(next, d.nextAgent(a))
 	}
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -87,6 +87,9 @@
 	r := b.d.Ready(b.now)
 	for _, f := range r.Frames {
 		a := b.agents[f.Agent]
+		if a == nil {
+			b.t.Fatalf("a frame for %s, which no agent has", f.Agent)
+		}
 		a.ack = f.Frame.Seq
 		a.orders = append(a.orders, f.Frame.Orders...)
 		a.stops = append(a.stops, f.Frame.Stops...)
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -124,6 +124,7 @@
 	objective = min(objective, limit)
 	j.holdEnd = now.Add(time.Duration(holdPart * float64(objective)))
 	j.deadline = now.Add(limit)
+	d.cutShort(j)
 	j.startBy = now.Add(objective - longest)
 	j.before = d.ending[idKey(in.Queue.Name, in.ID)]
 	a := d.refusal(now, j, longest)
@@ -174,6 +175,10 @@
 	if j.Unsupported != "" {
 		return refuse(ReasonUnsupported+": "+j.Unsupported, true, 0)
 	}
+	if d.outlasts(now, longest) {
+		// Others have room at once, so there is nothing to wait for.
+		return refuse(ReasonLeaving, false, minRetryAfter)
+	}
 	if d.learned[j.queue.Name].atLeast(longest) > j.deadline.Sub(now) {
 		return refuse(ReasonHopeless, true, 0)
 	}
@@ -260,7 +265,7 @@
 func (d *Dispatcher) jobDue(now time.Time, j *job) {
 	switch {
 	case !now.Before(j.deadline):
-		d.giveUp(now, j, ReasonDeadline)
+		d.giveUp(now, j, d.overdue(j))
 	case !j.ordered:
 		d.giveUp(now, j, ReasonHeld)
 	default:
--- /dev/null
+++ b/dispatch/dispatcher/leave.go
@@ -0,0 +1,45 @@
+package dispatcher
+
+import "time"
+
+// Leave takes in that the process ends at a time. What goes wrong without it: a job
+// that is still at work then loses its connection, which tells its caller nothing,
+// and its runs go on until their agents notice. One sees callers that send jobs again
+// after a planned stop, and runs abandoned because "the entry has ended". So a job
+// that is expected to last longer is refused while another entry can still serve it,
+// and one that does last longer is given up, answered and stopped.
+func (d *Dispatcher) Leave(now, end time.Time) {
+	d.endsAt = end
+	for _, j := range d.jobs {
+		d.cutShort(j)
+		d.setDue(j, minTime(j.dueAt, j.deadline))
+	}
+	d.opts.Decided(Decision{Event: "leaving", Limit: end.Sub(now)})
+}
+
+// cutShort has a job end with the process.
+func (d *Dispatcher) cutShort(j *job) {
+	if !d.endsAt.IsZero() {
+		j.deadline = minTime(j.deadline, d.endsAt)
+	}
+}
+
+// outlasts reports whether a job that begins now would outlast the process.
+func (d *Dispatcher) outlasts(now time.Time, longest time.Duration) bool {
+	return !d.endsAt.IsZero() && now.Add(longest).After(d.endsAt)
+}
+
+// overdue is why a job is given up at its deadline.
+func (d *Dispatcher) overdue(j *job) string {
+	if !d.endsAt.IsZero() && !j.deadline.Before(d.endsAt) {
+		return ReasonLeaving
+	}
+	return ReasonDeadline
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/dispatch/leasedcheck/faults.go
+++ b/dispatch/leasedcheck/faults.go
@@ -6,7 +6,7 @@
 func (w *World) fault() {
 	a := w.agents[w.rand.IntN(len(w.agents))]
 	e := w.entries[w.rand.IntN(len(w.entries))]
-	switch w.rand.IntN(9) {
+	switch w.rand.IntN(10) {
 	case 0:
 		if e.up {
 			e.kill()
@@ -32,6 +32,10 @@
 	case 7:
 		w.trace("%s loses calls", a.name)
 		a.worker.lossy = w.now.Add(500*time.Millisecond + w.upTo(3*time.Second))
+	case 9:
+		if e.up {
+			e.leave()
+		}
 	case 8:
 		if c := a.conns[e.index]; c != nil && c.eOpen {
 			w.trace("link of %s and %s is reset", a.name, e.name)
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -100,6 +100,18 @@
 	e.w.at(50*time.Millisecond+e.w.upTo(time.Second), e.start)
 }
 
+// leave is a planned stop: the entry refuses what it can't end, answers the rest,
+// tells its agents, and is gone.
+func (e *entryNode) leave() {
+	grace := 500*time.Millisecond + e.w.upTo(3*time.Second)
+	e.w.trace("%s leaves in %v", e.name, grace)
+	e.decide(func(now time.Time) { e.core.Leave(now, now.Add(grace)) })
+	e.after(grace, func() {
+		e.decide(func(time.Time) { e.core.End() })
+		e.after(20*time.Millisecond, e.kill)
+	})
+}
+
 // agentNode is an agent's process, and the worker beside it.
 type agentNode struct {
 	process
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -271,8 +271,15 @@
 // Entries are the addresses of the other entries known to live.
 func (d *Dispatcher) Entries() []string { return d.peers.living() }
 
-// Leave tells the other entries that this one is shutting down.
-func (d *Dispatcher) Leave() { d.peers.leave() }
+// Leave tells the other entries that this one is shutting down, and ends what it
+// can't end in time a little before the given time is over.
+func (d *Dispatcher) Leave(in time.Duration) {
+	d.peers.leave()
+	d.decide(func(now time.Time) { d.core.Leave(now, now.Add(in-lastAnswers)) })
+}
+
+// lastAnswers is how long the last answers get to leave the process.
+const lastAnswers = 100 * time.Millisecond
 
 // Learn takes in addresses of entries found elsewhere.
 func (d *Dispatcher) Learn(addresses []string) { d.peers.learn(addresses) }
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -203,12 +203,12 @@
 	began := time.Now()
 	e.leaving.Store(true)
 	e.logger.Info("drain_begun", "open_jobs", e.d.Open())
-	e.d.Leave()
+	grace := e.o.Settings.Bounds.Grace - endBefore
+	e.d.Leave(grace)
 	e.roster.Leave()
 	// Each answer from now on closes its connection, so that its caller goes
 	// elsewhere.
 	jobs.SetKeepAlivesEnabled(false)
-	grace := e.o.Settings.Bounds.Grace - endBefore
 	time.Sleep(min(leaveAfter, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
