Entries tell each other less: one exchange a pair, lists by digest, the configuration only where it lacks

Now one of a pair begins the exchange, at most 40 a second for an entry as long as each second is enough; the list goes out where the digests differ; a new configuration is offered after 100 to 200 ms, when the store has told most, and sent whole to those that lack it.

--- /dev/null
+++ b/dispatch/dispatcher/bench_test.go
@@ -0,0 +1,67 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+)
+
+// benchBed has n agents with a worker each, whose reports don't cost a test's checks.
+func benchBed(b *testing.B, n int) *bed {
+	t := &testing.T{}
+	x := newBed(t)
+	for i := range n {
+		name := fmt.Sprintf("a%d", i)
+		x.attach(name, name+"-1")
+	}
+	return x
+}
+
+// What one report of an agent costs, by the number of agents: the most frequent input
+// of an entry.
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			x := benchBed(b, n)
+			a := x.agents["a0-1"]
+			b.ReportAllocs()
+			for b.Loop() {
+				x.now = x.now.Add(time.Millisecond)
+				a.seq++
+				x.d.Step(x.now, a.incarnation, a.epoch, &pb.WorkerFrame{Seq: a.seq, Ack: a.ack, State: a.stateNow()})
+				r := x.d.Ready(x.now)
+				for _, f := range r.Frames {
+					if f.Agent == a.incarnation {
+						a.ack = f.Frame.Seq
+					}
+				}
+				x.d.Next()
+			}
+		})
+	}
+}
+
+// What a job of eight tasks costs from its arrival to its answer, by the number of
+// agents.
+func BenchmarkJob(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			x := benchBed(b, n)
+			job := tasks(8, 100, 10*time.Millisecond)
+			b.ReportAllocs()
+			for b.Loop() {
+				x.now = x.now.Add(10 * time.Millisecond)
+				if _, refused := x.submit(job); refused != nil {
+					b.Fatalf("%+v", refused)
+				}
+				x.d.Next()
+				for _, o := range x.sent() {
+					x.tell(o, pb.OrderState_ORDER_STATE_DONE, "", 10*time.Millisecond)
+					x.d.Next()
+				}
+			}
+		})
+	}
+}
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -70,6 +70,13 @@
 }
 
 func (b *bed) report(a *fakeAgent, news ...*pb.OrderNews) {
+	a.seq++
+	b.d.Step(b.now, a.incarnation, a.epoch, &pb.WorkerFrame{Seq: a.seq, Ack: a.ack, State: a.stateNow(), News: news})
+	b.ready()
+}
+
+// stateNow is what the agent reports.
+func (a *fakeAgent) stateNow() *pb.WorkerState {
 	s := &pb.WorkerState{
 		Worker: "w-" + a.incarnation, Service: "s", Accepting: true, Clean: a.clean, SeenOrder: a.seen,
 		Capacity: &pb.Size{CpuMillis: uint32(a.capacity), MemoryMb: 1000},
@@ -78,9 +85,7 @@
 	for range forecast.Horizons {
 		s.Frees = append(s.Frees, uint32(a.frees))
 	}
-	a.seq++
-	b.d.Step(b.now, a.incarnation, a.epoch, &pb.WorkerFrame{Seq: a.seq, Ack: a.ack, State: s, News: news})
-	b.ready()
+	return s
 }
 
 func (b *bed) ready() {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -38,11 +38,9 @@
 	// they reach it.
 	NodesListen, Address string
 	// Seeds are nodes' addresses of entries, which may be stale.
-	Seeds []string
-	Core  dispatcher.Options
-	// ShareEvery is the time between two exchanges with the same entry.
-	ShareEvery time.Duration
-	Logger     *slog.Logger
+	Seeds  []string
+	Core   dispatcher.Options
+	Logger *slog.Logger
 }
 
 // Dispatcher is the part of an entry that deals with agents and other entries.
@@ -244,7 +242,7 @@
 		}
 	})
 	if newer {
-		d.peers.push()
+		d.peers.push(c.Version)
 	}
 	return newer
 }
@@ -268,7 +266,7 @@
 // Limits of callers' requests; nil before the first configuration.
 func (d *Dispatcher) Limits() *pb.Limits { return d.routes.Load().limits }
 
-// Entries are the addresses of the other entries known to live.
+// Entries are the addresses of the entries known to live, this one included.
 func (d *Dispatcher) Entries() []string { return d.peers.living() }
 
 // Leave tells the other entries that this one is shutting down, and ends what it
--- /dev/null
+++ b/node/dispatcher/exchange_test.go
@@ -0,0 +1,90 @@
+package dispatcher
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
+	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
+)
+
+func newTestDispatcher(t *testing.T, seeds ...string) *Dispatcher {
+	t.Helper()
+	times, err := bounds.Derive(bounds.Given{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := New(Options{
+		NodesListen: "127.0.0.1:0", Seeds: seeds, Logger: slog.New(slog.DiscardHandler),
+		Core: dispatcher.Options{Entry: "e", Incarnation: t.Name() + time.Now().String(), Times: times},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = d.Serve() }()
+	t.Cleanup(d.Close)
+	return d
+}
+
+// Among seventy entries, an exchange of every pair from both sides each half second
+// took more of an entry's processor and network than its work.
+func TestExchangesAreSeldomAmongMany(t *testing.T) {
+	for _, c := range []struct {
+		others int
+		want   time.Duration
+	}{{2, shareEvery}, {20, shareEvery}, {30, 750 * time.Millisecond}, {69, maxShareEvery}} {
+		if got := sharePeriod(c.others); got != c.want {
+			t.Errorf("%d others: each %v, want %v", c.others, got, c.want)
+		}
+	}
+}
+
+// Both of a pair keep the same period. If both began the next exchange when it is
+// over, there would be two for one.
+func TestOneOfAPairBeginsTheExchange(t *testing.T) {
+	const period = time.Second
+	first, second := untilShare(period, 0, "a", "b"), untilShare(period, 0, "b", "a")
+	if first != period || second <= first || second >= peerLostAfter-shareTimeout {
+		t.Errorf("begin after %v and %v; want one after %v, and the other later, but before it takes the first for lost", first, second, period)
+	}
+	if left := untilShare(period, 1200*time.Millisecond, "b", "a"); left >= second || left <= 0 {
+		t.Errorf("left %v", left)
+	}
+}
+
+// The list of entries goes out only where the two differ.
+func TestListOfEntriesOnlyWhereItDiffers(t *testing.T) {
+	d := newTestDispatcher(t)
+	living := d.Entries()
+	if got := d.peers.serve(&pb.ShareRequest{EntriesDigest: digest(living)}); len(got.Entries) > 0 {
+		t.Errorf("told %v to one that knows them", got.Entries)
+	}
+	if got := d.peers.serve(&pb.ShareRequest{EntriesDigest: 1}); len(got.Entries) != 1 {
+		t.Errorf("told %v to one that doesn't know them", got.Entries)
+	}
+	if digest([]string{"ab", "c"}) == digest([]string{"a", "bc"}) {
+		t.Error("two lists have one digest")
+	}
+}
+
+// The store turns one entry away. It must get a new configuration from an entry that
+// has it, and not from each of them.
+func TestConfigurationComesFromAnotherEntry(t *testing.T) {
+	one := newTestDispatcher(t)
+	two := newTestDispatcher(t, one.Address())
+	for len(one.Entries()) < 2 || len(two.Entries()) < 2 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	one.SetConfiguration(&pb.Configuration{Version: 7})
+	for two.Configuration().GetVersion() != 7 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if resp := one.peers.serve(&pb.ShareRequest{Address: two.Address(), Version: 7}); resp.Configuration != nil {
+		t.Error("the whole configuration went to an entry that has it")
+	}
+	if resp := one.peers.serve(&pb.ShareRequest{Address: two.Address(), Version: 6}); resp.Configuration == nil {
+		t.Error("an entry that lacks the configuration didn't get it")
+	}
+}
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -16,10 +16,6 @@
 )
 
 const (
-	defaultShareEvery = 500 * time.Millisecond
-	// shareTimeout is a few round trips of the slowest link to another entry; a
-	// connection that has gone silent is given up after it.
-	shareTimeout = 400 * time.Millisecond
 	// peerLostAfter is how long an entry that does not answer counts as living.
 	peerLostAfter = 2 * time.Second
 	// peerForgottenAfter is how long it is asked again, unless it is a seed.
@@ -35,6 +31,7 @@
 
 	incarnation string
 	heard       time.Time
+	digest      uint64 // of the living entries that it has told
 	since       time.Time
 	version     uint64
 	waiting     []*pb.WaitingJobs
@@ -45,9 +42,8 @@
 // configuration in force, the entries that live, and how many jobs wait. An entry
 // that the platform's store turns away keeps up this way.
 type peers struct {
-	d     *Dispatcher
-	every time.Duration
-	ctx   context.Context
+	d   *Dispatcher
+	ctx context.Context
 
 	mu      sync.Mutex
 	all     map[string]*peer
@@ -55,13 +51,7 @@
 	told    []string // the living, as agents were last told
 }
 
-func newPeers(d *Dispatcher) *peers {
-	p := &peers{d: d, every: d.opts.ShareEvery, all: make(map[string]*peer)}
-	if p.every == 0 {
-		p.every = defaultShareEvery
-	}
-	return p
-}
+func newPeers(d *Dispatcher) *peers { return &peers{d: d, all: make(map[string]*peer)} }
 
 // run learns the seeds and keeps the living entries told until the context ends.
 func (p *peers) run(ctx context.Context) {
@@ -69,7 +59,7 @@
 	p.ctx = ctx
 	p.mu.Unlock()
 	p.learn(p.d.opts.Seeds)
-	t := time.NewTicker(p.every)
+	t := time.NewTicker(shareEvery)
 	defer t.Stop()
 	for ctx.Err() == nil {
 		p.tell()
@@ -82,8 +72,7 @@
 
 // tell passes the living entries on to the core, for agents, when they change.
 func (p *peers) tell() {
-	living := append(p.living(), p.d.opts.Address)
-	slices.Sort(living)
+	living := p.living()
 	p.mu.Lock()
 	same := slices.Equal(living, p.told)
 	p.told = living
@@ -93,18 +82,22 @@
 	}
 }
 
+// living lists the entries known to live, this one included, in order.
 func (p *peers) living() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []string
+	out := []string{p.d.opts.Address}
 	for _, x := range p.all {
-		if !x.heard.IsZero() && clock.Now().Sub(x.heard) < peerLostAfter {
+		if x.lives() {
 			out = append(out, x.address)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
+func (x *peer) lives() bool { return !x.heard.IsZero() && clock.Now().Sub(x.heard) < peerLostAfter }
+
 func (p *peers) learn(addresses []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,19 +119,6 @@
 	}
 }
 
-// exchange talks to one entry until it is forgotten.
-func (p *peers) exchange(ctx context.Context, x *peer) {
-	defer x.http.CloseIdleConnections()
-	for ctx.Err() == nil && !p.forget(x) {
-		p.share(ctx, x)
-		select {
-		case <-time.After(p.every):
-		case <-x.wake:
-		case <-ctx.Done():
-		}
-	}
-}
-
 func (p *peers) forget(x *peer) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -153,69 +133,6 @@
 	return true
 }
 
-func (p *peers) share(ctx context.Context, x *peer) {
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	c := p.d.Configuration()
-	req := &pb.ShareRequest{
-		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Address: p.d.opts.Address,
-		Version: c.GetVersion(), Entries: p.living(), Waiting: p.waitingMessage(),
-	}
-	p.mu.Lock()
-	req.Leaving = p.leaving
-	if x.version < c.GetVersion() {
-		req.Configuration = c
-	}
-	p.mu.Unlock()
-	resp, err := x.client.Share(ctx, connect.NewRequest(req))
-	if err != nil {
-		// The connection may have gone silent: the next exchange takes a new one.
-		x.http.CloseIdleConnections()
-		return
-	}
-	m := resp.Msg
-	p.heard(x, m.Incarnation, m.Version, m.Waiting, m.Leaving)
-	p.learn(m.Entries)
-	if m.Configuration != nil {
-		p.d.SetConfiguration(m.Configuration)
-	}
-}
-
-func (p *peers) heard(x *peer, incarnation string, version uint64, waiting []*pb.WaitingJobs, leaving bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if x.heard.IsZero() || clock.Now().Sub(x.heard) >= peerLostAfter || x.incarnation != incarnation {
-		p.d.opts.Logger.Info("entry_found", "entry", x.address, "incarnation", incarnation, "version", version)
-	}
-	x.incarnation, x.heard, x.version, x.waiting, x.leaving = incarnation, clock.Now(), version, waiting, leaving
-}
-
-// serve answers another entry's exchange.
-func (p *peers) serve(req *pb.ShareRequest) *pb.ShareResponse {
-	if req.Configuration != nil {
-		p.d.SetConfiguration(req.Configuration)
-	}
-	p.learn(append(req.Entries, req.Address))
-	p.mu.Lock()
-	x := p.all[req.Address]
-	p.mu.Unlock()
-	if x != nil {
-		p.heard(x, req.Incarnation, req.Version, req.Waiting, req.Leaving)
-	}
-	c := p.d.Configuration()
-	resp := &pb.ShareResponse{
-		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Version: c.GetVersion(),
-		Entries: p.living(), Waiting: p.waitingMessage(),
-	}
-	if req.Version < c.GetVersion() {
-		resp.Configuration = c
-	}
-	p.mu.Lock()
-	resp.Leaving = p.leaving
-	p.mu.Unlock()
-	return resp
-}
-
 func (p *peers) waitingMessage() []*pb.WaitingJobs {
 	var out []*pb.WaitingJobs
 	for queue, n := range p.d.waitingHere() {
@@ -230,7 +147,7 @@
 	defer p.mu.Unlock()
 	n := 0
 	for _, x := range p.all {
-		if clock.Now().Sub(x.heard) >= peerLostAfter {
+		if !x.lives() {
 			continue
 		}
 		for _, w := range x.waiting {
@@ -242,23 +159,11 @@
 	return n
 }
 
-// push exchanges with every entry at once.
-func (p *peers) push() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, x := range p.all {
-		select {
-		case x.wake <- struct{}{}:
-		default:
-		}
-	}
-}
-
 func (p *peers) leave() {
 	p.mu.Lock()
 	p.leaving = true
 	p.mu.Unlock()
-	p.push()
+	p.wake(func(*peer) bool { return true })
 }
 
 // cancel asks every living entry to end a job.
@@ -266,7 +171,7 @@
 	p.mu.Lock()
 	var ask []*peer
 	for _, x := range p.all {
-		if clock.Now().Sub(x.heard) < peerLostAfter {
+		if x.lives() {
 			ask = append(ask, x)
 		}
 	}
