Entries look only at the agents that an input touches

An input looked through all agents three times: for frames to send, for the next time, and at each tick. Now those touched are listed, the others wait in a heap by the time at which they matter, and at most 16 agents are told at once that work waits.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"container/heap"
 	"slices"
 	"time"
 
@@ -40,8 +41,13 @@
 
 	out         pb.OrderFrame // content of the next frame
 	dirty       bool
-	eager       bool
+	eager       bool // it was told that work waits
 	tellEntries bool
+
+	touched  bool // since the last call of Ready
+	wakeAt   time.Time
+	wakePos  int  // in Dispatcher.wakes
+	followed bool // an earlier process of the same agent is listed
 }
 
 // order is one run of a task given to an agent.
@@ -91,6 +97,7 @@
 	o.stopped = true
 	a.out.Stops = append(a.out.Stops, o.number)
 	a.dirty = true
+	d.touch(a)
 }
 
 // renewFree counts what is free and comes free anew, from the last report and the
@@ -127,14 +134,7 @@
 	return a.frees.Wait(need, now.Sub(a.stateAt))
 }
 
-func (d *Dispatcher) agent(incarnation string) *agent {
-	for _, a := range d.agents {
-		if a.incarnation == incarnation {
-			return a
-		}
-	}
-	return nil
-}
+func (d *Dispatcher) agent(incarnation string) *agent { return d.byIncarnation[incarnation] }
 
 func (a *agent) byNumber(n uint64) *order {
 	for _, o := range a.live {
@@ -148,27 +148,34 @@
 // forgetAgentAfter is how long an agent without link and orders is listed.
 const forgetAgentAfter = 10 * time.Second
 
+// tickAgents takes in the passing of time for the agents for which it matters.
 func (d *Dispatcher) tickAgents(now time.Time) {
 	d.dropUnconfirmed(now)
-	for _, a := range slices.Clone(d.agents) {
-		if a.session.Silent(now) && !d.late(now) {
-			d.down(now, a, "the link has gone silent")
-			d.ready.Close = append(d.ready.Close, a.incarnation)
-		}
-		d.updateStanding(now, a)
-		if a.session.IsUp() {
-			continue
-		}
-		if !a.gaveUp && !now.Before(a.downAt.Add(d.opts.Times.GiveUp)) {
-			d.giveUpOn(now, a)
-		}
-		if len(a.live) > 0 && !now.Before(a.lastSent.Add(d.opts.Times.RunsOver)) {
-			// Nothing can still run of what was ordered there; see package bounds.
-			d.lost(now, a, "the agent can't be reached")
-		}
-		if len(a.live) == 0 && !now.Before(a.downAt.Add(forgetAgentAfter)) {
-			d.remove(a)
-		}
+	for len(d.wakes) > 0 && !now.Before(d.wakes[0].wakeAt) {
+		a := d.wakes[0]
+		heap.Remove(&d.wakes, 0) // until Ready
+		d.touch(a)
+		d.tickAgent(now, a)
+	}
+}
+
+func (d *Dispatcher) tickAgent(now time.Time, a *agent) {
+	if a.session.Silent(now) && !d.late(now) {
+		d.down(now, a, "the link has gone silent")
+		d.ready.Close = append(d.ready.Close, a.incarnation)
+	}
+	if a.session.IsUp() {
+		return
+	}
+	if !a.gaveUp && !now.Before(a.downAt.Add(d.opts.Times.GiveUp)) {
+		d.giveUpOn(now, a)
+	}
+	if len(a.live) > 0 && !now.Before(a.lastSent.Add(d.opts.Times.RunsOver)) {
+		// Nothing can still run of what was ordered there; see package bounds.
+		d.lost(now, a, "the agent can't be reached")
+	}
+	if len(a.live) == 0 && !now.Before(a.downAt.Add(forgetAgentAfter)) {
+		d.remove(a)
 	}
 }
 
@@ -195,27 +202,6 @@
 	}
 }
 
-func (d *Dispatcher) nextAgent(a *agent) time.Time {
-	if a.session.IsUp() {
-		next := a.session.Next()
-		if len(a.live) > 0 {
-			next = link.Earlier(next, a.lastSent.Add(d.renewEvery()))
-		}
-		return next
-	}
-	if !a.gaveUp {
-		return a.downAt.Add(d.opts.Times.GiveUp)
-	}
-	if len(a.live) > 0 {
-		return a.lastSent.Add(d.opts.Times.RunsOver)
-	}
-	return a.downAt.Add(forgetAgentAfter)
-}
-
-func (d *Dispatcher) renewEvery() time.Duration {
-	return time.Duration(renewPart * float64(d.opts.Times.Silence))
-}
-
 // send orders a run.
 func (d *Dispatcher) send(now time.Time, a *agent, t *task, s *step, wait time.Duration) {
 	d.orderNo++
@@ -234,6 +220,7 @@
 		ExpectedMs: uint32(s.expect.Milliseconds()), LimitMs: uint32(max(0, t.job.deadline.Sub(now).Milliseconds())),
 	})
 	a.dirty = true
+	d.touch(a)
 	reason := "has room"
 	if wait > 0 {
 		reason = "shortest wait"
@@ -311,6 +298,7 @@
 	if !a.session.Received(now, f.Seq, f.Ack, len(f.News) > 0) {
 		return
 	}
+	d.touch(a)
 	d.opts.Events.Observe(f.Clock, now)
 	if f.State != nil {
 		d.takeState(now, a, f.State)
@@ -335,7 +323,7 @@
 	a.state, a.stateAt, a.capacity = s, now, size.Of(s.Capacity)
 	a.renewFree()
 	d.updateStanding(now, a)
-	if s.Clean {
+	if s.Clean && a.followed {
 		d.settlePredecessors(now, a)
 	}
 }
@@ -415,29 +403,6 @@
 	a.slowness = d.health.Slowness(a.incarnation)
 }
 
-// flush makes the frame for an agent, if one is due.
-func (d *Dispatcher) flush(now time.Time, a *agent) {
-	if !a.session.IsUp() {
-		return
-	}
-	eager := len(d.waitlist(a.state.GetService()).jobs) > 0
-	renew := len(a.live) > 0 && !now.Before(a.lastSent.Add(d.renewEvery()))
-	if !a.dirty && !renew && !a.session.Due(now) && eager == a.eager && !a.tellEntries && !d.over {
-		return
-	}
-	f := &pb.OrderFrame{
-		Orders: a.out.Orders, Stops: a.out.Stops, SentNs: now.UnixNano(), Eager: eager,
-		ReportEveryMs: d.reportEveryMs(), Clock: d.opts.Events.Stamp(now), Ended: d.over,
-	}
-	if a.tellEntries {
-		f.Entries = d.entries
-	}
-	f.Seq, f.Ack = a.session.Send(now, len(f.Orders) > 0 || len(f.Stops) > 0)
-	a.out = pb.OrderFrame{}
-	a.dirty, a.tellEntries, a.eager, a.lastSent = false, false, eager, now
-	d.ready.Frames = append(d.ready.Frames, Out{Agent: a.incarnation, Epoch: a.session.Epoch(), Frame: f})
-}
-
 // minReportEvery is as often as reports tell anything new.
 const minReportEvery = 20
 
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -147,10 +147,13 @@
 	opts   Options
 	health *health.Judge
 
-	agents  []*agent            // in order of arrival
-	greeted map[string]greeting // links that their agents have not taken, by incarnation
-	entries []string            // addresses of living entries, for agents
-	cursor  int
+	agents        []*agent // in order of arrival
+	byIncarnation map[string]*agent
+	touched       []*agent            // since the last call of Ready
+	wakes         wakeHeap            // the agents that are not touched
+	greeted       map[string]greeting // links that their agents have not taken, by incarnation
+	entries       []string            // addresses of living entries, for agents
+	cursor        int
 
 	number  uint64 // of the last job
 	orderNo uint64
@@ -188,7 +191,7 @@
 	return &Dispatcher{
 		opts: o, health: health.New(o.Health),
 		jobs: make(map[uint64]*job), byID: make(map[string]*job), ending: make(map[string]*job),
-		waits: make(map[string]*waitlist), learned: make(map[string]*learned), greeted: make(map[string]greeting),
+		waits: make(map[string]*waitlist), learned: make(map[string]*learned), byIncarnation: make(map[string]*agent), greeted: make(map[string]greeting),
 	}
 }
 
@@ -213,6 +216,7 @@
 	for _, a := range d.agents {
 		a.tellEntries = true
 	}
+	d.touchAll()
 }
 
 // Links is the number of agents with a link.
@@ -241,7 +245,10 @@
 func (d *Dispatcher) Open() int { return len(d.jobs) }
 
 // End tells agents that the process ends now.
-func (d *Dispatcher) End() { d.over = true }
+func (d *Dispatcher) End() {
+	d.over = true
+	d.touchAll()
+}
 
 // Tick takes in the passing of time.
 func (d *Dispatcher) Tick(now time.Time) {
@@ -261,8 +268,8 @@
 		next = d.due[0].dueAt
 	}
 	next = link.Earlier(next, d.nextUnconfirmed())
-	for _, a := range d.agents {
-		next = link.Earlier(next, d.nextAgent(a))
+	if len(d.wakes) > 0 {
+		next = link.Earlier(next, d.wakes[0].wakeAt)
 	}
 	// A tick at least this often shows whether the process keeps up.
 	if len(d.jobs) > 0 {
@@ -282,9 +289,8 @@
 		d.jobDue(now, d.due[0])
 	}
 	d.place(now)
-	for _, a := range d.agents {
-		d.flush(now, a)
-	}
+	d.tellEager()
+	d.flushTouched(now)
 	r := d.ready
 	d.ready = Ready{}
 	return r
--- /dev/null
+++ b/dispatch/dispatcher/frames.go
@@ -0,0 +1,150 @@
+package dispatcher
+
+import (
+	"container/heap"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/link"
+)
+
+// An input concerns few agents, so only those that it touches are looked at after it:
+// an entry with a thousand agents must not pay for each of them at each report.
+
+// touch has Ready look at an agent.
+func (d *Dispatcher) touch(a *agent) {
+	if !a.touched {
+		a.touched = true
+		d.touched = append(d.touched, a)
+	}
+}
+
+func (d *Dispatcher) touchAll() {
+	for _, a := range d.agents {
+		d.touch(a)
+	}
+}
+
+// eagerAgents is how many agents are told at once that work waits, beside those that
+// get a frame anyway. Work waits for the first room, not for a report of all.
+const eagerAgents = 16
+
+// tellEager has some agents told that work of their service waits, and those that were
+// told so when it no longer does.
+func (d *Dispatcher) tellEager() {
+	for service, w := range d.waits {
+		if eager := len(w.jobs) > 0; eager != w.eager {
+			w.eager = eager
+			d.tellEagerOf(service, eager)
+		}
+	}
+}
+
+func (d *Dispatcher) tellEagerOf(service string, eager bool) {
+	left := eagerAgents
+	for i := range d.agents {
+		a := d.agents[(d.cursor+i)%len(d.agents)]
+		if a.state.GetService() != service || !a.session.IsUp() || a.eager == eager {
+			continue
+		}
+		a.dirty = true
+		d.touch(a)
+		if left--; eager && left == 0 {
+			return
+		}
+	}
+}
+
+// flushTouched makes the frames that are due, and sets when each agent is next.
+func (d *Dispatcher) flushTouched(now time.Time) {
+	for _, a := range d.touched {
+		a.touched = false
+		d.flush(now, a)
+		d.schedule(a)
+	}
+	d.touched = d.touched[:0]
+}
+
+func (d *Dispatcher) schedule(a *agent) {
+	if d.byIncarnation[a.incarnation] != a {
+		return // removed
+	}
+	a.wakeAt = d.nextAgent(a)
+	if a.wakePos < 0 {
+		heap.Push(&d.wakes, a)
+		return
+	}
+	heap.Fix(&d.wakes, a.wakePos)
+}
+
+func (d *Dispatcher) nextAgent(a *agent) time.Time {
+	if a.session.IsUp() {
+		next := a.session.Next()
+		if len(a.live) > 0 {
+			next = link.Earlier(next, a.lastSent.Add(d.renewEvery()))
+		}
+		return next
+	}
+	if !a.gaveUp {
+		return a.downAt.Add(d.opts.Times.GiveUp)
+	}
+	if len(a.live) > 0 {
+		return a.lastSent.Add(d.opts.Times.RunsOver)
+	}
+	return a.downAt.Add(forgetAgentAfter)
+}
+
+func (d *Dispatcher) renewEvery() time.Duration {
+	return time.Duration(renewPart * float64(d.opts.Times.Silence))
+}
+
+// flush makes the frame for an agent, if one is due.
+func (d *Dispatcher) flush(now time.Time, a *agent) {
+	if !a.session.IsUp() {
+		return
+	}
+	eager := d.waitlist(a.state.GetService()).eager
+	renew := len(a.live) > 0 && !now.Before(a.lastSent.Add(d.renewEvery()))
+	if !a.dirty && !renew && !a.session.Due(now) && !a.tellEntries && !d.over {
+		return
+	}
+	f := &pb.OrderFrame{
+		Orders: a.out.Orders, Stops: a.out.Stops, SentNs: now.UnixNano(), Eager: eager,
+		ReportEveryMs: d.reportEveryMs(), Clock: d.opts.Events.Stamp(now), Ended: d.over,
+	}
+	if a.tellEntries {
+		f.Entries = d.entries
+	}
+	f.Seq, f.Ack = a.session.Send(now, len(f.Orders) > 0 || len(f.Stops) > 0)
+	a.out = pb.OrderFrame{}
+	a.dirty, a.tellEntries, a.eager, a.lastSent = false, false, eager, now
+	d.ready.Frames = append(d.ready.Frames, Out{Agent: a.incarnation, Epoch: a.session.Epoch(), Frame: f})
+}
+
+// wakeHeap holds the agents, the one for which time matters next first.
+type wakeHeap []*agent
+
+func (h wakeHeap) Len() int           { return len(h) }
+func (h wakeHeap) Less(i, j int) bool { return h[i].wakeAt.Before(h[j].wakeAt) }
+func (h wakeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].wakePos, h[j].wakePos = i, j
+}
+
+// Push implements heap.Interface.
+func (h *wakeHeap) Push(x any) {
+	a := x.(*agent)
+	a.wakePos = len(*h)
+	*h = append(*h, a)
+}
+
+// Pop implements heap.Interface.
+func (h *wakeHeap) Pop() any {
+	old := *h
+	a := old[len(old)-1]
+	a.wakePos = -1
+	*h = old[:len(old)-1]
+	return a
+}
+
+var _ heap.Interface = (*wakeHeap)(nil)
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -52,21 +53,27 @@
 			return
 		}
 	}
+	followed := false
 	for _, old := range d.agents {
-		if old.name == g.Agent && old.incarnation != g.Incarnation && !old.replaced {
-			d.replaced(now, old)
+		if old.name == g.Agent && old.incarnation != g.Incarnation {
+			followed = true
+			if !old.replaced {
+				d.replaced(now, old)
+			}
 		}
 	}
 	a := d.agent(g.Incarnation)
 	if a == nil {
-		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1}
+		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1, wakePos: -1}
 		d.agents = append(d.agents, a)
+		d.byIncarnation[a.incarnation] = a
 		d.health.Add(a.incarnation)
 	}
 	a.session.Up(now, g.Epoch, d.opts.Link)
-	a.lastSent, a.gaveUp, a.greetedAt = now, false, g.at
+	a.lastSent, a.gaveUp, a.greetedAt, a.followed = now, false, g.at, followed
 	a.out = pb.OrderFrame{}
 	a.tellEntries, a.dirty, a.eager = true, true, false
+	d.touch(a)
 	d.opts.Decided(Decision{Event: "agent_linked", Agent: a.name, Waiting: len(a.live), Age: now.Sub(g.at)})
 	d.reconcile(now, a, g.AgentGreeting)
 }
@@ -126,6 +133,7 @@
 // settlePredecessors takes in that nothing is left of what an agent's earlier
 // processes started.
 func (d *Dispatcher) settlePredecessors(now time.Time, a *agent) {
+	a.followed = false
 	for _, old := range slices.Clone(d.agents) {
 		if old.name == a.name && old.replaced {
 			d.lost(now, old, "the agent was restarted")
@@ -137,6 +145,10 @@
 func (d *Dispatcher) remove(a *agent) {
 	d.health.Remove(a.incarnation)
 	d.agents = slices.DeleteFunc(d.agents, func(x *agent) bool { return x == a })
+	delete(d.byIncarnation, a.incarnation)
+	if a.wakePos >= 0 {
+		heap.Remove(&d.wakes, a.wakePos)
+	}
 }
 
 // LinkDown takes in that a link was lost.
@@ -154,6 +166,7 @@
 func (d *Dispatcher) down(now time.Time, a *agent, why string) {
 	a.session.Down()
 	a.downAt = now
+	d.touch(a)
 	d.opts.Decided(Decision{Event: "agent_lost", Agent: a.name, Reason: why, Waiting: len(a.live), Age: now.Sub(a.stateAt)})
 	// Starts that are not framed yet have not left this process.
 	framed := a.out.Orders
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -15,6 +15,7 @@
 type waitlist struct {
 	jobs  []*job
 	drain drainRate
+	eager bool // agents were told that work waits
 }
 
 func goesBefore(a, b *job) int {
@@ -158,7 +159,7 @@
 	d.cursor = (d.cursor + 1) % n
 	for i := range min(n, scanLimit) {
 		a := d.agents[(d.cursor+i)%n]
-		if !d.mayRun(a, t, s) {
+		if !d.mayRun(now, a, t, s) {
 			continue
 		}
 		wait := a.wait(now, s.Size, t.job.queue.Priority)
@@ -184,7 +185,10 @@
 }
 
 // mayRun reports whether a worker may be given a task at all.
-func (d *Dispatcher) mayRun(a *agent, t *task, s *step) bool {
+func (d *Dispatcher) mayRun(now time.Time, a *agent, t *task, s *step) bool {
+	if a.standing != place.Open {
+		d.updateStanding(now, a) // its time may be over
+	}
 	switch {
 	case !a.session.IsUp() || !a.state.GetAccepting() || a.state.GetService() != t.job.queue.Service:
 		return false
