--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -40,10 +40,19 @@
 }
 
 // Without faults every job that is accepted is completed, but for those whose tasks
-// fail by themselves or whose callers leave.
-func TestCalmScheduleServes(t *testing.T) {
-	r := Run(Options{Seed: 1, Entries: 3, Agents: 4, Jobs: 40})
-	if len(r.Broken) > 0 || r.Completed < 35 {
-		t.Errorf("%+v, want at least 35 of 40 jobs completed", r)
+// fail by themselves or whose callers leave. Single seeds differ by how their jobs
+// happen to come, so many are counted together.
+func TestCalmSchedulesServe(t *testing.T) {
+	const seeds, jobs = 20, 40
+	completed := 0
+	for seed := range uint64(seeds) {
+		r := Run(Options{Seed: seed, Entries: 3, Agents: 4, Jobs: jobs})
+		if len(r.Broken) > 0 {
+			t.Errorf("seed %d: %v", seed, r.Broken)
+		}
+		completed += r.Completed
+	}
+	if want := seeds * jobs * 9 / 10; completed < want {
+		t.Errorf("%d of %d jobs completed, want at least %d", completed, seeds*jobs, want)
 	}
 }
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -60,7 +60,7 @@
 	}
 	defer a.linkDown(hello, l)
 	go a.readLink(stream, hello, end)
-	return writeLink(ctx, stream, l)
+	return l.out.Drain(ctx, stream.Send)
 }
 
 func (a *Agent) linkUp(hello *pb.EntryHello, l *entryLink) (refused string) {
@@ -104,20 +104,6 @@
 	}
 }
 
-func writeLink(ctx context.Context, stream *linkStream, l *entryLink) error {
-	for {
-		frames, ok := l.out.Take(ctx)
-		if !ok {
-			return nil
-		}
-		for _, f := range frames {
-			if err := stream.Send(f); err != nil {
-				return err
-			}
-		}
-	}
-}
-
 const (
 	announceEvery   = 500 * time.Millisecond
 	announceTimeout = time.Second
--- a/node/dispatcher/links.go
+++ b/node/dispatcher/links.go
@@ -44,17 +44,7 @@
 	}
 	defer d.linkDown(g, l)
 	go d.readLink(stream, g, end)
-	for {
-		frames, ok := l.out.Take(ctx)
-		if !ok {
-			return nil
-		}
-		for _, f := range frames {
-			if err := stream.Send(f); err != nil {
-				return err
-			}
-		}
-	}
+	return l.out.Drain(ctx, stream.Send)
 }
 
 func (d *Dispatcher) linkUp(g *pb.AgentGreeting, l *link) (ok bool) {
--- a/node/entry/links.go
+++ b/node/entry/links.go
@@ -83,16 +83,7 @@
 }
 
 func writeLink(ctx context.Context, stream *linkStream, l *agentLink) {
-	for {
-		frames, ok := l.out.Take(ctx)
-		if !ok {
-			return
-		}
-		for _, f := range frames {
-			if stream.Send(f) != nil {
-				l.end()
-				return
-			}
-		}
+	if l.out.Drain(ctx, stream.Send) != nil {
+		l.end()
 	}
 }
--- a/node/rpc/queue.go
+++ b/node/rpc/queue.go
@@ -65,3 +65,19 @@
 		}
 	}
 }
+
+// Drain hands all items to send, in order, until the queue is closed, the context
+// ends or send fails, whose error it returns. Only one goroutine may call it.
+func (q *Queue[T]) Drain(ctx context.Context, send func(T) error) error {
+	for {
+		items, ok := q.Take(ctx)
+		if !ok {
+			return nil
+		}
+		for _, i := range items {
+			if err := send(i); err != nil {
+				return err
+			}
+		}
+	}
+}
--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -225,16 +225,7 @@
 }
 
 func write(ctx context.Context, stream *linkStream, l *link) {
-	for {
-		frames, ok := l.out.Take(ctx)
-		if !ok {
-			return
-		}
-		for _, f := range frames {
-			if stream.Send(f) != nil {
-				l.end()
-				return
-			}
-		}
+	if l.out.Drain(ctx, stream.Send) != nil {
+		l.end()
 	}
 }
--- a/node/settings/leased.go
+++ b/node/settings/leased.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"reflect"
 	"time"
 )
 
@@ -81,54 +80,16 @@
 	maxBound                 = time.Hour
 )
 
-// LoadLeasedEntry reads and checks the settings of an entry for leased workers.
-func LoadLeasedEntry(path string) (*LeasedEntry, error) {
-	text, err := read(path)
-	if err != nil {
-		return nil, err
-	}
-	if err := wantRole(path, text, RoleLeasedEntry); err != nil {
-		return nil, err
-	}
-	return parseLeasedEntry(path, text)
+// DefaultLeasedEntry returns the settings that a file need not have.
+func DefaultLeasedEntry() LeasedEntry {
+	return LeasedEntry{Role: RoleLeasedEntry, Bounds: Bounds{Grace: defaultGrace}, LogLevel: slog.LevelInfo}
 }
 
-// LoadLeasedAgent reads and checks the settings of an agent beside a leased worker.
-func LoadLeasedAgent(path string) (*LeasedAgent, error) {
-	text, err := read(path)
-	if err != nil {
-		return nil, err
-	}
-	if err := wantRole(path, text, RoleLeasedAgent); err != nil {
-		return nil, err
-	}
-	return parseLeasedAgent(path, text)
-}
-
-func parseLeasedEntry(file string, text []byte) (*LeasedEntry, error) {
-	e := LeasedEntry{Role: RoleLeasedEntry, Bounds: Bounds{Grace: defaultGrace}, LogLevel: slog.LevelInfo}
-	d, err := decode(file, text, valueOf(&e))
-	if err != nil {
-		return nil, err
-	}
-	if err := e.validate(d.source); err != nil {
-		return nil, err
-	}
-	return &e, nil
-}
-
-func parseLeasedAgent(file string, text []byte) (*LeasedAgent, error) {
-	a := LeasedAgent{
+// DefaultLeasedAgent returns the settings that a file need not have.
+func DefaultLeasedAgent() LeasedAgent {
+	return LeasedAgent{
 		Role: RoleLeasedAgent, Connections: defaultLeasedConnections, Bounds: Bounds{Grace: defaultGrace}, LogLevel: slog.LevelInfo,
 	}
-	d, err := decode(file, text, valueOf(&a))
-	if err != nil {
-		return nil, err
-	}
-	if err := a.validate(d.source); err != nil {
-		return nil, err
-	}
-	return &a, nil
 }
 
 // Address is what agents and other entries are told.
@@ -187,5 +148,3 @@
 		v.wrong("bounds.remote_factor", "negative", "zero or more")
 	}
 }
-
-func valueOf(target any) reflect.Value { return reflect.ValueOf(target).Elem() }
--- a/node/settings/load.go
+++ b/node/settings/load.go
@@ -13,27 +13,49 @@
 const MaxFileBytes = 1 << 20
 
 // LoadEntry reads and checks the settings of an entry.
-func LoadEntry(path string) (*Entry, error) {
+func LoadEntry(path string) (*Entry, error) { return load(path, RoleEntry, DefaultEntry()) }
+
+// LoadAgent reads and checks the settings of an agent.
+func LoadAgent(path string) (*Agent, error) { return load(path, RoleAgent, DefaultAgent()) }
+
+// LoadLeasedEntry reads and checks the settings of an entry for leased workers.
+func LoadLeasedEntry(path string) (*LeasedEntry, error) {
+	return load(path, RoleLeasedEntry, DefaultLeasedEntry())
+}
+
+// LoadLeasedAgent reads and checks the settings of an agent beside a leased worker.
+func LoadLeasedAgent(path string) (*LeasedAgent, error) {
+	return load(path, RoleLeasedAgent, DefaultLeasedAgent())
+}
+
+// checked is a pointer to the settings of one role.
+type checked[T any] interface {
+	*T
+	validate(from source) error
+}
+
+// load reads a file of one role over its defaults.
+func load[T any, P checked[T]](path string, role Role, defaults T) (*T, error) {
 	text, err := read(path)
 	if err != nil {
 		return nil, err
 	}
-	if err := wantRole(path, text, RoleEntry); err != nil {
+	if err := wantRole(path, text, role); err != nil {
 		return nil, err
 	}
-	return parseEntry(path, text)
+	return parse[T, P](path, text, defaults)
 }
 
-// LoadAgent reads and checks the settings of an agent.
-func LoadAgent(path string) (*Agent, error) {
-	text, err := read(path)
+// parse reads text over the defaults and checks the whole.
+func parse[T any, P checked[T]](file string, text []byte, defaults T) (*T, error) {
+	d, err := decode(file, text, reflect.ValueOf(&defaults).Elem())
 	if err != nil {
 		return nil, err
 	}
-	if err := wantRole(path, text, RoleAgent); err != nil {
+	if err := P(&defaults).validate(d.source); err != nil {
 		return nil, err
 	}
-	return parseAgent(path, text)
+	return &defaults, nil
 }
 
 // Check reads a file of either role, checks it with the TLS files that it
@@ -49,20 +71,19 @@
 	}
 	switch role {
 	case RoleLeasedEntry:
-		_, err := parseLeasedEntry(path, text)
+		_, err := parse(path, text, DefaultLeasedEntry())
 		return role, err
 	case RoleLeasedAgent:
-		_, err := parseLeasedAgent(path, text)
+		_, err := parse(path, text, DefaultLeasedAgent())
 		return role, err
-	}
-	if role == RoleAgent {
-		agent, err := parseAgent(path, text)
+	case RoleAgent:
+		agent, err := parse(path, text, DefaultAgent())
 		if err != nil {
 			return role, err
 		}
 		return role, checkFiles(agent.TLS.Nodes, agent.TLS.Operators)
 	}
-	entry, err := parseEntry(path, text)
+	entry, err := parse(path, text, DefaultEntry())
 	if err != nil {
 		return role, err
 	}
@@ -94,30 +115,6 @@
 	return text, nil
 }
 
-func parseEntry(file string, text []byte) (*Entry, error) {
-	entry := DefaultEntry()
-	d, err := decode(file, text, reflect.ValueOf(&entry).Elem())
-	if err != nil {
-		return nil, err
-	}
-	if err := entry.validate(d.source); err != nil {
-		return nil, err
-	}
-	return &entry, nil
-}
-
-func parseAgent(file string, text []byte) (*Agent, error) {
-	agent := DefaultAgent()
-	d, err := decode(file, text, reflect.ValueOf(&agent).Elem())
-	if err != nil {
-		return nil, err
-	}
-	if err := agent.validate(d.source); err != nil {
-		return nil, err
-	}
-	return &agent, nil
-}
-
 // decode fills target. With wrong keys, ranges are not checked: the value that
 // stands under a misspelt key would be reported as missing as well.
 func decode(file string, text []byte, target reflect.Value) (*decoder, error) {
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -153,9 +153,9 @@
 	f.Add(`{"role": "entry", "tls": {"nodes": null}}`)
 	f.Add(`{"role": "agent", "join": [1, null, {}], "slots": 1e3,}`)
 	f.Fuzz(func(t *testing.T, text string) {
-		entry, err := parseEntry("f", []byte(text))
+		entry, err := parse("f", []byte(text), DefaultEntry())
 		checkParsed(t, err, func() error { return entry.Validate() })
-		agent, err := parseAgent("f", []byte(text))
+		agent, err := parse("f", []byte(text), DefaultAgent())
 		checkParsed(t, err, func() error { return agent.Validate() })
 	})
 }
