Logs: writes of whole lines, at most 4 KB each

Ten writes a second of up to 64 KB each: the collector kept the first 8 KB of each. Ruled out: the ring (it counts what it drops), the file (agents, who write less, lost nothing). The test failed first.

--- a/node/decisionlog/decisionlog.go
+++ b/node/decisionlog/decisionlog.go
@@ -30,12 +30,14 @@
 	routineShare = 0.75
 	// writeEvery gathers lines, so that they cost one write and one wake-up.
 	writeEvery = 100 * time.Millisecond
-	bufferSize = 64 << 10
+	// writeBytes bounds one write. A pipe takes so many bytes whole or not at all
+	// (PIPE_BUF); of longer writes collectors have been seen to keep the beginning.
+	writeBytes = 4096
 )
 
 // Log is the ring and its writer. Use New.
 type Log struct {
-	w       *bufio.Writer
+	w       *wholeLines
 	handler slog.Handler
 
 	mu      sync.Mutex
@@ -45,10 +47,23 @@
 
 // New returns a log that writes JSON lines with the attributes. Run writes them.
 func New(w io.Writer, attrs ...slog.Attr) *Log {
-	b := bufio.NewWriterSize(w, bufferSize)
+	b := &wholeLines{bufio.NewWriterSize(w, writeBytes)}
 	return &Log{w: b, handler: slog.NewJSONHandler(b, &slog.HandlerOptions{Level: slog.LevelDebug}).WithAttrs(attrs)}
 }
 
+// wholeLines gathers lines into writes that end with a line's end.
+type wholeLines struct{ *bufio.Writer }
+
+// Write takes one line.
+func (w *wholeLines) Write(line []byte) (int, error) {
+	if len(line) > w.Available() {
+		if err := w.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	return w.Writer.Write(line)
+}
+
 // Add puts a line into the ring. Routine lines give way to others. It never blocks.
 func (l *Log) Add(line Line, routine bool) {
 	l.mu.Lock()
--- a/node/decisionlog/decisionlog_test.go
+++ b/node/decisionlog/decisionlog_test.go
@@ -62,3 +62,33 @@
 		}
 	}
 }
+
+// writes keeps each write by itself.
+type writes struct{ all [][]byte }
+
+func (w *writes) Write(b []byte) (int, error) {
+	w.all = append(w.all, append([]byte(nil), b...))
+	return len(b), nil
+}
+
+// A busy entry has a hundred lines to write at once. A collector that keeps the first
+// few kilobytes of each write must not lose the rest, nor half a line: whoever looks
+// for a failed request would find nothing of it.
+func TestWritesAreShortAndEndWithALine(t *testing.T) {
+	w := &writes{}
+	l := New(w)
+	for i := range 100 {
+		l.Add(Line{Event: "run_ended", Attrs: []slog.Attr{slog.String("job", strings.Repeat("x", 100+i))}}, true)
+	}
+	l.flush()
+	lines := 0
+	for _, b := range w.all {
+		if len(b) > 4096 || b[len(b)-1] != '\n' {
+			t.Errorf("a write of %d bytes that ends with %q", len(b), b[len(b)-1])
+		}
+		lines += bytes.Count(b, []byte("\n"))
+	}
+	if lines != 100 {
+		t.Errorf("%d lines, want 100", lines)
+	}
+}
