Each entry chooses among its part of the workers

Now an entry looks at as many fit workers as there are for each entry, from where it stopped before.

--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -139,16 +139,21 @@
 }
 
 const (
-	// scanLimit bounds the agents looked at for one task. A rotating start gives
-	// each its turn in larger fleets.
-	scanLimit = 64
+	// minChoice is the least number of workers that a task is offered where so many
+	// can start it in time.
+	minChoice = 3
 	// collisionCost is how much later a task is taken to start on a worker without
 	// free room than on an idle one: other entries may have filled it since.
 	collisionCost = 8 * time.Millisecond
 )
 
-// pick chooses the worker where a task is expected to end first, among those that
-// are expected to start it in the time that it may wait. Nil: none.
+// pick chooses the worker where a task is expected to end first, among the next few
+// that are expected to start it in the time that it may wait. Nil: none.
+//
+// It must not be the best of all: entries get the same reports, up to a tenth of a
+// second old, and would all choose the same worker in that time, which then refuses
+// most of what it is sent. So each looks at its part of the workers, from where it
+// stopped before, and at more only while too few of them are fit.
 func (d *Dispatcher) pick(now time.Time, t *task, s *step) (best *agent, bestWait time.Duration) {
 	var bestScore float64
 	n := len(d.agents)
@@ -156,9 +161,10 @@
 		return nil, 0
 	}
 	limit := d.mayWait(now, t.job)
-	d.cursor = (d.cursor + 1) % n
-	for i := range min(n, scanLimit) {
-		a := d.agents[(d.cursor+i)%n]
+	left := max(minChoice, n/max(1, len(d.entries)))
+	for range n {
+		d.cursor = (d.cursor + 1) % n
+		a := d.agents[d.cursor]
 		if !d.mayRun(now, a, t, s) {
 			continue
 		}
@@ -169,6 +175,13 @@
 		if score := float64(wait) + d.score(a, t, s); best == nil || score < bestScore {
 			best, bestScore, bestWait = a, score, wait
 		}
+		if s.Rack == "" || a.hasLabel(s.Rack) {
+			// Others are far from the task's data, and count only if there is no other.
+			left--
+		}
+		if left == 0 {
+			break
+		}
 	}
 	return best, bestWait
 }
