Queues at workers by the latest start for the objective; waits lengthened by more urgent work

Orders now say by when a task must start for its job's objective (each step by its own rest), and an entry lengthens expected waits by the share of more urgent work among what it placed in the last two seconds.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -216,8 +216,9 @@
 	t.job.ordered = true
 	a.out.Orders = append(a.out.Orders, &pb.Order{
 		Number: o.number, Task: t.name(), Run: o.run, Payload: t.job.Payload, Size: s.Size.Message(),
-		Priority: t.job.queue.Priority, WaitMs: uint32(d.mayWait(now, t.job).Milliseconds()),
+		Priority: t.job.queue.Priority, WaitMs: uint32(d.mayWait(now, t).Milliseconds()),
 		ExpectedMs: uint32(s.expect.Milliseconds()), LimitMs: uint32(max(0, t.job.deadline.Sub(now).Milliseconds())),
+		StartByMs: int32(t.startBy().Sub(now).Milliseconds()),
 	})
 	a.dirty = true
 	d.touch(a)
@@ -231,12 +232,13 @@
 	})
 }
 
-// mayWait is how long a task may wait for room: a job that nothing has started of,
+// mayWait is how long a task may wait for room: of a job that nothing has started of,
 // as long as it may wait at all; otherwise until the task must start, and a little
 // longer, since an answer that comes late is worth more than none.
-func (d *Dispatcher) mayWait(now time.Time, j *job) time.Duration {
+func (d *Dispatcher) mayWait(now time.Time, t *task) time.Duration {
+	j := t.job
 	if j.started || j.hasOrders() {
-		return max(j.startBy.Sub(now), lateWait)
+		return max(t.startBy().Sub(now), lateWait)
 	}
 	return max(0, j.holdEnd.Sub(now))
 }
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -56,8 +56,10 @@
 	arrived  time.Time
 	holdEnd  time.Time // refused when nothing has been sent by then
 	deadline time.Time
-	// startBy is when its longest chain must begin to end by the deadline.
-	startBy time.Time
+	// objective is when it should have ended, and startBy when its longest chain must
+	// begin for that.
+	objective time.Time
+	startBy   time.Time
 	// longest is the expected time of its longest chain.
 	longest time.Duration
 	dueAt   time.Time
@@ -84,6 +86,7 @@
 	open    int
 	blocked int // steps that it waits for
 	expect  time.Duration
+	tail    time.Duration // expected time of the longest chain that begins with it
 	// observed is the shortest run of a task of the step; zero: none has ended.
 	observed time.Duration
 }
@@ -125,7 +128,8 @@
 	j.holdEnd = now.Add(time.Duration(holdPart * float64(objective)))
 	j.deadline = now.Add(limit)
 	d.cutShort(j)
-	j.startBy = now.Add(objective - longest)
+	j.objective = now.Add(objective)
+	j.startBy = j.objective.Add(-longest)
 	j.before = d.ending[idKey(in.Queue.Name, in.ID)]
 	a := d.refusal(now, j, longest)
 	var chosen []placement
@@ -165,9 +169,19 @@
 		ends[i] += j.steps[i].expect
 		longest = max(longest, ends[i])
 	}
+	for i := len(j.steps) - 1; i >= 0; i-- {
+		s := &j.steps[i]
+		s.tail += s.expect
+		for _, before := range s.After {
+			j.steps[before].tail = max(j.steps[before].tail, s.tail)
+		}
+	}
 	return longest
 }
 
+// startBy is when a task must start for its job to end within its objective.
+func (t *task) startBy() time.Time { return t.job.objective.Add(-t.job.steps[t.step].tail) }
+
 func (d *Dispatcher) refusal(now time.Time, j *job, longest time.Duration) *Answer {
 	refuse := func(reason string, permanent bool, retry time.Duration) *Answer {
 		return &Answer{Outcome: NotRun, Reason: reason, Permanent: permanent, RetryAfter: retry}
--- /dev/null
+++ b/dispatch/dispatcher/mix.go
@@ -0,0 +1,72 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/size"
+)
+
+// mix measures how the work placed lately divides among urgencies.
+type mix struct {
+	buckets [mixBuckets][]workOf
+	at      int64 // bucket of the last addition
+}
+
+// workOf is the work of one urgency; a bucket has few, so a list serves, and sums
+// come out the same each time.
+type workOf struct {
+	priority uint32
+	work     float64
+}
+
+const (
+	// mixBuckets and mixBucket span two seconds: enough for some jobs of a seldom
+	// queue, little against how long a load lasts.
+	mixBuckets = 20
+	mixBucket  = 100 * time.Millisecond
+	// maxPassed bounds how much longer than its queue a task is expected to wait.
+	maxPassed = 10
+)
+
+func (m *mix) advance(now time.Time) {
+	at := now.UnixNano() / int64(mixBucket)
+	for i := range min(at-m.at, mixBuckets) {
+		b := &m.buckets[(at-i)%mixBuckets]
+		*b = (*b)[:0]
+	}
+	m.at = at
+}
+
+func (m *mix) add(now time.Time, priority uint32, s size.Size, run time.Duration) {
+	m.advance(now)
+	b := &m.buckets[m.at%mixBuckets]
+	i := slices.IndexFunc(*b, func(w workOf) bool { return w.priority == priority })
+	if i < 0 {
+		i = len(*b)
+		*b = append(*b, workOf{priority: priority})
+	}
+	(*b)[i].work += work(s, run)
+}
+
+// passedBy is how many times longer than the work ahead of it a task waits, because
+// more urgent work goes on arriving and passes it: of the room that comes free, only
+// what the more urgent leave is for it and those like it. What goes wrong without it:
+// at a load near the capacity, jobs of a less urgent queue are taken on the sight of a
+// short queue, wait a few times as long, and end late one and all.
+func (m *mix) passedBy(now time.Time, priority uint32) float64 {
+	m.advance(now)
+	var urgent, all float64
+	for _, b := range m.buckets {
+		for _, w := range b {
+			all += w.work
+			if w.priority < priority {
+				urgent += w.work
+			}
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return min(all/max(all-urgent, all/maxPassed), maxPassed)
+}
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -15,6 +15,7 @@
 type waitlist struct {
 	jobs  []*job
 	drain drainRate
+	mix   mix
 	eager bool // agents were told that work waits
 }
 
@@ -133,7 +134,9 @@
 
 func (d *Dispatcher) sendChosen(now time.Time, chosen []placement) {
 	for _, p := range chosen {
-		d.waitlist(p.task.job.queue.Service).drain.add(now, p.step.Size, p.step.expect)
+		w := d.waitlist(p.task.job.queue.Service)
+		w.drain.add(now, p.step.Size, p.step.expect)
+		w.mix.add(now, p.task.job.queue.Priority, p.step.Size, p.step.expect)
 		d.send(now, p.agent, p.task, p.step, p.wait)
 	}
 }
@@ -160,7 +163,8 @@
 	if n == 0 {
 		return nil, 0
 	}
-	limit := d.mayWait(now, t.job)
+	limit := d.mayWait(now, t)
+	passed := d.waitlist(t.job.queue.Service).mix.passedBy(now, t.job.queue.Priority)
 	left := max(minChoice, n/max(1, len(d.entries)))
 	for range n {
 		d.cursor = (d.cursor + 1) % n
@@ -169,7 +173,7 @@
 			continue
 		}
 		wait := a.wait(now, s.Size, t.job.queue.Priority)
-		if wait > limit {
+		if time.Duration(passed*float64(wait)) > limit {
 			continue
 		}
 		if score := float64(wait) + d.score(a, t, s); best == nil || score < bestScore {
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -214,6 +214,7 @@
 		entry:    e, order: o.Number, arrived: now, wanted: true,
 		waitEnd: now.Add(time.Duration(o.WaitMs) * time.Millisecond),
 		limit:   now.Add(time.Duration(o.LimitMs) * time.Millisecond),
+		startBy: now.Add(time.Duration(o.StartByMs) * time.Millisecond),
 	}
 	if reason := r.refuse(now, x, late); reason != "" {
 		e.tell(&pb.OrderNews{Number: o.Number, State: pb.OrderState_ORDER_STATE_REFUSED, Reason: reason})
@@ -271,12 +272,12 @@
 }
 
 // goesBefore orders what waits: by urgency, then by the time by which it must start
-// to end in its job's time.
+// for its job to end within its objective.
 func goesBefore(a, b *run) bool {
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
-	return a.limit.Add(-a.expected).Before(b.limit.Add(-b.expected))
+	return a.startBy.Before(b.startBy)
 }
 
 func (r *Runner) enqueue(x *run) {
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -418,6 +418,24 @@
 	}
 }
 
+// Two jobs of a queue wait. The one that came later has the shorter task and so must
+// start later; by how long their callers wait it would go first and make the other one
+// late.
+func TestOrderThatMustStartSoonerGoesFirst(t *testing.T) {
+	b := newBed(t, "e1")
+	b.begin("e1", "t0", 4000, expected(50))
+	startBy := func(ms int32) orderOption { return func(o *pb.Order) { o.StartByMs = ms } }
+	limit := func(ms uint32) orderOption { return func(o *pb.Order) { o.LimitMs = ms } }
+	b.order("e1", "later", 4000, waits(500), startBy(90), limit(1000))
+	b.order("e1", "sooner", 4000, waits(500), startBy(60), limit(9000))
+	b.wait(10 * time.Millisecond)
+	b.endNo++
+	b.look(End{Number: b.endNo, Task: "t0", Run: 1, How: EndedDone})
+	if got := b.started(); len(got) != 1 || got[0] != "sooner/1" {
+		t.Errorf("started %v, want the one that must start sooner", got)
+	}
+}
+
 // A task stands still on a sick worker. Its progress shows it after one look, long
 // before its time is over.
 func TestStandstillIsReported(t *testing.T) {
