--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -57,8 +57,9 @@
 	queue    string
 	body     []byte
 	tasks    int
-	deadline time.Time
-	sent     time.Duration
+	patience time.Duration
+	deadline time.Time     // of the whole call
+	sent     time.Duration // for the first time
 	client   *http.Client
 	first    int // entry of the first try
 }
@@ -90,8 +91,8 @@
 		k.queue = droppable
 	}
 	spec := specification{Job: k.id, CPU: 200 + r.Int64N(workerCPU/4), Millis: int(length.Milliseconds()), Fails: r.IntN(40) == 0}
-	limit := leastPatience + 3*length + time.Duration(r.Int64N(int64(longRun)))
-	k.client, k.deadline = x.clients[r.IntN(clients)], time.Time{}.Add(limit)
+	k.patience = leastPatience + 3*length + time.Duration(r.Int64N(int64(longRun)))
+	k.client = x.clients[r.IntN(clients)]
 	k.body, _ = json.Marshal(map[string]any{
 		"specification": spec.text(), "best_effort": true,
 		"steps": []map[string]any{{"count": k.tasks, "cpu": spec.CPU, "task_memory_mb": 10, "estimated_ms": length.Milliseconds()}},
@@ -101,8 +102,7 @@
 
 // send tries until there is an answer, or no time.
 func (x *callers) send(k *call) {
-	k.sent = x.c.since()
-	k.deadline = time.Now().Add(k.deadline.Sub(time.Time{}))
+	k.sent, k.deadline = x.c.since(), time.Now().Add(k.patience)
 	ctx, cancel := context.WithDeadline(context.Background(), k.deadline)
 	defer cancel()
 	x.count(k, x.tries(ctx, k))
--- a/cmd/internal/soak/schedule.go
+++ b/cmd/internal/soak/schedule.go
@@ -67,14 +67,16 @@
 
 // Paths.
 const (
-	CallersToEntry  Path = "callers_entry"
-	NodesToEntry    Path = "nodes_entry"
-	ProcessToStore  Path = "process_store"
-	AgentToWorker   Path = "agent_worker"
-	WorkerToAgent   Path = "worker_agent"
-	storeFaultCount      = 3
+	CallersToEntry Path = "callers_entry"
+	NodesToEntry   Path = "nodes_entry"
+	ProcessToStore Path = "process_store"
+	AgentToWorker  Path = "agent_worker"
+	WorkerToAgent  Path = "worker_agent"
 )
 
+// storeFaults is how many ways to fail the stand-in of the store has.
+const storeFaults = 3
+
 // Action is one thing that goes wrong, or that an operator does.
 type Action struct {
 	At   time.Duration `json:"at"`
@@ -243,7 +245,7 @@
 			a.Process = p.rand.IntN(p.size.Entries)
 		}
 	case StoreFails:
-		a.Arg = 1 + p.rand.IntN(storeFaultCount)
+		a.Arg = 1 + p.rand.IntN(storeFaults)
 	}
 }
 
