One heap for what is due, one ring for what was placed

Read once more: the queue of jobs that are due, the agents by when time matters next, and the old entry's deadlines each had a container/heap of their own, of the same twenty lines, while dispatch/place has a heap whose items know their places. That one is now dispatch/internal/indexheap and serves all five. The two meters of work placed lately share how their buckets turn over. agent.followed is agent.afterOther.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
@@ -44,12 +43,19 @@
 	eager       bool // it was told that work waits
 	tellEntries bool
 
-	touched  bool // since the last call of Ready
-	wakeAt   time.Time
-	wakePos  int  // in Dispatcher.wakes
-	followed bool // an earlier process of the same agent is listed
+	touched bool // since the last call of Ready
+	wakeAt  time.Time
+	wakePos int // in Dispatcher.wakes
+	// afterOther: an earlier process of the same agent is listed.
+	afterOther bool
 }
 
+// Before implements indexheap.Item: the agent for which time matters next goes first.
+func (a *agent) Before(o *agent) bool { return a.wakeAt.Before(o.wakeAt) }
+
+// SetPos implements indexheap.Item.
+func (a *agent) SetPos(pos int) { a.wakePos = pos }
+
 // order is one run of a task given to an agent.
 type order struct {
 	number uint64
@@ -151,9 +157,9 @@
 // tickAgents takes in the passing of time for the agents for which it matters.
 func (d *Dispatcher) tickAgents(now time.Time) {
 	d.dropUnconfirmed(now)
-	for len(d.wakes) > 0 && !now.Before(d.wakes[0].wakeAt) {
-		a := d.wakes[0]
-		heap.Remove(&d.wakes, 0) // until Ready
+	for d.wakes.Len() > 0 && !now.Before(d.wakes.First().wakeAt) {
+		a := d.wakes.First()
+		d.wakes.Remove(a.wakePos) // until Ready
 		d.touch(a)
 		d.tickAgent(now, a)
 	}
@@ -325,7 +331,7 @@
 	a.state, a.stateAt, a.capacity = s, now, size.Of(s.Capacity)
 	a.renewFree()
 	d.updateStanding(now, a)
-	if s.Clean && a.followed {
+	if s.Clean && a.afterOther {
 		d.settlePredecessors(now, a)
 	}
 }
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/health"
+	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
@@ -149,18 +149,18 @@
 
 	agents        []*agent // in order of arrival
 	byIncarnation map[string]*agent
-	touched       []*agent            // since the last call of Ready
-	wakes         wakeHeap            // the agents that are not touched
-	greeted       map[string]greeting // links that their agents have not taken, by incarnation
-	entries       []string            // addresses of living entries, for agents
+	touched       []*agent               // since the last call of Ready
+	wakes         indexheap.Heap[*agent] // the agents that are not touched
+	greeted       map[string]greeting    // links that their agents have not taken, by incarnation
+	entries       []string               // addresses of living entries, for agents
 	cursor        int
 
 	number  uint64 // of the last job
 	orderNo uint64
 	jobs    map[uint64]*job
-	byID    map[string]*job // by queue and id
-	ending  map[string]*job // ended, with runs that have not; by queue and id
-	due     dueHeap
+	byID    map[string]*job      // by queue and id
+	ending  map[string]*job      // ended, with runs that have not; by queue and id
+	due     indexheap.Heap[*job] // those without an answer, by when they are due
 	waits   map[string]*waitlist // by service
 	learned map[string]*learned  // by queue
 	config  *pb.Configuration
@@ -255,8 +255,8 @@
 	if !d.dueAt.IsZero() && !now.Before(d.dueAt) {
 		d.lag.take(now, now.Sub(d.dueAt))
 	}
-	for len(d.due) > 0 && !now.Before(d.due[0].dueAt) {
-		d.jobDue(now, d.due[0])
+	for d.due.Len() > 0 && !now.Before(d.due.First().dueAt) {
+		d.jobDue(now, d.due.First())
 	}
 	d.tickAgents(now)
 }
@@ -264,12 +264,12 @@
 // Next is when Tick is due; zero: not before the next input.
 func (d *Dispatcher) Next() time.Time {
 	var next time.Time
-	if len(d.due) > 0 {
-		next = d.due[0].dueAt
+	if d.due.Len() > 0 {
+		next = d.due.First().dueAt
 	}
 	next = link.Earlier(next, d.nextUnconfirmed())
-	if len(d.wakes) > 0 {
-		next = link.Earlier(next, d.wakes[0].wakeAt)
+	if d.wakes.Len() > 0 {
+		next = link.Earlier(next, d.wakes.First().wakeAt)
 	}
 	// A tick at least this often shows whether the process keeps up.
 	if len(d.jobs) > 0 {
@@ -285,8 +285,8 @@
 // Ready returns what has to be done since the last call.
 func (d *Dispatcher) Ready(now time.Time) Ready {
 	d.readyAt = now
-	for len(d.due) > 0 && !now.Before(d.due[0].dueAt) {
-		d.jobDue(now, d.due[0])
+	for d.due.Len() > 0 && !now.Before(d.due.First().dueAt) {
+		d.jobDue(now, d.due.First())
 	}
 	d.place(now)
 	d.tellEager()
@@ -295,30 +295,3 @@
 	d.ready = Ready{}
 	return r
 }
-
-// dueHeap holds the jobs without an answer, the one with the next deadline first.
-type dueHeap []*job
-
-func (h dueHeap) Len() int           { return len(h) }
-func (h dueHeap) Less(i, j int) bool { return h[i].dueAt.Before(h[j].dueAt) }
-func (h dueHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapPos, h[j].heapPos = i, j
-}
-
-// Push implements heap.Interface.
-func (h *dueHeap) Push(x any) {
-	j := x.(*job)
-	j.heapPos = len(*h)
-	*h = append(*h, j)
-}
-
-// Pop implements heap.Interface.
-func (h *dueHeap) Pop() any {
-	old := *h
-	j := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return j
-}
-
-var _ heap.Interface = (*dueHeap)(nil)
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -1,10 +1,10 @@
 package dispatcher
 
 import (
-	"container/heap"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 )
 
@@ -70,11 +70,11 @@
 		return // removed
 	}
 	a.wakeAt = d.nextAgent(a)
-	if a.wakePos < 0 {
-		heap.Push(&d.wakes, a)
+	if a.wakePos == indexheap.Absent {
+		d.wakes.Push(a)
 		return
 	}
-	heap.Fix(&d.wakes, a.wakePos)
+	d.wakes.Fix(a.wakePos)
 }
 
 func (d *Dispatcher) nextAgent(a *agent) time.Time {
@@ -120,31 +120,3 @@
 	a.dirty, a.tellEntries, a.eager, a.lastSent = false, false, eager, now
 	d.ready.Frames = append(d.ready.Frames, Out{Agent: a.incarnation, Epoch: a.session.Epoch(), Frame: f})
 }
-
-// wakeHeap holds the agents, the one for which time matters next first.
-type wakeHeap []*agent
-
-func (h wakeHeap) Len() int           { return len(h) }
-func (h wakeHeap) Less(i, j int) bool { return h[i].wakeAt.Before(h[j].wakeAt) }
-func (h wakeHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].wakePos, h[j].wakePos = i, j
-}
-
-// Push implements heap.Interface.
-func (h *wakeHeap) Push(x any) {
-	a := x.(*agent)
-	a.wakePos = len(*h)
-	*h = append(*h, a)
-}
-
-// Pop implements heap.Interface.
-func (h *wakeHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	a.wakePos = -1
-	*h = old[:len(old)-1]
-	return a
-}
-
-var _ heap.Interface = (*wakeHeap)(nil)
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"strconv"
 	"time"
@@ -81,6 +80,12 @@
 	highestRun uint32
 }
 
+// Before implements indexheap.Item: the job that is due next goes first.
+func (j *job) Before(o *job) bool { return j.dueAt.Before(o.dueAt) }
+
+// SetPos implements indexheap.Item.
+func (j *job) SetPos(pos int) { j.heapPos = pos }
+
 type step struct {
 	Step
 	open    int
@@ -147,7 +152,7 @@
 	d.jobs[j.number] = j
 	d.byID[idKey(in.Queue.Name, in.ID)] = j
 	j.dueAt = j.holdEnd
-	heap.Push(&d.due, j)
+	d.due.Push(j)
 	d.sendChosen(now, chosen)
 	d.list(j)
 	return j.number, nil
@@ -289,7 +294,7 @@
 
 func (d *Dispatcher) setDue(j *job, at time.Time) {
 	j.dueAt = at
-	heap.Fix(&d.due, j.heapPos)
+	d.due.Fix(j.heapPos)
 }
 
 // giveUp ends a job that can't be completed. "Not run" is said when no order is
@@ -341,7 +346,7 @@
 	if j.before != nil && j.before.next == j {
 		j.before.next = nil
 	}
-	heap.Remove(&d.due, j.heapPos)
+	d.due.Remove(j.heapPos)
 	delete(d.jobs, j.number)
 	if key := idKey(j.queue.Name, j.ID); d.byID[key] == j {
 		delete(d.byID, key)
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -1,12 +1,12 @@
 package dispatcher
 
 import (
-	"container/heap"
 	"maps"
 	"slices"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 )
 
@@ -53,10 +53,10 @@
 			return
 		}
 	}
-	followed := false
+	afterOther := false
 	for _, old := range d.agents {
 		if old.name == g.Agent && old.incarnation != g.Incarnation {
-			followed = true
+			afterOther = true
 			if !old.replaced {
 				d.replaced(now, old)
 			}
@@ -64,13 +64,13 @@
 	}
 	a := d.agent(g.Incarnation)
 	if a == nil {
-		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1, wakePos: -1}
+		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1, wakePos: indexheap.Absent}
 		d.agents = append(d.agents, a)
 		d.byIncarnation[a.incarnation] = a
 		d.health.Add(a.incarnation)
 	}
 	a.session.Up(now, g.Epoch, d.opts.Link)
-	a.lastSent, a.gaveUp, a.greetedAt, a.followed = now, false, g.at, followed
+	a.lastSent, a.gaveUp, a.greetedAt, a.afterOther = now, false, g.at, afterOther
 	a.out = pb.OrderFrame{}
 	a.tellEntries, a.dirty, a.eager = true, true, false
 	d.touch(a)
@@ -133,7 +133,7 @@
 // settlePredecessors takes in that nothing is left of what an agent's earlier
 // processes started.
 func (d *Dispatcher) settlePredecessors(now time.Time, a *agent) {
-	a.followed = false
+	a.afterOther = false
 	for _, old := range slices.Clone(d.agents) {
 		if old.name == a.name && old.replaced {
 			d.lost(now, old, "the agent was restarted")
@@ -146,8 +146,8 @@
 	d.health.Remove(a.incarnation)
 	d.agents = slices.DeleteFunc(d.agents, func(x *agent) bool { return x == a })
 	delete(d.byIncarnation, a.incarnation)
-	if a.wakePos >= 0 {
-		heap.Remove(&d.wakes, a.wakePos)
+	if a.wakePos != indexheap.Absent {
+		d.wakes.Remove(a.wakePos)
 	}
 }
 
--- a/dispatch/dispatcher/mix.go
+++ b/dispatch/dispatcher/mix.go
@@ -30,12 +30,7 @@
 )
 
 func (m *mix) advance(now time.Time) {
-	at := now.UnixNano() / int64(mixBucket)
-	for i := range min(at-m.at, mixBuckets) {
-		b := &m.buckets[(at-i)%mixBuckets]
-		*b = (*b)[:0]
-	}
-	m.at = at
+	m.at = turnOver(m.buckets[:], m.at, now, mixBucket, func(b *[]workOf) { *b = (*b)[:0] })
 }
 
 func (m *mix) add(now time.Time, priority uint32, s size.Size, run time.Duration) {
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -251,12 +251,18 @@
 // work is a task's processor time in thousandths of a core times seconds.
 func work(s size.Size, run time.Duration) float64 { return float64(s.CPUMillis) * run.Seconds() }
 
-func (r *drainRate) advance(now time.Time) {
-	at := now.UnixNano() / int64(drainBucket)
-	for i := range min(at-r.at, drainBuckets) {
-		r.buckets[(at-i)%drainBuckets] = 0
+// turnOver clears the buckets of a ring that time has passed since the last addition,
+// and returns the bucket of now.
+func turnOver[T any](buckets []T, last int64, now time.Time, width time.Duration, clear func(*T)) int64 {
+	at, n := now.UnixNano()/int64(width), int64(len(buckets))
+	for i := range min(at-last, n) {
+		clear(&buckets[(at-i)%n])
 	}
-	r.at = at
+	return at
+}
+
+func (r *drainRate) advance(now time.Time) {
+	r.at = turnOver(r.buckets[:], r.at, now, drainBucket, func(b *float64) { *b = 0 })
 }
 
 func (r *drainRate) add(now time.Time, s size.Size, run time.Duration) {
--- a/dispatch/entry/entry.go
+++ b/dispatch/entry/entry.go
@@ -7,6 +7,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/door"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/place"
@@ -176,9 +177,9 @@
 	past   map[string][]string // ended incarnations by name, oldest first
 	epoch  uint64              // of the last link asked for
 
-	jobs        map[string]*jobState // by job.Name
-	deadlines   deadlineHeap
-	ended       []*jobState // answered jobs, oldest first
+	jobs        map[string]*jobState      // by job.Name
+	deadlines   indexheap.Heap[*jobState] // jobs without an answer
+	ended       []*jobState               // answered jobs, oldest first
 	answerBytes int
 	spent       *spent
 	door        *door.Door
@@ -216,7 +217,7 @@
 // Leave stops the entry from taking new jobs; those it has go on.
 func (e *Entry) Leave(now time.Time) {
 	e.leaving = true
-	e.record(now, event.DrainBegun, "", "", "no new jobs", len(e.deadlines))
+	e.record(now, event.DrainBegun, "", "", "no new jobs", e.deadlines.Len())
 	for _, a := range e.agents {
 		a.dirty = a.session.IsUp()
 	}
@@ -245,7 +246,7 @@
 
 // Drained reports whether every job has its answer.
 func (e *Entry) Drained() bool {
-	return len(e.deadlines) == 0 && len(e.recoveries) == len(e.recovered)
+	return e.deadlines.Len() == 0 && len(e.recoveries) == len(e.recovered)
 }
 
 // Tick takes in the passing of time; call it no later than Next says.
@@ -263,8 +264,8 @@
 // Next is when Tick is due; zero: not before the next input.
 func (e *Entry) Next() time.Time {
 	var next time.Time
-	if len(e.deadlines) > 0 {
-		next = e.deadlines[0].deadline
+	if e.deadlines.Len() > 0 {
+		next = e.deadlines.First().deadline
 	}
 	next = link.Earlier(next, e.nextCheck())
 	for _, r := range e.recoveries {
--- a/dispatch/entry/job.go
+++ b/dispatch/entry/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"encoding/binary"
 	"time"
 
@@ -164,7 +163,7 @@
 		return nil, refuse(j.Id, jobs.CodeUnknownContract, "no such contract", 0)
 	case len(j.Tasks) == 0 || len(j.Tasks) > jobs.MaxTasks:
 		return nil, refuse(j.Id, jobs.CodeBadRequest, "a job has 1 to 160 tasks", 0)
-	case len(e.deadlines) >= e.opts.MaxJobs:
+	case e.deadlines.Len() >= e.opts.MaxJobs:
 		return nil, refuse(j.Id, jobs.CodeOverloaded, "the entry holds as many jobs as it can", time.Second)
 	}
 	j.TimeoutMs = cmp.Or(j.TimeoutMs, c.DefaultTimeoutMs)
@@ -194,7 +193,7 @@
 	}
 	e.policy.sched.Push(queued)
 	e.jobs[name] = js
-	heap.Push(&e.deadlines, js)
+	e.deadlines.Push(js)
 }
 
 // Fetch returns the answer of a job, or that it is known and runs.
@@ -220,8 +219,8 @@
 }
 
 func (e *Entry) expireJobs(now time.Time) {
-	for len(e.deadlines) > 0 && !now.Before(e.deadlines[0].deadline) {
-		js := e.deadlines[0]
+	for e.deadlines.Len() > 0 && !now.Before(e.deadlines.First().deadline) {
+		js := e.deadlines.First()
 		if js.ending != nil {
 			e.answerEnded(now, js)
 			continue
@@ -245,7 +244,7 @@
 		return
 	}
 	js.deadline = now.Add(e.opts.RevokeWait)
-	heap.Fix(&e.deadlines, js.heapPos)
+	e.deadlines.Fix(js.heapPos)
 }
 
 // answerEnded answers a job that is ending with what is proven by now.
@@ -302,7 +301,7 @@
 		js.size += len(r.Body)
 	}
 	e.answerBytes += js.size
-	heap.Remove(&e.deadlines, js.heapPos)
+	e.deadlines.Remove(js.heapPos)
 	e.ended = append(e.ended, js)
 	e.ready.Answers = append(e.ready.Answers, Ended{Contract: js.job.Contract, Answer: a})
 }
@@ -460,27 +459,8 @@
 	return otherJob(id, jobs.CodeConflict, "the id was used for another body, of which nothing was started")
 }
 
-// deadlineHeap holds the jobs without an answer, the next deadline first.
-type deadlineHeap []*jobState
+// Before implements indexheap.Item: the next deadline first.
+func (js *jobState) Before(o *jobState) bool { return js.deadline.Before(o.deadline) }
 
-func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool { return h[i].deadline.Before(h[j].deadline) }
-func (h deadlineHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapPos, h[j].heapPos = i, j
-}
-
-// Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) {
-	js := x.(*jobState)
-	js.heapPos = len(*h)
-	*h = append(*h, js)
-}
-
-// Pop implements heap.Interface.
-func (h *deadlineHeap) Pop() any {
-	old := *h
-	js := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return js
-}
+// SetPos implements indexheap.Item.
+func (js *jobState) SetPos(pos int) { js.heapPos = pos }
--- a/dispatch/entry/status.go
+++ b/dispatch/entry/status.go
@@ -20,7 +20,7 @@
 
 // Counts returns the sums of now; its cost grows with the number of agents.
 func (e *Entry) Counts() Counts {
-	c := Counts{Jobs: len(e.deadlines) + len(e.recoveries) - len(e.recovered), Waiting: e.policy.sched.Waiting(), Credits: e.policy.sched.Pool.Credits()}
+	c := Counts{Jobs: e.deadlines.Len() + len(e.recoveries) - len(e.recovered), Waiting: e.policy.sched.Waiting(), Credits: e.policy.sched.Pool.Credits()}
 	for _, a := range e.agents {
 		switch {
 		case a.session.IsUp():
--- a/dispatch/place/bound.go
+++ b/dispatch/place/bound.go
@@ -76,8 +76,8 @@
 	var jobs []*Job
 	for _, name := range slices.Sorted(maps.Keys(q.flows)) {
 		f := q.flows[name]
-		for f.jobs.len() > 0 {
-			j := f.jobs.items[0]
+		for f.jobs.Len() > 0 {
+			j := f.jobs.First()
 			tasks := q.Remove(j)
 			if j.whole != nil {
 				j = j.whole
--- a/dispatch/place/place_test.go
+++ b/dispatch/place/place_test.go
@@ -139,7 +139,7 @@
 	q.Push(job("started", "bulk", 2, time.Millisecond))
 	q.Push(job("old", "bulk", 1, time.Millisecond))
 	q.Push(job("new", "bulk", 1, time.Millisecond))
-	q.Take(q.flows["bulk"].jobs.items[0], 1)
+	q.Take(q.flows["bulk"].jobs.First(), 1)
 	var shed []string
 	for v := q.Victim(Urgent); v != nil; v = q.Victim(Urgent) {
 		shed = append(shed, v.ID)
--- a/dispatch/place/pool.go
+++ b/dispatch/place/pool.go
@@ -18,6 +18,9 @@
 	Suspended
 )
 
+// notReady is the place of an agent that is not among the ready ones.
+const notReady = -1
+
 // Agent is what an entry knows of one agent when it places a task. The exported
 // fields are set through [Pool.Update].
 type Agent struct {
@@ -186,7 +189,7 @@
 func (p *Pool) Update(info Agent) *Agent {
 	a := p.agents[info.ID]
 	if a == nil {
-		a = &Agent{ID: info.ID, readyPos: absent}
+		a = &Agent{ID: info.ID, readyPos: notReady}
 		p.agents[info.ID] = a
 		p.all = append(p.all, a)
 	}
@@ -285,14 +288,14 @@
 func (p *Pool) refresh(a *Agent) {
 	usable := a.usable() > 0
 	switch {
-	case usable && a.readyPos == absent:
+	case usable && a.readyPos == notReady:
 		a.readyPos = len(p.ready)
 		p.ready = append(p.ready, a)
-	case !usable && a.readyPos != absent:
+	case !usable && a.readyPos != notReady:
 		last := p.ready[len(p.ready)-1]
 		p.ready[a.readyPos] = last
 		last.readyPos = a.readyPos
 		p.ready = p.ready[:len(p.ready)-1]
-		a.readyPos = absent
+		a.readyPos = notReady
 	}
 }
--- a/dispatch/place/queue.go
+++ b/dispatch/place/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 )
 
 // Class orders contracts; the lower value goes first.
@@ -104,14 +106,16 @@
 	return due
 }
 
-func (j *Job) before(o *Job) bool {
+// Before implements indexheap.Item: by when the answer is due.
+func (j *Job) Before(o *Job) bool {
 	if !j.Due.Equal(o.Due) {
 		return j.Due.Before(o.Due)
 	}
 	return j.seq < o.seq
 }
 
-func (j *Job) setPos(pos int) { j.pos = pos }
+// SetPos implements indexheap.Item.
+func (j *Job) SetPos(pos int) { j.pos = pos }
 
 func (j *Job) cost() time.Duration {
 	var sum time.Duration
@@ -129,8 +133,11 @@
 // is shed first, since its caller has most time to try again.
 type shedJob struct{ *Job }
 
-func (s shedJob) before(o shedJob) bool { return o.Job.before(s.Job) }
-func (s shedJob) setPos(pos int)        { s.shedPos = pos }
+// Before implements indexheap.Item.
+func (s shedJob) Before(o shedJob) bool { return o.Job.Before(s.Job) }
+
+// SetPos implements indexheap.Item.
+func (s shedJob) SetPos(pos int) { s.shedPos = pos }
 
 // blockReason is a set of reasons why a contract is out of the order.
 type blockReason uint8
@@ -150,20 +157,23 @@
 	virtual float64
 	pos     int
 	blocked blockReason
-	jobs    indexedHeap[*Job]
-	shed    indexedHeap[shedJob]
+	jobs    indexheap.Heap[*Job]
+	shed    indexheap.Heap[shedJob]
 	waiting int
 	cost    time.Duration
 }
 
-func (f *flow) before(o *flow) bool { return f.virtual < o.virtual }
-func (f *flow) setPos(pos int)      { f.pos = pos }
+// Before implements indexheap.Item.
+func (f *flow) Before(o *flow) bool { return f.virtual < o.virtual }
+
+// SetPos implements indexheap.Item.
+func (f *flow) SetPos(pos int) { f.pos = pos }
 
-func (f *flow) ready() bool { return f.blocked == 0 && f.jobs.len() > 0 }
+func (f *flow) ready() bool { return f.blocked == 0 && f.jobs.Len() > 0 }
 
 // level holds the contracts of one class.
 type level struct {
-	ready indexedHeap[*flow]
+	ready indexheap.Heap[*flow]
 	// virtual is the start tag of the contract served last. A contract that was
 	// idle starts from here: it neither saves up a share nor owes for the past.
 	virtual float64
@@ -194,7 +204,7 @@
 	class = min(class, Bulk)
 	f := q.flows[name]
 	if f == nil {
-		f = &flow{name: name, pos: absent}
+		f = &flow{name: name, pos: indexheap.Absent}
 		q.flows[name] = f
 		f.class, f.weight = class, float64(max(weight, 1))
 		return
@@ -212,7 +222,7 @@
 	if f == nil {
 		return true
 	}
-	if f.jobs.len() > 0 {
+	if f.jobs.Len() > 0 {
 		return false
 	}
 	delete(q.flows, name)
@@ -229,8 +239,8 @@
 	q.leave(f)
 	q.seq++
 	j.flow, j.seq, j.started = f, q.seq, false
-	f.jobs.push(j)
-	f.shed.push(shedJob{j})
+	f.jobs.Push(j)
+	f.shed.Push(shedJob{j})
 	f.waiting += len(j.Tasks)
 	f.cost += j.cost()
 	q.enter(f)
@@ -242,8 +252,8 @@
 	f := j.flow
 	q.leave(f)
 	j.Tasks = append(j.Tasks, tasks...)
-	if j.pos == absent {
-		f.jobs.push(j)
+	if j.pos == indexheap.Absent {
+		f.jobs.Push(j)
 	}
 	f.waiting += len(tasks)
 	for i := range tasks {
@@ -254,14 +264,14 @@
 
 // Remove drops a job's waiting tasks and returns them.
 func (q *Queue) Remove(j *Job) []Task {
-	if j.flow == nil || j.pos == absent {
+	if j.flow == nil || j.pos == indexheap.Absent {
 		return nil
 	}
 	f := j.flow
 	q.leave(f)
-	f.jobs.remove(j.pos)
+	f.jobs.Remove(j.pos)
 	if !j.started {
-		f.shed.remove(j.shedPos)
+		f.shed.Remove(j.shedPos)
 		j.started = true
 	}
 	f.waiting -= len(j.Tasks)
@@ -294,17 +304,17 @@
 	if l == nil {
 		return nil
 	}
-	return l.ready.items[0].jobs.items[0]
+	return l.ready.First().jobs.First()
 }
 
 func (q *Queue) nextLevel() *level {
 	for c := classes - 1; c > Urgent; c-- {
-		if l := &q.levels[c]; l.ready.len() > 0 && l.owed >= min(l.headCost(), maxOwed) {
+		if l := &q.levels[c]; l.ready.Len() > 0 && l.owed >= min(l.headCost(), maxOwed) {
 			return l
 		}
 	}
 	for c := range q.levels {
-		if l := &q.levels[c]; l.ready.len() > 0 {
+		if l := &q.levels[c]; l.ready.Len() > 0 {
 			return l
 		}
 	}
@@ -312,7 +322,7 @@
 }
 
 func (l *level) headCost() float64 {
-	return float64(l.ready.items[0].jobs.items[0].Tasks[0].cost())
+	return float64(l.ready.First().jobs.First().Tasks[0].cost())
 }
 
 // Take removes up to n tasks from the front of a job and charges its contract
@@ -337,11 +347,11 @@
 	l.cost -= cost
 	q.waiting -= n
 	if !j.started {
-		f.shed.remove(j.shedPos)
+		f.shed.Remove(j.shedPos)
 		j.started = true
 	}
 	if len(j.Tasks) == 0 {
-		f.jobs.remove(j.pos)
+		f.jobs.Remove(j.pos)
 	}
 	q.reorder(f)
 	return taken
@@ -350,14 +360,14 @@
 // reorder restores a contract's place after its virtual time or its jobs changed.
 func (q *Queue) reorder(f *flow) {
 	l := &q.levels[f.class]
-	if f.pos == absent {
+	if f.pos == indexheap.Absent {
 		return
 	}
-	if f.jobs.len() > 0 {
-		l.ready.fix(f.pos)
+	if f.jobs.Len() > 0 {
+		l.ready.Fix(f.pos)
 		return
 	}
-	l.ready.remove(f.pos)
+	l.ready.Remove(f.pos)
 	l.weight -= f.weight
 }
 
@@ -373,10 +383,10 @@
 			if ahead {
 				o.owed = max(o.owed-float64(cost), 0)
 			}
-		case Class(c) > f.class && o.ready.len() > 0:
+		case Class(c) > f.class && o.ready.Len() > 0:
 			o.owed = min(o.owed+float64(cost)*lowerClassShare[c], maxOwed)
 		}
-		ahead = ahead || o.ready.len() > 0
+		ahead = ahead || o.ready.Len() > 0
 	}
 }
 
@@ -386,8 +396,8 @@
 	l.waiting -= f.waiting
 	l.cost -= f.cost
 	q.waiting -= f.waiting
-	if f.pos != absent {
-		l.ready.remove(f.pos)
+	if f.pos != indexheap.Absent {
+		l.ready.Remove(f.pos)
 		l.weight -= f.weight
 	}
 }
@@ -405,7 +415,7 @@
 		return
 	}
 	f.virtual = max(f.virtual, l.virtual)
-	l.ready.push(f)
+	l.ready.Push(f)
 	l.weight += f.weight
 }
 
@@ -452,12 +462,12 @@
 	for c := Bulk; c > class; c-- {
 		var worst *flow
 		for _, f := range q.flows {
-			if f.class == c && f.shed.len() > 0 && (worst == nil || f.heavierThan(worst)) {
+			if f.class == c && f.shed.Len() > 0 && (worst == nil || f.heavierThan(worst)) {
 				worst = f
 			}
 		}
 		if worst != nil {
-			return worst.shed.items[0].Job
+			return worst.shed.First().Job
 		}
 	}
 	return nil
@@ -477,11 +487,11 @@
 func (q *Queue) Expired(now time.Time) *Job {
 	var first *Job
 	for _, f := range q.flows {
-		if f.jobs.len() == 0 {
+		if f.jobs.Len() == 0 {
 			continue
 		}
-		j := f.jobs.items[0]
-		if j.hopeless(now) && (first == nil || j.before(first)) {
+		j := f.jobs.First()
+		if j.hopeless(now) && (first == nil || j.Before(first)) {
 			first = j
 		}
 	}
--- a/dispatch/place/scheduler.go
+++ b/dispatch/place/scheduler.go
@@ -238,11 +238,11 @@
 func (s *Scheduler) nextReserved(now time.Time) (Placement, bool) {
 	for i := len(s.reserved) - 1; i >= 0; i-- {
 		r := s.reserved[i]
-		if r.flow.jobs.len() == 0 {
+		if r.flow.jobs.Len() == 0 {
 			s.release(i)
 			continue
 		}
-		j := r.flow.jobs.items[0]
+		j := r.flow.jobs.First()
 		if r.agent.usable() < r.agent.units(j.Tasks[0].Memory) && r.agent.overbook == 0 {
 			continue
 		}
@@ -292,8 +292,8 @@
 	switch f := a.reservedFor; {
 	case a.Standing == Suspended || a.shared:
 		return 0
-	case f != nil && f.jobs.len() > 0:
-		want = a.units(f.jobs.items[0].Tasks[0].Memory)
+	case f != nil && f.jobs.Len() > 0:
+		want = a.units(f.jobs.First().Tasks[0].Memory)
 	case a.bound == nil && s.queue.Ready():
 		agents := len(s.Pool.all)
 		want = (s.queue.Len() + agents - 1) / agents
