Jobs that can't be in time are served late where their answer is still of use

Cause: nearly all refusals of the new customer fall into short moments without room: bursts, lost workers, the second after the loss of power. Each was final for its caller (no retries), although there was room again before the answer would have been of no use.

Change: a job that no worker starts in time is taken in late when it can end within three times its objective (the users' own bound of a late answer). Late work waits behind all that can be in time. An order waits a quarter of the objective at one worker, then it is offered elsewhere; a job that no worker is expected to start in its use is answered at once.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -126,10 +126,10 @@
 
 // wait is how long a task is expected to wait for room: behind what waits there and
 // goes before it, and what was ordered since.
-func (a *agent) wait(s size.Size, priority uint32) time.Duration {
+func (a *agent) wait(s size.Size, priority uint32, late bool) time.Duration {
 	need := s.CPUMillis - a.free.CPUMillis
 	for _, q := range a.state.GetQueued() {
-		if q.Priority <= priority {
+		if q.Late == late && q.Priority <= priority || late && !q.Late {
 			need += int64(q.CpuMillis)
 		}
 	}
@@ -224,9 +224,9 @@
 	t.job.ordered = true
 	a.out.Orders = append(a.out.Orders, &pb.Order{
 		Number: o.number, Task: t.name(), Run: o.run, Payload: t.job.Payload, Size: s.Size.Message(),
-		Priority: t.job.queue.Priority, WaitMs: uint32(d.mayWait(now, t).Milliseconds()),
+		Priority: t.job.queue.Priority, WaitMs: uint32(max(0, min(t.latestStart().Sub(now), t.job.patience)).Milliseconds()),
 		ExpectedMs: uint32(s.expect.Milliseconds()), LimitMs: uint32(max(0, t.job.deadline.Sub(now).Milliseconds())),
-		StartByMs: int32(t.startBy().Sub(now).Milliseconds()),
+		StartByMs: startByMs(now, t),
 	})
 	a.dirty = true
 	d.touch(a)
@@ -240,20 +240,30 @@
 	})
 }
 
-// mayWait is how long a task may wait for room: of a job that nothing has started of,
-// as long as it may wait at all; otherwise until the task must start, and a little
-// longer, since an answer that comes late is worth more than none.
+// mayWait is how long a task may be expected to wait for room at a worker: until it
+// must start for its job's objective or, of a job that was taken in late, for its answer
+// to be of use. A task that missed its start takes the next room that is near.
 func (d *Dispatcher) mayWait(now time.Time, t *task) time.Duration {
-	j := t.job
-	if j.started || j.hasOrders() {
-		return max(t.startBy().Sub(now), lateWait)
+	if t.job.late {
+		return t.latestStart().Sub(now)
 	}
-	return max(0, j.holdEnd.Sub(now))
+	return max(t.startBy().Sub(now), lateWait)
 }
 
 // lateWait bounds the wait at one agent of a task that is late already.
 const lateWait = 50 * time.Millisecond
 
+// startByMs is by when a task must start, as agents are told.
+func startByMs(now time.Time, t *task) int32 {
+	if t.job.late {
+		return lateStart
+	}
+	return int32(max(0, t.startBy().Sub(now).Milliseconds()))
+}
+
+// lateStart marks orders of jobs that were taken in late.
+const lateStart = -1
+
 // drop forgets an order that has ended.
 func (d *Dispatcher) drop(o *order) {
 	same := func(x *order) bool { return x == o }
@@ -288,6 +298,11 @@
 		return
 	}
 	d.requeue(j, t)
+	if !now.Before(t.latestStart()) || !j.started && !d.servable(now, t) {
+		// Its answer would be of no use; the others of its tasks would only take room.
+		d.giveUp(now, j, ReasonHeld)
+		return
+	}
 	if !j.started && !j.hasOrders() && !now.Before(j.holdEnd) {
 		d.giveUp(now, j, ReasonHeld)
 	}
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -47,10 +47,13 @@
 )
 
 const (
-	// holdPart is the part of a job's latency objective that it may wait without
-	// a start. Later than that a caller gains more from knowing than from waiting:
-	// with the time that is left it can do something else.
-	holdPart = 0.25
+	// usefulFactor is up to how many times its latency objective a job's answer is of
+	// use: the users count it as late until then, and as none beyond.
+	usefulFactor = 3
+	// patiencePart is the part of its job's latency objective that an order waits at
+	// one worker before it is offered elsewhere: the worker's forecast has then proved
+	// wrong, and another's may be right.
+	patiencePart = 0.25
 	// renewPart is the part of the silence that an agent bears after which an entry
 	// with runs there speaks: two frames may be late.
 	renewPart = 0.33
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
@@ -55,6 +56,12 @@
 	arrived  time.Time
 	holdEnd  time.Time // refused when nothing has been sent by then
 	deadline time.Time
+	// useful is until when an answer is of use to the caller.
+	useful time.Time
+	// patience is how long an order waits at one worker.
+	patience time.Duration
+	// late: it was taken in though it ends after its objective.
+	late bool
 	// objective is when it should have ended, and startBy when its longest chain must
 	// begin for that.
 	objective time.Time
@@ -130,10 +137,12 @@
 	}
 	objective := time.Duration(in.Queue.TargetMs)*time.Millisecond + time.Duration(in.Queue.Stretch*float64(longest))
 	objective = min(objective, limit)
-	j.holdEnd = now.Add(time.Duration(holdPart * float64(objective)))
 	j.deadline = now.Add(limit)
 	d.cutShort(j)
 	j.objective = now.Add(objective)
+	j.useful = link.Earlier(now.Add(usefulFactor*objective), j.deadline)
+	j.holdEnd = j.useful.Add(-longest)
+	j.patience = time.Duration(patiencePart * float64(objective))
 	j.startBy = j.objective.Add(-longest)
 	j.before = d.ending[idKey(in.Queue.Name, in.ID)]
 	a := d.refusal(now, j, longest)
@@ -187,6 +196,9 @@
 // startBy is when a task must start for its job to end within its objective.
 func (t *task) startBy() time.Time { return t.job.objective.Add(-t.job.steps[t.step].tail) }
 
+// latestStart is when a task must start for its job's answer to be of use.
+func (t *task) latestStart() time.Time { return t.job.useful.Add(-t.job.steps[t.step].tail) }
+
 func (d *Dispatcher) refusal(now time.Time, j *job, longest time.Duration) *Answer {
 	refuse := func(reason string, permanent bool, retry time.Duration) *Answer {
 		return &Answer{Outcome: NotRun, Reason: reason, Permanent: permanent, RetryAfter: retry}
@@ -216,16 +228,24 @@
 	return nil
 }
 
-// admit finds a worker that starts it in time for every task of a new job, or refuses
-// the job.
+// admit finds a worker for every task of a new job that starts it in time or, when
+// that can't be, so that the answer is still of use; otherwise it refuses the job.
+//
+// What goes wrong without the second: a burst or the loss of some workers makes each
+// job late that comes meanwhile, by a few hundred milliseconds, and all of them would
+// be refused, though there is room again before their answers are of no use. Such a
+// job goes behind all that can be in time, so these lose nothing by it but what has
+// begun already.
 func (d *Dispatcher) admit(now time.Time, j *job) ([]placement, *Answer) {
-	chosen, left, _ := d.choose(now, j)
-	if len(left) == 0 {
-		j.waiting = nil
-		return chosen, nil
-	}
-	for _, p := range chosen {
-		p.agent.free = p.agent.free.Plus(p.step.Size)
+	for _, j.late = range []bool{false, true} {
+		chosen, left, _ := d.choose(now, j)
+		if len(left) == 0 {
+			j.waiting = nil
+			return chosen, nil
+		}
+		for _, p := range chosen {
+			p.agent.free = p.agent.free.Plus(p.step.Size)
+		}
 	}
 	return nil, &Answer{Outcome: NotRun, Reason: ReasonOverload, RetryAfter: d.retryAfter(d.predictWait(now, j))}
 }
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -9,7 +9,7 @@
 )
 
 // waitlist holds the jobs of one service that have tasks to place, in the order in
-// which they go: by urgency, then those begun before those not begun, whose
+// which they go: those taken in late last, then by urgency, then those begun before those not begun, whose
 // running tasks would be wasted, then by how soon they must start: of two jobs, the
 // longer one has less time to lose.
 type waitlist struct {
@@ -21,6 +21,11 @@
 
 func goesBefore(a, b *job) int {
 	switch {
+	case a.late != b.late:
+		if b.late {
+			return -1
+		}
+		return 1
 	case a.queue.Priority != b.queue.Priority:
 		return int(a.queue.Priority) - int(b.queue.Priority)
 	case a.ordered != b.ordered:
@@ -172,7 +177,7 @@
 		if !d.mayRun(now, a, t, s) {
 			continue
 		}
-		wait := a.wait(s.Size, t.job.queue.Priority)
+		wait := a.wait(s.Size, t.job.queue.Priority, t.job.late)
 		if time.Duration(passed*float64(wait)) > limit {
 			continue
 		}
@@ -190,6 +195,18 @@
 	return best, bestWait
 }
 
+// servable reports whether some worker is expected to start a task while that is of
+// use.
+func (d *Dispatcher) servable(now time.Time, t *task) bool {
+	s := &t.job.steps[t.step]
+	limit := t.latestStart().Sub(now)
+	passed := d.waitlist(t.job.queue.Service).mix.passedBy(now, t.job.queue.Priority)
+	return slices.ContainsFunc(d.agents, func(a *agent) bool {
+		wait := a.wait(s.Size, t.job.queue.Priority, t.job.late)
+		return time.Duration(passed*float64(wait)) <= limit && d.mayRun(now, a, t, s)
+	})
+}
+
 // accepting counts the workers of a service that take orders.
 func (d *Dispatcher) accepting(service string) int {
 	n := 0
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -5,7 +5,6 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
-	"github.com/papayahoist/papayahoist/dispatch/forecast"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
@@ -214,7 +213,7 @@
 		entry:    e, order: o.Number, arrived: now, wanted: true,
 		waitEnd: now.Add(time.Duration(o.WaitMs) * time.Millisecond),
 		limit:   now.Add(time.Duration(o.LimitMs) * time.Millisecond),
-		startBy: now.Add(time.Duration(o.StartByMs) * time.Millisecond),
+		startBy: now.Add(time.Duration(o.StartByMs) * time.Millisecond), late: o.StartByMs < 0,
 	}
 	if reason := r.refuse(now, x, late); reason != "" {
 		e.tell(&pb.OrderNews{Number: o.Number, State: pb.OrderState_ORDER_STATE_REFUSED, Reason: reason})
@@ -248,73 +247,6 @@
 	return ""
 }
 
-// mustWait reports whether an order can't start at once. One that fits still
-// doesn't overtake what waits and goes before it.
-func (r *Runner) mustWait(x *run) bool {
-	return !x.size.FitsIn(r.room()) || len(r.queue) > 0 && goesBefore(r.queue[0], x)
-}
-
-// mayWait reports whether room is expected in the time that an order may wait. More
-// urgent orders pass those that wait already; what then waits too long goes back to
-// its entry.
-func (r *Runner) mayWait(now time.Time, x *run) bool {
-	if !x.size.FitsIn(r.worker.Capacity) || !x.waitEnd.After(now) {
-		return false
-	}
-	need := x.size.CPUMillis - r.room().CPUMillis
-	for _, y := range r.queue {
-		if goesBefore(y, x) {
-			need += y.size.CPUMillis
-		}
-	}
-	frees := r.frees(now)
-	return !now.Add(frees.Wait(need)).After(x.waitEnd)
-}
-
-// goesBefore orders what waits: by urgency, then by the time by which it must start
-// for its job to end within its objective.
-func goesBefore(a, b *run) bool {
-	if a.priority != b.priority {
-		return a.priority < b.priority
-	}
-	return a.startBy.Before(b.startBy)
-}
-
-func (r *Runner) enqueue(x *run) {
-	x.phase = queued
-	pos, _ := slices.BinarySearchFunc(r.queue, x, func(a, b *run) int {
-		if goesBefore(b, a) {
-			return 1
-		}
-		return -1
-	})
-	r.queue = slices.Insert(r.queue, pos, x)
-}
-
-// frees is what is expected to come free, by the runs' progress or, before they
-// show any, by their estimates.
-func (r *Runner) frees(now time.Time) *forecast.Frees {
-	var f forecast.Frees
-	for _, x := range r.order {
-		if x.phase == queued || x.foreign {
-			continue
-		}
-		total := x.total
-		if total == 0 {
-			total = x.expected
-		}
-		left := max(total-now.Sub(x.began), overdue)
-		if x.phase == stopping || x.phase == fencing {
-			left = r.opts.Times.Stop
-		}
-		f.Add(left, x.size.CPUMillis)
-	}
-	return &f
-}
-
-// overdue is how much longer a run is taken to last that should have ended.
-const overdue = 20 * time.Millisecond
-
 // tickEntries notices silent links and entries.
 func (r *Runner) tickEntries(now time.Time) {
 	for _, e := range slices.Clone(r.entries) {
@@ -413,18 +345,6 @@
 	return s
 }
 
-// queuedWork sums up what waits, most urgent first.
-func (r *Runner) queuedWork() []*pb.QueuedWork {
-	var out []*pb.QueuedWork
-	for _, x := range r.queue {
-		if len(out) == 0 || out[len(out)-1].Priority != x.priority {
-			out = append(out, &pb.QueuedWork{Priority: x.priority})
-		}
-		out[len(out)-1].CpuMillis += uint32(x.size.CPUMillis)
-	}
-	return out
-}
-
 // lateness tells how much later than the fastest frame a frame has arrived, from
 // two clocks that run alike and show different times. The smallest difference of
 // the last one to two periods stands for a frame that was not held up.
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -249,6 +249,7 @@
 	waitEnd time.Time
 	limit   time.Time // when nobody waits for the result any more
 	startBy time.Time // to end within its job's objective
+	late    bool      // its job was taken in though it ends later
 	sentAt  time.Time // start or stop, for repeats
 	began   time.Time
 	// total is how long the run lasts at its pace so far; zero: not known yet.
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -520,3 +520,28 @@
 		t.Errorf("lost after %v; the lease may last %v", took, bounds.Lapse(b.times.Lease))
 	}
 }
+
+// Three orders wait: one taken in though it is late, one of the urgent, one of the less
+// urgent queue. Were the late one first by its urgency, a burst would make late all that
+// comes after it.
+func TestLateOrdersWaitBehindThoseInTime(t *testing.T) {
+	late := func(o *pb.Order) { o.StartByMs = -1 }
+	b := newBed(t, "e1")
+	for i := range 2 {
+		b.begin("e1", fmt.Sprintf("j%d.0.0.0", i), 2000)
+	}
+	b.order("e1", "late.0.0.0", 2000, waits(900), urgency(0), late)
+	b.order("e1", "less.0.0.0", 2000, waits(900), urgency(2), func(o *pb.Order) { o.StartByMs = 300 })
+	b.order("e1", "urgent.0.0.0", 2000, waits(900), urgency(0), func(o *pb.Order) { o.StartByMs = 300 })
+	for i, want := range []string{"urgent.0.0.0", "less.0.0.0", "late.0.0.0"} {
+		b.now = b.now.Add(10 * time.Millisecond)
+		b.look(End{Number: uint64(i + 1), Task: []string{"j0.0.0.0", "j1.0.0.0", "urgent.0.0.0"}[i], Run: 1, How: EndedDone})
+		if got := b.started(); len(got) != 1 || got[0] != want+"/1" {
+			t.Fatalf("started %v, want %s", got, want)
+		}
+		b.accept(b.last.Starts[0])
+	}
+	if got := b.states["e1"].Queued; len(got) != 0 {
+		t.Errorf("still waiting %v", got)
+	}
+}
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -17,24 +17,6 @@
 	})
 }
 
-// startQueued starts what waits, in order, as far as there is room.
-func (r *Runner) startQueued(now time.Time) {
-	for len(r.queue) > 0 && r.held() == HeldNone {
-		x := r.queue[0]
-		if !now.Before(x.waitEnd) || r.mute(now, x.entry) {
-			// A process that was frozen takes in ends before its timers: the entry may
-			// have had the task run elsewhere by now.
-			r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonWaited)
-			continue
-		}
-		if !x.size.FitsIn(r.room()) {
-			return
-		}
-		r.queue = r.queue[1:]
-		r.start(now, x)
-	}
-}
-
 // StartVerdict is a worker's answer to a start.
 type StartVerdict uint8
 
