A new entry holds jobs until it has met its agents, and agents find it sooner

Agents waited up to 400 ms for a connection to a machine without power, and then up to a second.

Change: for 500 ms after its first input an entry holds what finds no worker, and decides when the agents have been met. Agents give up a connection after 150 ms, and don't lengthen their pause while no entry is linked, at most 100 attempts a second.

--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -54,6 +54,11 @@
 	// one worker before it is offered elsewhere: the worker's forecast has then proved
 	// wrong, and another's may be right.
 	patiencePart = 0.25
+	// meetWithin is how long after its begin an entry may not have met the agents yet:
+	// they try it again every 50 ms, take up to 150 ms for a connection to a machine
+	// that has no power, and tell of their worker after one look. Measured after the
+	// loss of power: the first after 80 to 180 ms, the last after 350.
+	meetWithin = 500 * time.Millisecond
 	// renewPart is the part of the silence that an agent bears after which an entry
 	// with runs there speaks: two frames may be late.
 	renewPart = 0.33
@@ -168,6 +173,7 @@
 	learned map[string]*learned  // by queue
 	config  *pb.Configuration
 
+	begunAt time.Time // when the first input came
 	// dueAt is when a tick was asked for, and lag how late the process is, as ticks
 	// and inputs have shown lately.
 	dueAt   time.Time
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -46,6 +46,8 @@
 		Entry: "entry-1", Incarnation: "e1", FailureDomain: "hall", Times: times,
 		Link: link.Options{AckDelay: 50 * time.Millisecond, AckTimeout: time.Minute, Heartbeat: time.Minute, HeartbeatTimeout: time.Hour},
 	})
+	// It has run for a while.
+	b.d.begin(b.now.Add(-meetWithin))
 	for _, a := range agents {
 		b.attach(a, a+"-1")
 	}
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -62,6 +62,8 @@
 	patience time.Duration
 	// late: it was taken in though it ends after its objective.
 	late bool
+	// meeting: it came before the agents were met, and is decided on then.
+	meeting bool
 	// objective is when it should have ended, and startBy when its longest chain must
 	// begin for that.
 	objective time.Time
@@ -127,6 +129,7 @@
 	if j := d.byID[idKey(in.Queue.Name, in.ID)]; j != nil {
 		return j.number, nil
 	}
+	d.begin(now)
 	d.number++
 	j := &job{Job: in, number: d.number, queue: in.Queue, arrived: now}
 	longest := d.plan(j)
@@ -145,10 +148,10 @@
 	j.patience = time.Duration(patiencePart * float64(objective))
 	j.startBy = j.objective.Add(-longest)
 	j.before = d.ending[idKey(in.Queue.Name, in.ID)]
-	a := d.refusal(now, j, longest)
+	a := d.refusal(now, j)
 	var chosen []placement
 	if a == nil && j.before == nil {
-		chosen, a = d.admit(now, j)
+		chosen, a = d.admitOrHold(now, j)
 	}
 	if a != nil {
 		a.Number = j.number
@@ -161,6 +164,9 @@
 	d.jobs[j.number] = j
 	d.byID[idKey(in.Queue.Name, in.ID)] = j
 	j.dueAt = j.holdEnd
+	if j.meeting {
+		j.dueAt = link.Earlier(j.holdEnd, d.metBy())
+	}
 	d.due.Push(j)
 	d.sendChosen(now, chosen)
 	d.list(j)
@@ -199,22 +205,25 @@
 // latestStart is when a task must start for its job's answer to be of use.
 func (t *task) latestStart() time.Time { return t.job.useful.Add(-t.job.steps[t.step].tail) }
 
-func (d *Dispatcher) refusal(now time.Time, j *job, longest time.Duration) *Answer {
+// refusal says why a job can't be taken in, whatever waits; nil: it can.
+func (d *Dispatcher) refusal(now time.Time, j *job) *Answer {
 	refuse := func(reason string, permanent bool, retry time.Duration) *Answer {
 		return &Answer{Outcome: NotRun, Reason: reason, Permanent: permanent, RetryAfter: retry}
 	}
 	if j.Unsupported != "" {
 		return refuse(ReasonUnsupported+": "+j.Unsupported, true, 0)
 	}
-	if d.outlasts(now, longest) {
+	if d.outlasts(now, j.longest) {
 		// Others have room at once, so there is nothing to wait for.
 		return refuse(ReasonLeaving, false, minRetryAfter)
 	}
-	if d.learned[j.queue.Name].atLeast(longest) > j.deadline.Sub(now) {
+	if d.learned[j.queue.Name].atLeast(j.longest) > j.deadline.Sub(now) {
 		return refuse(ReasonHopeless, true, 0)
 	}
 	known, fits := d.fits(j)
 	switch {
+	case d.meeting(now):
+		// Nobody knows yet.
 	case known == 0:
 		return refuse(ReasonNoWorkers, false, d.retryAfter(time.Second))
 	case !fits:
@@ -305,6 +314,8 @@
 	switch {
 	case !now.Before(j.deadline):
 		d.giveUp(now, j, d.overdue(j))
+	case j.meeting && !j.ordered:
+		d.decideMet(now, j)
 	case !j.ordered:
 		d.giveUp(now, j, ReasonHeld)
 	default:
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -29,6 +29,7 @@
 // LinkUp takes in that an agent asks for a link, and returns the first frame for it.
 // The link counts from the agent's first frame on.
 func (d *Dispatcher) LinkUp(now time.Time, g *pb.AgentGreeting) *pb.OrderFrame {
+	d.begin(now)
 	d.greeted[g.Incarnation] = greeting{g, now}
 	// The agent has closed its earlier link before it asked for this one.
 	if a := d.agent(g.Incarnation); a != nil && a.session.IsUp() {
--- /dev/null
+++ b/dispatch/dispatcher/meet.go
@@ -0,0 +1,50 @@
+package dispatcher
+
+import "time"
+
+// begin takes in the time of the first input.
+func (d *Dispatcher) begin(now time.Time) {
+	if d.begunAt.IsZero() {
+		d.begunAt = now
+	}
+}
+
+// metBy is when the agents that can be reached have been met.
+func (d *Dispatcher) metBy() time.Time { return d.begunAt.Add(meetWithin) }
+
+// meeting reports whether the entry has begun a moment ago and may not have met the
+// agents yet.
+//
+// What goes wrong without it: all machines lose power, and callers come back with the
+// first entry. For 80 to 180 ms it knows no worker, and few for as long again; every job
+// of that time would be refused, with eleven idle workers about to be met. One would see
+// "no workers known" right after "process_started". Jobs that find no worker are held
+// meanwhile, and decided on when the agents have been met.
+func (d *Dispatcher) meeting(now time.Time) bool { return now.Before(d.metBy()) }
+
+// admitOrHold admits a new job, or holds it while the agents are being met.
+func (d *Dispatcher) admitOrHold(now time.Time, j *job) ([]placement, *Answer) {
+	chosen, refused := d.admit(now, j)
+	if refused != nil && d.meeting(now) {
+		j.meeting, j.late = true, false
+		return nil, nil
+	}
+	return chosen, refused
+}
+
+// decideMet decides on a job that was held.
+func (d *Dispatcher) decideMet(now time.Time, j *job) {
+	j.meeting = false
+	if a := d.refusal(now, j); a != nil {
+		d.answer(now, j, *a)
+		return
+	}
+	d.unlist(j)
+	chosen, a := d.admit(now, j)
+	if a != nil {
+		d.answer(now, j, *a)
+		return
+	}
+	d.setDue(j, j.holdEnd)
+	d.sendChosen(now, chosen)
+}
--- a/node/rpc/rpc.go
+++ b/node/rpc/rpc.go
@@ -42,10 +42,15 @@
 // NewClient returns a client with connections of its own. A link takes a new one
 // each time: a pool would hand it the connection that has gone silent.
 func NewClient(tlsConfig *tls.Config) *http.Client {
+	return NewClientWithin(dialTimeout, tlsConfig)
+}
+
+// NewClientWithin returns such a client that waits so long for a connection.
+func NewClientWithin(dial time.Duration, tlsConfig *tls.Config) *http.Client {
 	var p http.Protocols
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(tlsConfig == nil)
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &net.Dialer{Timeout: dial}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext,
 		DialTLSContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -20,10 +20,19 @@
 	// attachTimeout bounds the opening of a link: some round trips, and the wait for
 	// a processor that has used up its share.
 	attachTimeout = 400 * time.Millisecond
+	// dialWithin bounds the wait for a connection, which the kernel of the entry's
+	// machine grants without its process: some round trips. The first packet to a
+	// machine without power is lost and sent again after a second; a new attempt is
+	// what notices sooner that it is back.
+	dialWithin = 150 * time.Millisecond
 	// redialMin and redialMax bound the pause between attempts at an entry. Short at
 	// first: runs are stopped when an entry stays silent.
 	redialMin = 50 * time.Millisecond
 	redialMax = time.Second
+	// redialEach is the pause, for each entry that is known, while none is linked: no
+	// work comes then, and an entry that is back must not wait. It bounds an agent's
+	// attempts to a hundred a second.
+	redialEach = 10 * time.Millisecond
 	// forgetAfter is how long an address without an entry behind it is tried, when
 	// the other entries don't name it as living.
 	forgetAfter = 20 * time.Second
@@ -70,6 +79,16 @@
 	}
 }
 
+// longestPause bounds the pause between attempts at an entry.
+func (e *entries) longestPause() time.Duration {
+	if e.anyLinked() {
+		return redialMax
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(redialMin, time.Duration(len(e.known))*redialEach)
+}
+
 func (e *entries) anyLinked() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -118,7 +137,7 @@
 			return
 		}
 		if clock.Now().Sub(began) < redialMax {
-			e.r.pause(pause)
+			e.r.pause(min(pause, e.longestPause()))
 			pause = min(2*pause, redialMax)
 		}
 	}
@@ -144,7 +163,7 @@
 	e.mu.Unlock()
 	ctx, cancel := context.WithCancel(e.r.ctx)
 	defer cancel()
-	client := rpc.NewClient(nil)
+	client := rpc.NewClientWithin(dialWithin, nil)
 	defer client.CloseIdleConnections()
 	late := time.AfterFunc(attachTimeout, cancel)
 	asked := clock.Now()
