--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -224,7 +224,7 @@
 	t.job.ordered = true
 	a.out.Orders = append(a.out.Orders, &pb.Order{
 		Number: o.number, Task: t.name(), Run: o.run, Payload: t.job.Payload, Size: s.Size.Message(),
-		Priority: t.job.queue.Priority, WaitMs: uint32(max(0, min(t.latestStart().Sub(now), t.job.patience)).Milliseconds()),
+		Priority: t.job.queue.Priority, WaitMs: uint32(waitAt(now, t, wait).Milliseconds()),
 		ExpectedMs: uint32(s.expect.Milliseconds()), LimitMs: uint32(max(0, t.job.deadline.Sub(now).Milliseconds())),
 		StartByMs: startByMs(now, t),
 	})
@@ -253,6 +253,13 @@
 // lateWait bounds the wait at one agent of a task that is late already.
 const lateWait = 50 * time.Millisecond
 
+// waitAt is how long an order may wait at a worker that is expected to start it after
+// the given time. Beyond it the forecast has proved wrong, and it's offered elsewhere.
+func waitAt(now time.Time, t *task, expected time.Duration) time.Duration {
+	patience := max(t.job.patience, patienceFactor*expected)
+	return max(0, min(t.latestStart().Sub(now), patience))
+}
+
 // startByMs is by when a task must start, as agents are told.
 func startByMs(now time.Time, t *task) int32 {
 	if t.job.late {
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -51,9 +51,12 @@
 	// use: the users count it as late until then, and as none beyond.
 	usefulFactor = 3
 	// patiencePart is the part of its job's latency objective that an order waits at
-	// one worker before it is offered elsewhere: the worker's forecast has then proved
-	// wrong, and another's may be right.
+	// one worker at least before it is offered elsewhere.
 	patiencePart = 0.25
+	// patienceFactor is up to how many times longer than foretold it waits there: of the
+	// most urgent work, three of four wait less. With patiencePart alone, workers refused
+	// at once what they were expected to start later, time and again.
+	patienceFactor = 2
 	// meetWithin is how long after its begin an entry may not have met the agents yet:
 	// they try it again every 50 ms, take up to 150 ms for a connection to a machine
 	// that has no power, and tell of their worker after one look. Measured after the
--- a/dispatch/dispatcher/late_test.go
+++ b/dispatch/dispatcher/late_test.go
@@ -105,3 +105,15 @@
 	b.tell(o, pb.OrderState_ORDER_STATE_REFUSED, runner.ReasonWaited, 0)
 	b.wantAnswer(n, NotRun, ReasonHeld)
 }
+
+// A worker is expected to start a task in 100 ms. An order that may wait there a quarter
+// of the objective would be refused at once and sent again, to all workers in turn, until
+// its time is over.
+func TestOrderMayWaitTwiceAsLongAsForetold(t *testing.T) {
+	b := newBed(t, "a")
+	b.full(b.agents["a-1"], 100*time.Millisecond)
+	b.accepted(tasks(1, 1000, 100*time.Millisecond))
+	if got := b.sent()[0].WaitMs; got != 200 {
+		t.Errorf("may wait %d ms, want twice the 100 ms foretold", got)
+	}
+}
