Mechanisms of the decisions can be switched off one by one, for measurements

Cause: what each mechanism is worth could only be told from copies with it cut out. Change: settings name mechanisms that are off (developers only; names are checked); the decisions take the set as an option. No promise rests on one of them.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -11,6 +11,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/place"
 	"github.com/papayahoist/papayahoist/dispatch/runner"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // agent is one agent process as this entry sees it.
@@ -224,7 +225,7 @@
 	t.job.ordered = true
 	a.out.Orders = append(a.out.Orders, &pb.Order{
 		Number: o.number, Task: t.name(), Run: o.run, Payload: t.job.Payload, Size: s.Size.Message(),
-		Priority: t.job.queue.Priority, WaitMs: uint32(waitAt(now, t, wait).Milliseconds()),
+		Priority: t.job.queue.Priority, WaitMs: uint32(d.waitAt(now, t, wait).Milliseconds()),
 		ExpectedMs: uint32(s.expect.Milliseconds()), LimitMs: uint32(max(0, t.job.deadline.Sub(now).Milliseconds())),
 		StartByMs: startByMs(now, t),
 	})
@@ -255,9 +256,12 @@
 
 // waitAt is how long an order may wait at a worker that is expected to start it after
 // the given time. Beyond it the forecast has proved wrong, and it's offered elsewhere.
-func waitAt(now time.Time, t *task, expected time.Duration) time.Duration {
-	patience := max(t.job.patience, patienceFactor*expected)
-	return max(0, min(t.latestStart().Sub(now), patience))
+func (d *Dispatcher) waitAt(now time.Time, t *task, expected time.Duration) time.Duration {
+	useful := max(0, t.latestStart().Sub(now))
+	if d.opts.Without.Has(without.Patience) {
+		return useful
+	}
+	return min(useful, max(t.job.patience, patienceFactor*expected))
 }
 
 // startByMs is by when a task must start, as agents are told.
@@ -305,7 +309,7 @@
 		return
 	}
 	d.requeue(j, t)
-	if !now.Before(t.latestStart()) || !j.started && !d.servable(now, t) {
+	if !d.opts.Without.Has(without.GivingUp) && (!now.Before(t.latestStart()) || !j.started && !d.servable(now, t)) {
 		// Its answer would be of no use; the others of its tasks would only take room.
 		d.giveUp(now, j, ReasonHeld)
 		return
@@ -428,6 +432,9 @@
 }
 
 func (d *Dispatcher) judge(now time.Time, a *agent, j *job, r health.Result) {
+	if d.opts.Without.Has(without.Health) {
+		return
+	}
 	r.Contract = j.queue.Name
 	if d.health.Report(a.incarnation, r, now) {
 		d.updateStanding(now, a)
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // Options configure a Dispatcher.
@@ -31,6 +32,8 @@
 	// Random gives numbers in [0, 1), for jitter; nil: none.
 	Random func() float64
 	Health health.Options
+	// Without are mechanisms that are switched off, to measure what they are worth.
+	Without without.Set
 	// Events takes what happens, for the time line; nil: none.
 	Events *event.Ring
 	// Decided is told of each decision, for the log; nil: nobody.
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -6,6 +6,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // An input concerns few agents, so only those that it touches are looked at after it:
@@ -33,7 +34,7 @@
 // told so when it no longer does.
 func (d *Dispatcher) tellEager() {
 	for service, w := range d.waits {
-		if eager := len(w.jobs) > 0; eager != w.eager {
+		if eager := len(w.jobs) > 0 && !d.opts.Without.Has(without.Eager); eager != w.eager {
 			w.eager = eager
 			d.tellEagerOf(service, eager)
 		}
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -9,6 +9,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // Job is what a caller asks for.
@@ -217,7 +218,7 @@
 		// Others have room at once, so there is nothing to wait for.
 		return refuse(ReasonLeaving, false, minRetryAfter)
 	}
-	if d.learned[j.queue.Name].atLeast(j.longest) > j.deadline.Sub(now) {
+	if d.learned[j.queue.Name].atLeast(j.longest) > j.deadline.Sub(now) && !d.opts.Without.Has(without.GivingUp) {
 		return refuse(ReasonHopeless, true, 0)
 	}
 	known, fits := d.fits(j)
@@ -247,6 +248,9 @@
 // begun already.
 func (d *Dispatcher) admit(now time.Time, j *job) ([]placement, *Answer) {
 	for _, j.late = range []bool{false, true} {
+		if j.late && d.opts.Without.Has(without.LateWork) {
+			break
+		}
 		chosen, left, _ := d.choose(now, j)
 		if len(left) == 0 {
 			j.waiting = nil
--- a/dispatch/dispatcher/learn.go
+++ b/dispatch/dispatcher/learn.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // learned is how long tasks of a queue run, against their estimates. An estimate is
@@ -107,5 +109,8 @@
 	if estimated <= 0 {
 		estimated = firstEstimate
 	}
+	if d.opts.Without.Has(without.Learning) {
+		return
+	}
 	l.take(estimated, ran)
 }
--- a/dispatch/dispatcher/meet.go
+++ b/dispatch/dispatcher/meet.go
@@ -1,6 +1,10 @@
 package dispatcher
 
-import "time"
+import (
+	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/without"
+)
 
 // begin takes in the time of the first input.
 func (d *Dispatcher) begin(now time.Time) {
@@ -20,7 +24,9 @@
 // of that time would be refused, with eleven idle workers about to be met. One would see
 // "no workers known" right after "process_started". Jobs that find no worker are held
 // meanwhile, and decided on when the agents have been met.
-func (d *Dispatcher) meeting(now time.Time) bool { return now.Before(d.metBy()) }
+func (d *Dispatcher) meeting(now time.Time) bool {
+	return now.Before(d.metBy()) && !d.opts.Without.Has(without.HeldJobs)
+}
 
 // admitOrHold admits a new job, or holds it while the agents are being met.
 func (d *Dispatcher) admitOrHold(now time.Time, j *job) ([]placement, *Answer) {
--- a/dispatch/dispatcher/move.go
+++ b/dispatch/dispatcher/move.go
@@ -6,6 +6,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/health"
 	"github.com/papayahoist/papayahoist/dispatch/place"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // lag is how a run that is slower than expected gets on.
@@ -38,7 +39,7 @@
 	o.lag = lag{now, time.Duration(n.RunMs) * time.Millisecond, time.Duration(n.RemainingMs) * time.Millisecond}
 	d.judge(now, o.agent, o.task.job, health.Result{Run: relative(o.lag.ran+o.lag.left, o.expected)})
 	d.considerMove(now, o)
-	if !o.stopped && !o.task.job.ended && now.Add(o.lag.left).After(o.task.job.deadline) {
+	if !o.stopped && !o.task.job.ended && !d.opts.Without.Has(without.GivingUp) && now.Add(o.lag.left).After(o.task.job.deadline) {
 		// Runs that are too long never end here; without them the queue's run times
 		// would seem shorter than they are.
 		j := o.task.job
@@ -75,7 +76,7 @@
 // run must be slow against a task of the same step, or its worker against others.
 func (d *Dispatcher) considerMove(now time.Time, o *order) {
 	j := o.task.job
-	if o.stopped || j.ended {
+	if o.stopped || j.ended || d.opts.Without.Has(without.Moves) {
 		return
 	}
 	s := &j.steps[o.task.step]
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -4,8 +4,10 @@
 	"slices"
 	"time"
 
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/place"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // waitlist holds the jobs of one service that have tasks to place, in the order in
@@ -169,8 +171,11 @@
 		return nil, 0
 	}
 	limit := d.mayWait(now, t)
-	passed := d.waitlist(t.job.queue.Service).mix.passedBy(now, t.job.queue.Priority)
+	passed := d.passedBy(now, t.job.queue)
 	left := max(minChoice, n/max(1, len(d.entries)))
+	if d.opts.Without.Has(without.PartOfWorkers) {
+		left = n
+	}
 	for range n {
 		d.cursor = (d.cursor + 1) % n
 		a := d.agents[d.cursor]
@@ -195,12 +200,20 @@
 	return best, bestWait
 }
 
+// passedBy is how many times longer than the work ahead of it a task of a queue waits.
+func (d *Dispatcher) passedBy(now time.Time, q *pb.Queue) float64 {
+	if d.opts.Without.Has(without.PassedBy) {
+		return 1
+	}
+	return d.waitlist(q.Service).mix.passedBy(now, q.Priority)
+}
+
 // servable reports whether some worker is expected to start a task while that is of
 // use.
 func (d *Dispatcher) servable(now time.Time, t *task) bool {
 	s := &t.job.steps[t.step]
 	limit := t.latestStart().Sub(now)
-	passed := d.waitlist(t.job.queue.Service).mix.passedBy(now, t.job.queue.Priority)
+	passed := d.passedBy(now, t.job.queue)
 	return slices.ContainsFunc(d.agents, func(a *agent) bool {
 		wait := a.wait(s.Size, t.job.queue.Priority, t.job.late)
 		return time.Duration(passed*float64(wait)) <= limit && d.mayRun(now, a, t, s)
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -7,6 +7,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // entry is one entry process that this agent has met.
@@ -215,6 +216,9 @@
 		limit:   now.Add(time.Duration(o.LimitMs) * time.Millisecond),
 		startBy: now.Add(time.Duration(o.StartByMs) * time.Millisecond), late: o.StartByMs < 0,
 	}
+	if r.opts.Without.Has(without.StartBy) {
+		x.startBy = now
+	}
 	if reason := r.refuse(now, x, late); reason != "" {
 		e.tell(&pb.OrderNews{Number: o.Number, State: pb.OrderState_ORDER_STATE_REFUSED, Reason: reason})
 		e.stale = true
--- a/dispatch/runner/queue.go
+++ b/dispatch/runner/queue.go
@@ -6,6 +6,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/forecast"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // mustWait reports whether an order can't start at once. One that fits still
@@ -110,7 +111,7 @@
 			next = x
 		}
 	}
-	if next.priority == head.priority || !next.size.FitsIn(r.room()) {
+	if r.opts.Without.Has(without.Ahead) || next.priority == head.priority || !next.size.FitsIn(r.room()) {
 		return head
 	}
 	frees := r.frees(now)
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -9,6 +9,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // Options configure a Runner.
@@ -21,6 +22,8 @@
 	// Token is the first fencing token. A later process beside the same worker
 	// must use a higher one, or raise it when the worker says so.
 	Token uint64
+	// Without are mechanisms that are switched off, to measure what they are worth.
+	Without without.Set
 	// Events takes what happens, for the time line; nil: none.
 	Events *event.Ring
 	// Decided is told of each decision, for the log; nil: nobody.
--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -10,6 +10,7 @@
 	"time"
 
 	corerunner "github.com/papayahoist/papayahoist/dispatch/runner"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 	"github.com/papayahoist/papayahoist/node/decisionlog"
 	"github.com/papayahoist/papayahoist/node/entry"
 	"github.com/papayahoist/papayahoist/node/roster"
@@ -52,6 +53,10 @@
 		return nil, ErrStart.Wrap(err, "port for reports")
 	}
 	incarnation := entry.NewIncarnation()
+	off, err := without.Parse(s.Without)
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "settings")
+	}
 	client := adapter.NewStore(s.StoreAddress, adapter.StoreOptions{OnCall: a.metrics.storeCall})
 	a.r = runner.New(runner.Options{
 		Entries: s.Seeds, Worker: adapter.NewWorker(s.WorkerAddress, int(s.Connections)), Logger: a.logger,
@@ -59,7 +64,7 @@
 		Core: corerunner.Options{
 			Agent: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Times: times, Link: leasedLink(times),
 			// A later process beside the same worker starts at a later time of day.
-			Token: uint64(time.Now().UnixMilli()), Decided: logRunner(a.log, a.metrics),
+			Token: uint64(time.Now().UnixMilli()), Without: off, Decided: logRunner(a.log, a.metrics),
 		},
 	})
 	a.logger.Info("process_started", "version", o.Version, "incarnation", incarnation, "silence_ms", times.Silence.Milliseconds(),
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -15,6 +15,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	coredispatcher "github.com/papayahoist/papayahoist/dispatch/dispatcher"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 	"github.com/papayahoist/papayahoist/node/decisionlog"
 	"github.com/papayahoist/papayahoist/node/dispatcher"
 	"github.com/papayahoist/papayahoist/node/entry"
@@ -93,12 +94,16 @@
 	e := &LeasedEntry{o: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics()}
 	e.logger = slog.New(e.log.Handler())
 	incarnation := entry.NewIncarnation()
+	off, err := without.Parse(s.Without)
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "settings")
+	}
 	e.d, err = dispatcher.New(dispatcher.Options{
 		NodesListen: s.NodesListen, Address: s.Address(), Seeds: s.Seeds, Logger: e.logger,
 		Core: coredispatcher.Options{
 			Entry: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Times: times, Link: leasedLink(times),
 			RemoteFactor: s.Bounds.RemoteFactor, ReportsPerSecond: reportsPerCore * s.ProcessorShare,
-			Random: rand.Float64, Decided: logDispatcher(e.log, e.metrics),
+			Random: rand.Float64, Without: off, Decided: logDispatcher(e.log, e.metrics),
 		},
 	})
 	if err != nil {
--- a/node/settings/leased.go
+++ b/node/settings/leased.go
@@ -2,7 +2,10 @@
 
 import (
 	"log/slog"
+	"strings"
 	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // Roles of a process beside workers that run tasks under leases, on a platform
@@ -51,6 +54,9 @@
 	ProcessorShare float64    `json:"processor_share"`
 	MemoryMB       uint32     `json:"memory_mb"`
 	LogLevel       slog.Level `json:"log_level"`
+	// Without names mechanisms of the decisions that are switched off; see package
+	// without. For developers.
+	Without []string `json:"without"`
 }
 
 // LeasedAgent is the settings of an agent beside a worker with leases.
@@ -70,6 +76,8 @@
 	Bounds       Bounds     `json:"bounds"`
 	MemoryMB     uint32     `json:"memory_mb"`
 	LogLevel     slog.Level `json:"log_level"`
+	// Without is as in LeasedEntry.
+	Without []string `json:"without"`
 }
 
 // Defaults of both.
@@ -114,6 +122,7 @@
 	v.addresses("seeds", e.Seeds, 0)
 	v.bounds(e.Bounds)
 	v.level("log_level", e.LogLevel)
+	v.without("without", e.Without)
 	return join(v.problems)
 }
 
@@ -130,6 +139,7 @@
 	v.addresses("seeds", a.Seeds, 0)
 	v.bounds(a.Bounds)
 	v.level("log_level", a.LogLevel)
+	v.without("without", a.Without)
 	return join(v.problems)
 }
 
@@ -139,6 +149,12 @@
 	}
 }
 
+func (v *validator) without(key string, list []string) {
+	if _, err := without.Parse(list); err != nil {
+		v.wrong(key, strings.Join(list, ", "), "names of "+strings.Join(without.Names(), ", "))
+	}
+}
+
 func (v *validator) bounds(b Bounds) {
 	v.duration("bounds.resend", b.Resend, 0, maxBound)
 	v.duration("bounds.max_lease", b.MaxLease, 0, maxBound)
