An entry that is behind refuses within a quarter of the objective again

Cause: late work lengthened the wait by which an entry that is itself behind refuses, from a quarter of the objective to the end of its use.

Change: the bound is a quarter of the objective as before.

--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -231,8 +231,9 @@
 		return refuse(ReasonTooLarge, true, 0)
 	}
 	d.unblock(j)
-	if lag := d.lag.now(now); lag > j.holdEnd.Sub(now) {
-		// This process itself is later than the job may wait.
+	if lag := d.lag.now(now); lag > j.patience {
+		// This process itself is later than that: what it took in besides would be late
+		// by its fault, with all that it has, while another entry can serve it in time.
 		return refuse(ReasonBusy, false, d.retryAfter(lag))
 	}
 	return nil
--- a/dispatch/dispatcher/late_test.go
+++ b/dispatch/dispatcher/late_test.go
@@ -117,3 +117,15 @@
 		t.Errorf("may wait %d ms, want twice the 100 ms foretold", got)
 	}
 }
+
+// A small entry has more to do than its processor can: it's 150 ms behind. A job that
+// comes now could still end before its answer is of no use; but each one taken in puts
+// all others further behind, and most callers would wait for an error.
+func TestEntryThatIsBehindRefusesAtOnce(t *testing.T) {
+	b := newBed(t, "a")
+	b.d.lag.take(b.now, 150*time.Millisecond)
+	if _, refused := b.submit(tasks(1, 1000, 100*time.Millisecond)); refused == nil || refused.Outcome != NotRun || refused.Reason != ReasonBusy {
+		t.Errorf("answer %+v, want not run for %q", refused, ReasonBusy)
+	}
+	b.accepted(tasks(1, 1000, 900*time.Millisecond)) // it may wait longer
+}
