--- a/cmd/papayahoist/timeline.go
+++ b/cmd/papayahoist/timeline.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"encoding/json"
+	"errors"
 	"io"
 	"os"
 	"strconv"
@@ -31,6 +33,7 @@
 	json        bool
 	output      string
 	logs        []string
+	losses      bool
 }
 
 func registerTimeline(app *kingpin.Application, env *cli.Env) {
@@ -51,6 +54,7 @@
 		EnumVar(&c.format, formatText, formatJSON, formatHTML)
 	command.Flag("logs", `Read processes' logs from this file in place of asking them; "-" is the standard input. May be repeated.`).
 		StringsVar(&c.logs)
+	command.Flag("losses", "With --logs: how many jobs were not completed within their objective, by reason, queue and second.").BoolVar(&c.losses)
 	command.Flag("output", "File to write to instead of the output.").Short('o').StringVar(&c.output)
 	command.Action(cli.Action(c.run))
 }
@@ -64,6 +68,12 @@
 	if c.filter.Until, err = parseTime(c.until, now); err != nil {
 		return cli.Fail(cli.CodeUsage, err)
 	}
+	if c.losses && len(c.logs) == 0 {
+		return cli.Fail(cli.CodeUsage, errors.New("--losses needs --logs"))
+	}
+	if c.losses {
+		return c.writeLosses()
+	}
 	collected, err := c.collect()
 	if err != nil {
 		return err
@@ -101,7 +111,23 @@
 }
 
 func (c *timelineCommand) readLogs() (*timeline.Timeline, error) {
-	readers := make(map[string]io.Reader)
+	readers, done, err := c.openLogs()
+	defer done()
+	if err != nil {
+		return nil, err
+	}
+	return timeline.ReadLogs(readers, c.filter)
+}
+
+// openLogs opens the files of --logs; done closes them.
+func (c *timelineCommand) openLogs() (readers map[string]io.Reader, done func(), err error) {
+	readers = make(map[string]io.Reader)
+	var files []*os.File
+	done = func() {
+		for _, f := range files {
+			_ = f.Close() // it was only read
+		}
+	}
 	for _, name := range c.logs {
 		if name == "-" {
 			readers[name] = os.Stdin
@@ -109,12 +135,28 @@
 		}
 		file, err := os.Open(name)
 		if err != nil {
-			return nil, cli.Fail(cli.CodeUsage, err)
+			return nil, done, cli.Fail(cli.CodeUsage, err)
 		}
-		defer file.Close()
+		files = append(files, file)
 		readers[name] = file
 	}
-	return timeline.ReadLogs(readers, c.filter)
+	return readers, done, nil
+}
+
+func (c *timelineCommand) writeLosses() error {
+	readers, done, err := c.openLogs()
+	defer done()
+	if err != nil {
+		return err
+	}
+	losses, err := timeline.ReadLosses(readers, c.filter)
+	if err != nil {
+		return err
+	}
+	if c.json || c.format == formatJSON {
+		return json.NewEncoder(c.env.Out).Encode(losses)
+	}
+	return timeline.WriteLosses(c.env.Out, losses)
 }
 
 func (c *timelineCommand) write(w io.Writer, t *timeline.Timeline) error {
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -91,8 +91,8 @@
 	// Tasks of the job, and the longest time that one is expected to run.
 	Tasks   int
 	Longest time.Duration
-	// Limit is the time that the job had.
-	Limit time.Duration
+	// Limit is the time that the job had, and Objective the one that it was to end in.
+	Limit, Objective time.Duration
 }
 
 // Outcome of a job.
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -366,7 +366,7 @@
 	d.opts.Decided(Decision{
 		Event: "job_answered", Job: j.ID, Queue: j.queue.Name, Version: j.Version, Outcome: a.Outcome.String(),
 		Reason: a.Reason, Elapsed: now.Sub(j.arrived), Waiting: len(j.waiting), Retry: a.RetryAfter, Tasks: j.tasks(), Longest: j.longest,
-		Limit: j.deadline.Sub(j.arrived),
+		Limit: j.deadline.Sub(j.arrived), Objective: j.objective.Sub(j.arrived),
 	})
 }
 
--- a/node/process/leased_log.go
+++ b/node/process/leased_log.go
@@ -69,6 +69,7 @@
 		a.millis("retry_ms", d.Retry)
 		a.number("tasks", uint64(d.Tasks))
 		a.millis("longest_ms", d.Longest)
+		a.millis("objective_ms", d.Objective)
 		a.millis("limit_ms", d.Limit)
 		l.Add(decisionlog.Line{At: time.Now(), Event: d.Event, Attrs: a}, routineEvents[d.Event])
 	}
