Orders late at two agents show that an entry is behind; entries collect garbage less often

Their timers fired in time, so the entry did not know that it was behind; its frames were.

Change: two agents that refuse orders as late within half a second count as a lag of what an order may be late; the entry then refuses what can't wait for it. An order refused as late no longer keeps its task from that agent, which is not at fault. The test failed first (no refusal).

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -294,6 +294,8 @@
 	case runner.ReasonOldRun:
 		// Another entry has run the task before, at the caller's earlier attempt.
 		t.runs += runNumberStep
+	case runner.ReasonLate:
+		d.arrivedLate(now, a)
 	case runner.ReasonRoom, runner.ReasonWaited, runner.ReasonStopped, runner.ReasonHeld:
 	default:
 		if a.session.IsUp() {
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -185,6 +185,9 @@
 	dueAt   time.Time
 	readyAt time.Time // of the last call of Ready
 	lag     lagMeter
+	// lateAt is the agent that last refused an order as late, and lateSince when.
+	lateAt    *agent
+	lateSince time.Time
 
 	// endsAt is when a process that leaves ends; zero: it stays.
 	endsAt time.Time
--- a/dispatch/dispatcher/lag.go
+++ b/dispatch/dispatcher/lag.go
@@ -41,5 +41,23 @@
 	return m.at.Add(lagEvery)
 }
 
+// arrivedLate takes in that an order reached an agent later than it may be started. When
+// another agent said so a moment ago, it isn't the way to one of them: this process's
+// frames wait for its processor. Its timers may fire in time all the same.
+//
+// What goes wrong without it: a small entry under a burst takes in all that comes, its
+// frames leave a fifth of a second late, agents refuse the orders and take its links for
+// silent, and stop its runs. One would see "order too late" and "the link has gone
+// silent" for many agents at one entry, and callers get errors for work half done.
+func (d *Dispatcher) arrivedLate(now time.Time, at *agent) {
+	if d.lateAt != nil && d.lateAt != at && now.Sub(d.lateSince) < lateTogether {
+		d.lag.take(now, d.opts.Times.MaxLate)
+	}
+	d.lateAt, d.lateSince = at, now
+}
+
+// lateTogether is how close to each other late orders at two agents have one cause.
+const lateTogether = 500 * time.Millisecond
+
 // late reports whether the process is behind.
 func (d *Dispatcher) late(now time.Time) bool { return d.lag.now(now) > lateLag }
--- a/dispatch/dispatcher/late_test.go
+++ b/dispatch/dispatcher/late_test.go
@@ -129,3 +129,28 @@
 	}
 	b.accepted(tasks(1, 1000, 900*time.Millisecond)) // it may wait longer
 }
+
+// A small entry's frames leave late under a burst, though its timers fire in time: two
+// agents refuse orders as too late. Taking in more, it would lose its links and all that
+// runs. One agent alone may have been cut off for a moment, which is no reason to refuse.
+func TestOrdersLateAtTwoAgentsShowThatTheEntryIsBehind(t *testing.T) {
+	for name, c := range map[string]struct {
+		agents  []string
+		refused bool
+	}{
+		"two agents": {[]string{"a-1", "b-1"}, true},
+		"one agent":  {[]string{"a-1", "a-1"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, "a", "b", "c")
+			b.accepted(tasks(9, 1000, 100*time.Millisecond))
+			for _, a := range c.agents {
+				b.tell(b.agents[a].orders[0], pb.OrderState_ORDER_STATE_REFUSED, runner.ReasonLate, 0)
+			}
+			_, refused := b.submit(tasks(1, 500, 100*time.Millisecond))
+			if got := refused != nil && refused.Reason == ReasonBusy; got != c.refused {
+				t.Errorf("answer %+v, want refused %v", refused, c.refused)
+			}
+		})
+	}
+}
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -47,6 +47,10 @@
 	// memoryPart is the part of the memory limit at which garbage is collected
 	// harder; what the process has not read yet counts as well.
 	memoryPart = 0.7
+	// entryGCPercent is how much an entry's heap grows between two collections, against
+	// what is in use: 10 to 30 MB, so there is room, and a small entry needs its
+	// processor in a burst more than its memory.
+	entryGCPercent = 200
 	// followMin and followMax bound the wait after a failed call to the store. The
 	// configuration must be in force within seconds of a change.
 	followMin = 100 * time.Millisecond
@@ -91,6 +95,7 @@
 		return nil, err
 	}
 	limitMemory(s.MemoryMB)
+	debug.SetGCPercent(entryGCPercent)
 	e := &LeasedEntry{o: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics()}
 	e.logger = slog.New(e.log.Handler())
 	incarnation := entry.NewIncarnation()
