--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -9,7 +9,6 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
-	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // Job is what a caller asks for.
@@ -206,94 +205,6 @@
 // latestStart is when a task must start for its job's answer to be of use.
 func (t *task) latestStart() time.Time { return t.job.useful.Add(-t.job.steps[t.step].tail) }
 
-// refusal says why a job can't be taken in, whatever waits; nil: it can.
-func (d *Dispatcher) refusal(now time.Time, j *job) *Answer {
-	refuse := func(reason string, permanent bool, retry time.Duration) *Answer {
-		return &Answer{Outcome: NotRun, Reason: reason, Permanent: permanent, RetryAfter: retry}
-	}
-	if j.Unsupported != "" {
-		return refuse(ReasonUnsupported+": "+j.Unsupported, true, 0)
-	}
-	if d.outlasts(now, j.longest) {
-		// Others have room at once, so there is nothing to wait for.
-		return refuse(ReasonLeaving, false, minRetryAfter)
-	}
-	if d.learned[j.queue.Name].atLeast(j.longest) > j.deadline.Sub(now) && !d.opts.Without.Has(without.GivingUp) {
-		return refuse(ReasonHopeless, true, 0)
-	}
-	known, fits := d.fits(j)
-	switch {
-	case d.meeting(now):
-		// Nobody knows yet.
-	case known == 0:
-		return refuse(ReasonNoWorkers, false, d.retryAfter(time.Second))
-	case !fits:
-		return refuse(ReasonTooLarge, true, 0)
-	}
-	d.unblock(j)
-	if lag := d.lag.now(now); lag > j.patience {
-		// This process itself is later than that: what it took in besides would be late
-		// by its fault, with all that it has, while another entry can serve it in time.
-		return refuse(ReasonBusy, false, d.retryAfter(lag))
-	}
-	return nil
-}
-
-// admit finds a worker for every task of a new job that starts it in time or, when
-// that can't be, so that the answer is still of use; otherwise it refuses the job.
-//
-// What goes wrong without the second: a burst or the loss of some workers makes each
-// job late that comes meanwhile, by a few hundred milliseconds, and all of them would
-// be refused, though there is room again before their answers are of no use. Such a
-// job goes behind all that can be in time, so these lose nothing by it but what has
-// begun already.
-func (d *Dispatcher) admit(now time.Time, j *job) ([]placement, *Answer) {
-	for _, j.late = range []bool{false, true} {
-		if j.late && d.opts.Without.Has(without.LateWork) {
-			break
-		}
-		chosen, left, _ := d.choose(now, j)
-		if len(left) == 0 {
-			j.waiting = nil
-			return chosen, nil
-		}
-		for _, p := range chosen {
-			p.agent.free = p.agent.free.Plus(p.step.Size)
-		}
-	}
-	return nil, &Answer{Outcome: NotRun, Reason: ReasonOverload, RetryAfter: d.retryAfter(d.predictWait(now, j))}
-}
-
-// fits reports how many workers of the service are known, and whether each step's
-// task fits one that may run it.
-func (d *Dispatcher) fits(j *job) (known int, fits bool) {
-	ok := make([]bool, len(j.steps))
-	for _, a := range d.agents {
-		if !a.session.IsUp() || a.state.GetService() != j.queue.Service {
-			continue
-		}
-		known++
-		for i := range j.steps {
-			s := &j.steps[i]
-			ok[i] = ok[i] || s.Size.FitsIn(a.capacity) && a.hasLabel(s.Requires)
-		}
-	}
-	return known, !slices.Contains(ok, false)
-}
-
-const (
-	minRetryAfter = time.Second
-	maxRetryAfter = 30 * time.Second
-)
-
-// retryAfter is when a refused caller is to come back: when the work ahead of it
-// will have been done, and spread over as long again, so that those refused
-// together don't return together and are refused together once more.
-func (d *Dispatcher) retryAfter(wait time.Duration) time.Duration {
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
-	return wait + time.Duration(d.opts.Random()*float64(wait))
-}
-
 // release makes the tasks of steps that wait for nothing more eligible.
 func (d *Dispatcher) release(j *job) {
 	d.unblock(j)
