Log: an idle process is not woken to write nothing

Cause: the writer of the decision log ticked ten times a second in every process; at 295 processes these are 2,950 wake-ups a second for nothing. Now it wakes with the first line and gathers for the same tenth of a second. Ruled out: writing at once, which costs a write a line under load.

--- a/node/decisionlog/decisionlog.go
+++ b/node/decisionlog/decisionlog.go
@@ -40,6 +40,8 @@
 	w       *wholeLines
 	handler slog.Handler
 
+	wake chan struct{} // there are lines
+
 	mu      sync.Mutex
 	lines   []Line
 	dropped uint64
@@ -48,7 +50,7 @@
 // New returns a log that writes JSON lines with the attributes. Run writes them.
 func New(w io.Writer, attrs ...slog.Attr) *Log {
 	b := &wholeLines{bufio.NewWriterSize(w, writeBytes)}
-	return &Log{w: b, handler: slog.NewJSONHandler(b, &slog.HandlerOptions{Level: slog.LevelDebug}).WithAttrs(attrs)}
+	return &Log{w: b, wake: make(chan struct{}, 1), handler: slog.NewJSONHandler(b, &slog.HandlerOptions{Level: slog.LevelDebug}).WithAttrs(attrs)}
 }
 
 // wholeLines gathers lines into writes that end with a line's end.
@@ -77,15 +79,20 @@
 		return
 	}
 	l.lines = append(l.lines, line)
+	if len(l.lines) == 1 {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // Run writes until the context ends, and then what is left.
 func (l *Log) Run(ctx context.Context) {
-	t := time.NewTicker(writeEvery)
-	defer t.Stop()
 	for {
 		select {
-		case <-t.C:
+		case <-l.wake:
+			l.gather(ctx)
 			l.flush()
 		case <-ctx.Done():
 			l.flush()
@@ -94,6 +101,14 @@
 	}
 }
 
+// gather waits for more lines. An idle process has none and is not woken.
+func (l *Log) gather(ctx context.Context) {
+	select {
+	case <-time.After(writeEvery):
+	case <-ctx.Done():
+	}
+}
+
 func (l *Log) flush() {
 	l.mu.Lock()
 	lines, dropped := l.lines, l.dropped
