Entries exchange with partners, and tell each other what they know as records

Cause: every pair of entries exchanged each second: 1,485 exchanges a second at 55 entries, each entry's part growing with their number, and a push of a new configuration woke every pair at once. Now an entry has neighbours on a ring (all, up to 13 entries; 2 x log2 n beyond); what it finds travels as last-writer-wins records where digests differ. Who waits is asked when a caller wants to know. An entry cut off or suspended doesn't take the others out of all views. Virtual time: 55 entries that start together are known to all within 6 s by exchanges once a second, lost ones out of all views within 8 s; at rest no record travels; 200 entries cost less than twice the exchanges of 13. Ruled out: far exchanges made ever more seldom (lists of dead entries grow old), the store as the only list (it may be away). The check that bounds the rate of exchanges follows the lower rate, 12 a second in place of 40.

--- a/api/papayahoistv1/papayahoistv1connect/work.connect.go
+++ b/api/papayahoistv1/papayahoistv1connect/work.connect.go
@@ -43,6 +43,8 @@
 	WorkServiceShareProcedure = "/papayahoist.v1.WorkService/Share"
 	// WorkServiceCancelProcedure is the fully-qualified name of the WorkService's Cancel RPC.
 	WorkServiceCancelProcedure = "/papayahoist.v1.WorkService/Cancel"
+	// WorkServiceInviteProcedure is the fully-qualified name of the WorkService's Invite RPC.
+	WorkServiceInviteProcedure = "/papayahoist.v1.WorkService/Invite"
 )
 
 // WorkServiceClient is a client for the papayahoist.v1.WorkService service.
@@ -50,6 +52,7 @@
 	Attach(context.Context) *connect.BidiStreamForClient[papayahoistv1.WorkerFrame, papayahoistv1.OrderFrame]
 	Share(context.Context, *connect.Request[papayahoistv1.ShareRequest]) (*connect.Response[papayahoistv1.ShareResponse], error)
 	Cancel(context.Context, *connect.Request[papayahoistv1.CancelRequest]) (*connect.Response[papayahoistv1.CancelResponse], error)
+	Invite(context.Context, *connect.Request[papayahoistv1.InviteRequest]) (*connect.Response[papayahoistv1.InviteResponse], error)
 }
 
 // NewWorkServiceClient constructs a client for the papayahoist.v1.WorkService service. By default,
@@ -81,6 +84,12 @@
 			connect.WithSchema(workServiceMethods.ByName("Cancel")),
 			connect.WithClientOptions(opts...),
 		),
+		invite: connect.NewClient[papayahoistv1.InviteRequest, papayahoistv1.InviteResponse](
+			httpClient,
+			baseURL+WorkServiceInviteProcedure,
+			connect.WithSchema(workServiceMethods.ByName("Invite")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -89,6 +98,7 @@
 	attach *connect.Client[papayahoistv1.WorkerFrame, papayahoistv1.OrderFrame]
 	share  *connect.Client[papayahoistv1.ShareRequest, papayahoistv1.ShareResponse]
 	cancel *connect.Client[papayahoistv1.CancelRequest, papayahoistv1.CancelResponse]
+	invite *connect.Client[papayahoistv1.InviteRequest, papayahoistv1.InviteResponse]
 }
 
 // Attach calls papayahoist.v1.WorkService.Attach.
@@ -106,11 +116,17 @@
 	return c.cancel.CallUnary(ctx, req)
 }
 
+// Invite calls papayahoist.v1.WorkService.Invite.
+func (c *workServiceClient) Invite(ctx context.Context, req *connect.Request[papayahoistv1.InviteRequest]) (*connect.Response[papayahoistv1.InviteResponse], error) {
+	return c.invite.CallUnary(ctx, req)
+}
+
 // WorkServiceHandler is an implementation of the papayahoist.v1.WorkService service.
 type WorkServiceHandler interface {
 	Attach(context.Context, *connect.BidiStream[papayahoistv1.WorkerFrame, papayahoistv1.OrderFrame]) error
 	Share(context.Context, *connect.Request[papayahoistv1.ShareRequest]) (*connect.Response[papayahoistv1.ShareResponse], error)
 	Cancel(context.Context, *connect.Request[papayahoistv1.CancelRequest]) (*connect.Response[papayahoistv1.CancelResponse], error)
+	Invite(context.Context, *connect.Request[papayahoistv1.InviteRequest]) (*connect.Response[papayahoistv1.InviteResponse], error)
 }
 
 // NewWorkServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -138,6 +154,12 @@
 		connect.WithSchema(workServiceMethods.ByName("Cancel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	workServiceInviteHandler := connect.NewUnaryHandler(
+		WorkServiceInviteProcedure,
+		svc.Invite,
+		connect.WithSchema(workServiceMethods.ByName("Invite")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/papayahoist.v1.WorkService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case WorkServiceAttachProcedure:
@@ -146,6 +168,8 @@
 			workServiceShareHandler.ServeHTTP(w, r)
 		case WorkServiceCancelProcedure:
 			workServiceCancelHandler.ServeHTTP(w, r)
+		case WorkServiceInviteProcedure:
+			workServiceInviteHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -166,3 +190,7 @@
 func (UnimplementedWorkServiceHandler) Cancel(context.Context, *connect.Request[papayahoistv1.CancelRequest]) (*connect.Response[papayahoistv1.CancelResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayahoist.v1.WorkService.Cancel is not implemented"))
 }
+
+func (UnimplementedWorkServiceHandler) Invite(context.Context, *connect.Request[papayahoistv1.InviteRequest]) (*connect.Response[papayahoistv1.InviteResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayahoist.v1.WorkService.Invite is not implemented"))
+}
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -213,10 +213,10 @@
 	return known
 }
 
-// Waiting counts a queue's jobs of which nothing has started, over all entries, by
-// what they said last.
-func (d *Dispatcher) Waiting(queue string) int {
-	return d.waitingHere()[queue] + d.peers.waiting(queue)
+// Waiting counts a queue's jobs of which nothing has started, over all entries that
+// answer, by what they said within the last second.
+func (d *Dispatcher) Waiting(ctx context.Context, queue string) int {
+	return d.waitingHere()[queue] + d.peers.waiting(ctx, queue)
 }
 
 func (d *Dispatcher) waitingHere() map[string]int {
--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -2,30 +2,28 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"time"
 
 	"connectrpc.com/connect"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/gossip"
 	"github.com/papayahoist/papayahoist/node/clock"
 )
 
-// What entries tell each other grows with the square of their number, so it is kept
-// small: one exchange for each pair, whichever of the two begins it; seldom among
-// many; the list of entries only where the two differ; the configuration only to
-// those that lack it.
+// What entries tell each other must not grow with their number, so it is kept small: an
+// entry exchanges with its partners only (package gossip); one exchange for each pair,
+// whichever of the two begins it; what is known of the entries only where the two differ;
+// the configuration only to those that lack it.
 const (
 	// shareEvery is the time between two exchanges of a pair.
 	shareEvery = 500 * time.Millisecond
 	// sharesPerSecond bounds the exchanges that one entry takes part in, while
 	// maxShareEvery allows: each takes a few tenths of a millisecond.
-	sharesPerSecond = 40
-	// maxShareEvery is below the time after which an entry counts as lost and a count
-	// of waiting jobs as old.
-	maxShareEvery = time.Second
+	sharesPerSecond = 12
+	// maxShareEvery is below the time after which an entry counts as lost.
+	maxShareEvery = gossip.LostAfter / 2
 	// secondPart is how much later the entry with the higher address begins the
 	// exchange, if the other one has not.
 	secondPart = 1.5
@@ -37,9 +35,9 @@
 	pushAfter = 100 * time.Millisecond
 )
 
-// sharePeriod is the time between two exchanges with each of so many others.
-func sharePeriod(others int) time.Duration {
-	wanted := time.Duration(float64(others) / sharesPerSecond * float64(time.Second))
+// sharePeriod is the time between two exchanges with each of so many partners.
+func sharePeriod(partners int) time.Duration {
+	wanted := time.Duration(float64(partners) / sharesPerSecond * float64(time.Second))
 	return min(max(wanted, shareEvery), maxShareEvery)
 }
 
@@ -52,21 +50,19 @@
 	return period - ago
 }
 
-// digest stands for a list of entries.
-func digest(entries []string) uint64 {
-	h := fnv.New64a()
-	for _, e := range entries {
-		_, _ = io.WriteString(h, e)
-		_, _ = h.Write([]byte{0})
-	}
-	return h.Sum64()
-}
-
-// exchange talks to one entry until it is forgotten.
+// exchange talks to one entry, while it is a partner, until it is forgotten.
 func (p *peers) exchange(ctx context.Context, x *peer) {
 	defer x.http.CloseIdleConnections()
 	for ctx.Err() == nil && !p.forget(x) {
-		period, wait := p.untilShare(x)
+		period, wait, partner := p.untilShare(x)
+		if !partner {
+			x.http.CloseIdleConnections()
+			select {
+			case <-x.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
 		if wait <= 0 {
 			p.share(ctx, x)
 			wait = period
@@ -74,20 +70,34 @@
 		select {
 		case <-time.After(wait):
 		case <-x.wake:
-			p.share(ctx, x)
+			if p.behind(x) {
+				p.share(ctx, x)
+			}
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (p *peers) untilShare(x *peer) (period, wait time.Duration) {
+// untilShare is the time between two exchanges with an entry, and until the next one.
+func (p *peers) untilShare(x *peer) (period, wait time.Duration, partner bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	period = sharePeriod(len(p.all))
+	if !p.view.Partner(x.address) {
+		return 0, 0, false
+	}
+	period = sharePeriod(p.view.Partners())
 	if x.heard.IsZero() {
-		return period, 0
+		return period, 0, true
 	}
-	return period, untilShare(period, clock.Now().Sub(x.heard), p.d.opts.Address, x.address)
+	return period, untilShare(period, clock.Now().Sub(x.heard), p.d.opts.Address, x.address), true
+}
+
+// behind reports whether another entry is not known to have what this one has.
+func (p *peers) behind(x *peer) bool {
+	version := p.d.Configuration().GetVersion()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return x.version < version || p.leaving || x.heard.IsZero()
 }
 
 // share makes one exchange, and a second one when the other shows that it lacks the
@@ -101,55 +111,82 @@
 	}
 }
 
-// shareOnce returns which version of the configuration the other goes by.
-func (p *peers) shareOnce(ctx context.Context, x *peer, whole bool) (theirs uint64, ok bool) {
+// request is what this entry tells another one.
+func (p *peers) request(x *peer, whole bool) *pb.ShareRequest {
 	c := p.d.Configuration()
-	living := p.living()
 	req := &pb.ShareRequest{
-		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Address: p.d.opts.Address,
-		Version: c.GetVersion(), EntriesDigest: digest(living), Waiting: p.waitingMessage(),
+		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Address: p.d.opts.Address, Version: c.GetVersion(),
 	}
 	if whole {
 		req.Configuration = c
 	}
 	p.mu.Lock()
-	req.Leaving = p.leaving
+	defer p.mu.Unlock()
+	req.Leaving, req.EntriesDigest = p.leaving, p.view.Digest()
 	if x.digest != req.EntriesDigest {
-		req.Entries = living
+		req.Entries, req.Records = p.view.Living(), p.records()
 	}
-	p.mu.Unlock()
-	resp, err := x.client.Share(ctx, connect.NewRequest(req))
+	return req
+}
+
+// shareOnce returns which version of the configuration the other goes by.
+func (p *peers) shareOnce(ctx context.Context, x *peer, whole bool) (theirs uint64, ok bool) {
+	resp, err := x.client.Share(ctx, connect.NewRequest(p.request(x, whole)))
 	if err != nil {
 		// The connection may have gone silent: the next exchange takes a new one.
 		x.http.CloseIdleConnections()
 		return 0, false
 	}
 	m := resp.Msg
-	p.heard(x, told{m.Incarnation, m.Version, m.EntriesDigest, m.Waiting, m.Leaving})
-	p.learn(m.Entries)
+	p.heard(x, told{m.Incarnation, m.Version, m.EntriesDigest, m.Entries, m.Records})
 	if m.Configuration != nil {
 		p.d.SetConfiguration(m.Configuration)
 	}
 	return m.Version, true
 }
 
-// told is what an entry says of itself in an exchange.
+// told is what an entry says of itself and others in an exchange.
 type told struct {
 	incarnation string
 	version     uint64
 	digest      uint64
-	waiting     []*pb.WaitingJobs
-	leaving     bool
+	entries     []string
+	records     []*pb.EntryRecord
 }
 
 func (p *peers) heard(x *peer, t told) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !x.lives() || x.incarnation != t.incarnation {
-		p.d.opts.Logger.Info("entry_found", "entry", x.address, "incarnation", t.incarnation, "version", t.version)
+	p.do(func(now time.Time) {
+		if !p.view.Lives(x.address) || x.incarnation != t.incarnation {
+			p.d.opts.Logger.Info("entry_found", "entry", x.address, "incarnation", t.incarnation, "version", t.version)
+		}
+		x.incarnation, x.heard, x.version, x.digest = t.incarnation, now, t.version, t.digest
+		p.view.Heard(now, x.address)
+		if len(t.records) == 0 {
+			// An entry of an earlier version tells addresses only.
+			p.view.Learn(now, t.entries)
+			for _, a := range t.entries {
+				p.add(a)
+			}
+		}
+		p.view.Merge(now, fromMessages(t.records))
+	})
+}
+
+// records are the view's, as a message. The lock is held.
+func (p *peers) records() []*pb.EntryRecord {
+	var out []*pb.EntryRecord
+	for _, r := range p.view.Records() {
+		out = append(out, &pb.EntryRecord{Address: r.Address, Generation: r.Generation, Lost: r.Lost})
+	}
+	return out
+}
+
+func fromMessages(records []*pb.EntryRecord) []gossip.Record {
+	var out []gossip.Record
+	for _, r := range records {
+		out = append(out, gossip.Record{Address: r.Address, Generation: r.Generation, Lost: r.Lost})
 	}
-	x.incarnation, x.heard, x.version, x.waiting, x.leaving = t.incarnation, clock.Now(), t.version, t.waiting, t.leaving
-	x.digest = t.digest
+	return out
 }
 
 // serve answers another entry's exchange.
@@ -157,49 +194,44 @@
 	if req.Configuration != nil {
 		p.d.SetConfiguration(req.Configuration)
 	}
-	p.learn(append(req.Entries, req.Address))
+	p.learn([]string{req.Address})
 	p.mu.Lock()
 	x := p.all[req.Address]
 	p.mu.Unlock()
 	if x != nil {
-		p.heard(x, told{req.Incarnation, req.Version, req.EntriesDigest, req.Waiting, req.Leaving})
+		p.heard(x, told{req.Incarnation, req.Version, req.EntriesDigest, req.Entries, req.Records})
 	}
 	c := p.d.Configuration()
-	living := p.living()
 	resp := &pb.ShareResponse{
-		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Version: c.GetVersion(),
-		EntriesDigest: digest(living), Waiting: p.waitingMessage(),
-	}
-	if req.EntriesDigest != resp.EntriesDigest {
-		resp.Entries = living
+		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Version: c.GetVersion(), Waiting: p.waitingMessage(),
 	}
 	if req.Version < c.GetVersion() {
 		resp.Configuration = c
 	}
 	p.mu.Lock()
-	resp.Leaving = p.leaving
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	resp.Leaving, resp.EntriesDigest = p.leaving, p.view.Digest()
+	if req.EntriesDigest != resp.EntriesDigest {
+		resp.Entries, resp.Records = p.view.Living(), p.records()
+	}
 	return resp
 }
 
-// push brings a new configuration to entries that the store has not told.
+// push brings a new configuration to partners that the store has not told; from these
+// it goes on to theirs.
 func (p *peers) push(version uint64) {
 	time.AfterFunc(pushAfter+rand.N(pushAfter), func() {
-		p.wake(func(x *peer) bool { return x.version < version })
+		p.wakePartners(func(x *peer) bool { return x.version < version })
 	})
 }
 
-// wake exchanges at once with those chosen.
-func (p *peers) wake(chosen func(x *peer) bool) {
+// wakePartners exchanges at once with those chosen.
+func (p *peers) wakePartners(chosen func(x *peer) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, x := range p.all {
-		if !chosen(x) {
-			continue
-		}
-		select {
-		case x.wake <- struct{}{}:
-		default:
+		if p.view.Partner(x.address) && chosen(x) {
+			x.signal()
 		}
 	}
 }
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -11,15 +11,20 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/dispatch/gossip"
 	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
 const (
-	// peerLostAfter is how long an entry that does not answer counts as living.
-	peerLostAfter = 2 * time.Second
-	// peerForgottenAfter is how long it is asked again, unless it is a seed.
-	peerForgottenAfter = time.Minute
+	// viewEvery is how often the view of the entries takes in the passing of time.
+	viewEvery = 500 * time.Millisecond
+	// tellAfter gathers changes of the living entries before agents are told: after a
+	// start of all machines many come within a moment, and each telling goes to every
+	// agent.
+	tellAfter = 50 * time.Millisecond
+	// waitingFor is how long the counts of waiting jobs that others gave are used.
+	waitingFor = time.Second
 )
 
 // peer is another entry, by its address.
@@ -32,26 +37,33 @@
 	incarnation string
 	heard       time.Time
 	digest      uint64 // of the living entries that it has told
-	since       time.Time
 	version     uint64
-	waiting     []*pb.WaitingJobs
-	leaving     bool
 }
 
-// peers keeps the other entries and exchanges with them what each knows: the
-// configuration in force, the entries that live, and how many jobs wait. An entry
-// that the platform's store turns away keeps up this way.
+// peers keeps the other entries. With its partners among them this one exchanges what
+// each knows: the configuration in force, and the entries that live. An entry that the
+// platform's store turns away keeps up this way.
 type peers struct {
-	d   *Dispatcher
-	ctx context.Context
+	d       *Dispatcher
+	ctx     context.Context
+	changed chan struct{} // the view may have changed
 
 	mu      sync.Mutex
 	all     map[string]*peer
+	view    *gossip.View
+	changes uint64 // of the view, as taken in
 	leaving bool
 	told    []string // the living, as agents were last told
+	counts  waitingCounts
 }
 
-func newPeers(d *Dispatcher) *peers { return &peers{d: d, all: make(map[string]*peer)} }
+func newPeers(d *Dispatcher) *peers {
+	fixed := slices.DeleteFunc(slices.Clone(d.opts.Seeds), func(a string) bool { return a == d.opts.Address })
+	return &peers{
+		d: d, changed: make(chan struct{}, 1), all: make(map[string]*peer),
+		view: gossip.New(d.opts.Address, uint64(time.Now().UnixMilli()), fixed),
+	}
+}
 
 // run learns the seeds and keeps the living entries told until the context ends.
 func (p *peers) run(ctx context.Context) {
@@ -59,17 +71,41 @@
 	p.ctx = ctx
 	p.mu.Unlock()
 	p.learn(p.d.opts.Seeds)
-	t := time.NewTicker(shareEvery)
+	t := time.NewTicker(viewEvery)
 	defer t.Stop()
 	for ctx.Err() == nil {
 		p.tell()
 		select {
+		case <-p.changed:
+			time.Sleep(tellAfter)
 		case <-t.C:
+			p.do(func(now time.Time) { p.view.Tick(now) })
 		case <-ctx.Done():
 		}
 	}
 }
 
+// do lets f change the view, and takes in what has changed.
+func (p *peers) do(f func(now time.Time)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(clock.Now())
+	if p.changes == p.view.Changes() {
+		return
+	}
+	p.changes = p.view.Changes()
+	for _, a := range p.view.Living() {
+		p.add(a)
+	}
+	for _, x := range p.all {
+		x.signal() // it may have become a partner, or be none any more
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
 // tell passes the living entries on to the core, for agents, when they change.
 func (p *peers) tell() {
 	living := p.living()
@@ -86,111 +122,106 @@
 func (p *peers) living() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := []string{p.d.opts.Address}
-	for _, x := range p.all {
-		if x.lives() {
-			out = append(out, x.address)
-		}
-	}
-	slices.Sort(out)
-	return out
+	return p.view.Living()
 }
 
-func (x *peer) lives() bool { return !x.heard.IsZero() && clock.Now().Sub(x.heard) < peerLostAfter }
-
 func (p *peers) learn(addresses []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.ctx == nil {
+	p.do(func(now time.Time) {
+		p.view.Learn(now, addresses)
+		for _, a := range addresses {
+			p.add(a)
+		}
+	})
+}
+
+// add keeps an entry, by its address. The lock is held.
+func (p *peers) add(address string) {
+	if p.ctx == nil || address == "" || address == p.d.opts.Address || p.all[address] != nil {
 		return
 	}
-	for _, address := range addresses {
-		if address == "" || address == p.d.opts.Address || p.all[address] != nil {
-			continue
-		}
-		client := rpc.NewClient(nil)
-		x := &peer{
-			address: address, http: client,
-			client: papayahoistv1connect.NewWorkServiceClient(client, rpc.URL(address, nil), rpc.NoCompressionWanted),
-			wake:   make(chan struct{}, 1), since: clock.Now(),
-		}
-		p.all[address] = x
-		go p.exchange(p.ctx, x)
+	client := rpc.NewClient(nil)
+	x := &peer{
+		address: address, http: client,
+		client: papayahoistv1connect.NewWorkServiceClient(client, rpc.URL(address, nil), rpc.NoCompressionWanted),
+		wake:   make(chan struct{}, 1),
 	}
+	p.all[address] = x
+	go p.exchange(p.ctx, x)
 }
 
 func (p *peers) forget(x *peer) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := x.heard
-	if last.IsZero() {
-		last = x.since
-	}
-	if clock.Now().Sub(last) < peerForgottenAfter || slices.Contains(p.d.opts.Seeds, x.address) {
+	if p.view.Known(x.address) {
 		return false
 	}
 	delete(p.all, x.address)
 	return true
 }
 
-func (p *peers) waitingMessage() []*pb.WaitingJobs {
-	var out []*pb.WaitingJobs
-	for queue, n := range p.d.waitingHere() {
-		out = append(out, &pb.WaitingJobs{Queue: queue, Jobs: uint32(n)})
+func (x *peer) signal() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
 	}
-	return out
-}
-
-// waiting counts the jobs that wait at other living entries.
-func (p *peers) waiting(queue string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, x := range p.all {
-		if !x.lives() {
-			continue
-		}
-		for _, w := range x.waiting {
-			if w.Queue == queue {
-				n += int(w.Jobs)
-			}
-		}
-	}
-	return n
 }
 
 func (p *peers) leave() {
 	p.mu.Lock()
 	p.leaving = true
 	p.mu.Unlock()
-	p.wake(func(*peer) bool { return true })
+	p.wakePartners(func(*peer) bool { return true })
 }
 
-// cancel asks every living entry to end a job.
-func (p *peers) cancel(ctx context.Context, queue, id string) bool {
+// others are the other living entries.
+func (p *peers) others() []*peer {
 	p.mu.Lock()
-	var ask []*peer
-	for _, x := range p.all {
-		if x.lives() {
-			ask = append(ask, x)
+	defer p.mu.Unlock()
+	var out []*peer
+	for _, a := range p.view.Living() {
+		if x := p.all[a]; x != nil {
+			out = append(out, x)
 		}
 	}
-	p.mu.Unlock()
+	return out
+}
+
+// ask calls some entries at the same time, and returns when all have answered or the
+// time of one exchange is over. A connection to one that is no partner isn't kept.
+func (p *peers) ask(ctx context.Context, whom []*peer, call func(ctx context.Context, x *peer)) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	known := make(chan bool, len(ask))
-	for _, x := range ask {
-		go func() {
-			resp, err := x.client.Cancel(ctx, connect.NewRequest(&pb.CancelRequest{Queue: queue, Job: id}))
-			if err != nil {
-				p.d.opts.Logger.Warn("cancel_unanswered", "entry", x.address, "job", id, "err", err)
+	var wg sync.WaitGroup
+	for _, x := range whom {
+		wg.Go(func() {
+			call(ctx, x)
+			if !p.partner(x) {
+				x.http.CloseIdleConnections()
 			}
-			known <- err == nil && resp.Msg.Known
-		}()
-	}
-	any := false
-	for range ask {
-		any = <-known || any
+		})
 	}
-	return any
+	wg.Wait()
+}
+
+func (p *peers) partner(x *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Partner(x.address)
+}
+
+// cancel asks every living entry to end a job.
+func (p *peers) cancel(ctx context.Context, queue, id string) bool {
+	var mu sync.Mutex
+	known := false
+	p.ask(ctx, p.others(), func(ctx context.Context, x *peer) {
+		resp, err := x.client.Cancel(ctx, connect.NewRequest(&pb.CancelRequest{Queue: queue, Job: id}))
+		if err != nil {
+			p.d.opts.Logger.Warn("cancel_unanswered", "entry", x.address, "job", id, "err", err)
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		known = known || resp.Msg.Known
+	})
+	return known
 }
