Agents keep links to twelve entries, and report as often as entries place

Cause: each agent linked with each entry: 13,200 links at 240 agents and 55 entries, with a heartbeat a second each way, and each reported its state to all as often as they could take it in: up to 59,000 reports a second for 4,900 starts. Now an agent chooses twelve entries by rendezvous hashing, keeps others as stand-ins for those out of reach, and closes a link in three steps so that no order is lost on it; it is told only of the entries among which it chooses. Reports: three for each order that an entry sends, 100 a second at least. Up to twelve entries the site is the full mesh that it was.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -41,7 +41,8 @@
 
 	out         pb.OrderFrame // content of the next frame
 	dirty       bool
-	eager       bool // it was told that work waits
+	eager       bool     // it was told that work waits
+	entries     []string // that it is told of
 	tellEntries bool
 
 	touched bool // since the last call of Ready
@@ -299,7 +300,8 @@
 	if a == nil || !a.session.IsUp() || a.session.Epoch() != epoch {
 		return
 	}
-	if !a.session.Received(now, f.Seq, f.Ack, len(f.News) > 0) {
+	content := len(f.News) > 0 || f.State.GetHeld() == runner.HeldRetiring
+	if !a.session.Received(now, f.Seq, f.Ack, content) {
 		return
 	}
 	d.touch(a)
@@ -410,9 +412,29 @@
 	a.slowness = d.health.Slowness(a.incarnation)
 }
 
-// minReportEvery is as often as reports tell anything new.
-const minReportEvery = 20
+const (
+	// minReportEvery is as often as reports tell anything new, and maxReportEvery how
+	// old what is known of an agent may be when the first job comes after a pause: the
+	// age at which a link's heartbeat is due anyway.
+	minReportEvery = 20 * time.Millisecond
+	maxReportEvery = time.Second
+	// reportsPerOrder is how many reports an entry takes in for each order that it
+	// sends. An order is placed by the state of some three workers; reports that come
+	// faster than orders go out are not looked at.
+	reportsPerOrder = 3
+	// leastReports is how many reports a second an entry takes in when it has few orders:
+	// the next job must not be refused for what was so half a second ago. They cost it a
+	// fifth of a hundredth of a core.
+	leastReports = 100
+)
 
-func (d *Dispatcher) reportEveryMs() uint32 {
-	return uint32(max(minReportEvery, 1000*float64(len(d.agents))/d.opts.ReportsPerSecond))
+// reportEvery is how often an agent is to report its state without other news.
+//
+// What goes wrong when all report as often as the entry can take them in: each agent
+// sends its state to every entry at each change, in a fleet most of them idle; with 240
+// agents and 55 entries that was 12 reports for each order.
+func (d *Dispatcher) reportEvery(now time.Time) time.Duration {
+	perSecond := min(d.opts.ReportsPerSecond, max(leastReports, reportsPerOrder*d.ordered.perSecond(now)))
+	every := time.Duration(float64(len(d.agents)) / perSecond * float64(time.Second))
+	return min(max(every, minReportEvery), maxReportEvery)
 }
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
@@ -11,6 +12,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/subset"
 	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
@@ -167,6 +169,7 @@
 	wakes         indexheap.Heap[*agent] // the agents that are not touched
 	greeted       map[string]greeting    // links that their agents have not taken, by incarnation
 	entries       []string               // addresses of living entries, for agents
+	ordered       rate                   // orders
 	cursor        int
 
 	number  uint64 // of the last job
@@ -228,13 +231,21 @@
 // Configuration in force; nil before the first.
 func (d *Dispatcher) Configuration() *pb.Configuration { return d.config }
 
-// SetEntries tells the addresses of the living entries, which agents are told.
+// SetEntries tells the addresses of the living entries. Each agent is told those among
+// which it chooses.
 func (d *Dispatcher) SetEntries(addresses []string) {
 	d.entries = addresses
 	for _, a := range d.agents {
-		a.tellEntries = true
+		d.setEntriesOf(a)
+	}
+}
+
+func (d *Dispatcher) setEntriesOf(a *agent) {
+	entries := subset.First(a.name, d.entries, subset.Told)
+	if !slices.Equal(entries, a.entries) {
+		a.entries, a.tellEntries = entries, true
+		d.touch(a)
 	}
-	d.touchAll()
 }
 
 // Links is the number of agents with a link.
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -111,10 +111,10 @@
 	}
 	f := &pb.OrderFrame{
 		Orders: a.out.Orders, Stops: a.out.Stops, SentNs: now.UnixNano(), Eager: eager,
-		ReportEveryMs: d.reportEveryMs(), Clock: d.opts.Events.Stamp(now), Ended: d.over,
+		ReportEveryMs: uint32(d.reportEvery(now).Milliseconds()), Clock: d.opts.Events.Stamp(now), Ended: d.over,
 	}
 	if a.tellEntries {
-		f.Entries = d.entries
+		f.Entries = a.entries
 	}
 	f.Seq, f.Ack = a.session.Send(now, len(f.Orders) > 0 || len(f.Stops) > 0)
 	a.out = pb.OrderFrame{}
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -8,6 +8,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/subset"
 )
 
 // greeting is what asks for a link, until the agent's first frame shows that it has
@@ -23,14 +24,16 @@
 // when, and no clocks are compared.
 type greeting struct {
 	*pb.AgentGreeting
-	at time.Time
+	at      time.Time
+	entries []string // that the agent was told in answer
 }
 
 // LinkUp takes in that an agent asks for a link, and returns the first frame for it.
 // The link counts from the agent's first frame on.
 func (d *Dispatcher) LinkUp(now time.Time, g *pb.AgentGreeting) *pb.OrderFrame {
 	d.begin(now)
-	d.greeted[g.Incarnation] = greeting{g, now}
+	entries := subset.First(g.Agent, d.entries, subset.Told)
+	d.greeted[g.Incarnation] = greeting{g, now, entries}
 	// The agent has closed its earlier link before it asked for this one.
 	if a := d.agent(g.Incarnation); a != nil && a.session.IsUp() {
 		d.down(now, a, "the agent asked for another link")
@@ -39,7 +42,7 @@
 		Hello: &pb.EntryGreeting{
 			Entry: d.opts.Entry, Incarnation: d.opts.Incarnation, FailureDomain: d.opts.FailureDomain,
 		},
-		SentNs: now.UnixNano(), Clock: d.opts.Events.Stamp(now),
+		SentNs: now.UnixNano(), Clock: d.opts.Events.Stamp(now), Entries: entries,
 	}
 }
 
@@ -73,7 +76,8 @@
 	a.session.Up(now, g.Epoch, d.opts.Link)
 	a.lastSent, a.gaveUp, a.greetedAt, a.afterOther = now, false, g.at, afterOther
 	a.out = pb.OrderFrame{}
-	a.tellEntries, a.dirty, a.eager = true, true, false
+	a.entries, a.tellEntries, a.dirty, a.eager = g.entries, false, true, false
+	d.setEntriesOf(a)
 	d.touch(a)
 	d.opts.Decided(Decision{Event: "agent_linked", Agent: a.name, Waiting: len(a.live), Age: now.Sub(g.at)})
 	d.reconcile(now, a, g.AgentGreeting)
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -6,7 +6,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/place"
-	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/subset"
 	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
@@ -16,7 +16,7 @@
 // longer one has less time to lose.
 type waitlist struct {
 	jobs  []*job
-	drain drainRate
+	drain rate // work placed
 	mix   mix
 	eager bool // agents were told that work waits
 }
@@ -142,7 +142,8 @@
 func (d *Dispatcher) sendChosen(now time.Time, chosen []placement) {
 	for _, p := range chosen {
 		w := d.waitlist(p.task.job.queue.Service)
-		w.drain.add(now, p.step.Size, p.step.expect)
+		w.drain.add(now, work(p.step.Size, p.step.expect))
+		d.ordered.add(now, 1)
 		w.mix.add(now, p.task.job.queue.Priority, p.step.Size, p.step.expect)
 		d.send(now, p.agent, p.task, p.step, p.wait)
 	}
@@ -172,7 +173,7 @@
 	}
 	limit := d.mayWait(now, t)
 	passed := d.passedBy(now, t.job.queue)
-	left := max(minChoice, n/max(1, len(d.entries)))
+	left := max(minChoice, n/d.sharers())
 	if d.opts.Without.Has(without.PartOfWorkers) {
 		left = n
 	}
@@ -200,6 +201,9 @@
 	return best, bestWait
 }
 
+// sharers is how many entries place work on a worker that this one does.
+func (d *Dispatcher) sharers() int { return min(max(1, len(d.entries)), subset.Links) }
+
 // passedBy is how many times longer than the work ahead of it a task of a queue waits.
 func (d *Dispatcher) passedBy(now time.Time, q *pb.Queue) float64 {
 	if d.opts.Without.Has(without.PassedBy) {
@@ -267,49 +271,6 @@
 	return score + float64(collisionCost)*used*used
 }
 
-// drainRate measures how much work is placed over the last half second.
-type drainRate struct {
-	buckets [drainBuckets]float64
-	at      int64 // bucket of the last addition
-}
-
-const (
-	drainBuckets = 10
-	drainBucket  = 50 * time.Millisecond
-)
-
-// work is a task's processor time in thousandths of a core times seconds.
-func work(s size.Size, run time.Duration) float64 { return float64(s.CPUMillis) * run.Seconds() }
-
-// turnOver clears the buckets of a ring that time has passed since the last addition,
-// and returns the bucket of now.
-func turnOver[T any](buckets []T, last int64, now time.Time, width time.Duration, clear func(*T)) int64 {
-	at, n := now.UnixNano()/int64(width), int64(len(buckets))
-	for i := range min(at-last, n) {
-		clear(&buckets[(at-i)%n])
-	}
-	return at
-}
-
-func (r *drainRate) advance(now time.Time) {
-	r.at = turnOver(r.buckets[:], r.at, now, drainBucket, func(b *float64) { *b = 0 })
-}
-
-func (r *drainRate) add(now time.Time, s size.Size, run time.Duration) {
-	r.advance(now)
-	r.buckets[r.at%drainBuckets] += work(s, run)
-}
-
-// perSecond is the work placed a second.
-func (r *drainRate) perSecond(now time.Time) float64 {
-	r.advance(now)
-	sum := 0.0
-	for _, b := range r.buckets {
-		sum += b
-	}
-	return sum / (drainBuckets * drainBucket).Seconds()
-}
-
 // predictWait is how long a job would wait until what goes before it is placed, at
 // the pace of the last half second.
 func (d *Dispatcher) predictWait(now time.Time, j *job) time.Duration {
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -31,6 +31,11 @@
 	// that carried each; after a lost link they go out again.
 	unacked []sentNews
 
+	// retiring: this side closes the link; see Retire. The frame numbered retireSeq told
+	// so; zero: none has yet.
+	retiring  bool
+	retireSeq uint64
+
 	stale       bool // the state has changed since it was told
 	eager       bool
 	reportEvery time.Duration
@@ -112,6 +117,7 @@
 		r.entries = append(r.entries, e)
 	}
 	e.session.Up(now, epoch, r.opts.Link)
+	e.retiring = false
 	e.late = lateness{}
 	// The greeting was sent after the link was asked for: no difference of the clocks
 	// smaller than this one is possible.
@@ -241,7 +247,7 @@
 		// A cut or a freeze held the order up. Its entry has given it up by now, and
 		// its caller may have sent the job to another one.
 		return ReasonLate
-	case r.held() != HeldNone:
+	case r.heldFor(x.entry) != HeldNone:
 		return ReasonHeld
 	case r.runs[x.task] != nil:
 		return ReasonDouble
@@ -324,7 +330,12 @@
 		f.State = r.state(now, e)
 		e.stale, e.reportedAt = false, now
 	}
-	f.Seq, f.Ack = e.session.Send(now, len(f.News) > 0)
+	// That it is left has to be acknowledged before the link is closed.
+	retiring := f.State != nil && e.retiring
+	f.Seq, f.Ack = e.session.Send(now, len(f.News) > 0 || retiring)
+	if retiring && e.retireSeq == 0 {
+		e.retireSeq = f.Seq
+	}
 	for _, n := range f.News {
 		e.unacked = append(e.unacked, sentNews{f.Seq, n})
 	}
@@ -333,8 +344,16 @@
 	r.ready.Frames = append(r.ready.Frames, Out{Entry: e.incarnation, Epoch: e.session.Epoch(), Frame: f})
 }
 
+// heldFor says why no order of an entry may start.
+func (r *Runner) heldFor(e *entry) string {
+	if e.retiring {
+		return HeldRetiring
+	}
+	return r.held()
+}
+
 func (r *Runner) state(now time.Time, e *entry) *pb.WorkerState {
-	s := &pb.WorkerState{SeenOrder: e.seen, Held: r.held()}
+	s := &pb.WorkerState{SeenOrder: e.seen, Held: r.heldFor(e)}
 	s.Accepting = s.Held == HeldNone
 	s.Clean = r.known && r.looked && !r.hasForeign()
 	if r.known {
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -93,6 +93,8 @@
 	HeldLeaving   = "agent is shutting down"
 	HeldUnlooked  = "worker not looked at yet"
 	HeldStatement = "worker states no capacity"
+	// HeldRetiring: this agent closes its link to the entry.
+	HeldRetiring = "agent is linked to other entries"
 )
 
 // Decision is one decision for the log.
@@ -172,6 +174,9 @@
 	// Redial lists entries, by incarnation, whose link must be closed and opened
 	// anew.
 	Redial []string
+	// Closed lists entries, by incarnation, whose link isn't used any more and must be
+	// closed; see Retire.
+	Closed []string
 }
 
 // Runner is the state of one worker's runs.
@@ -516,6 +521,7 @@
 // Ready returns what has to be done since the last call.
 func (r *Runner) Ready(now time.Time) Ready {
 	r.flush(now)
+	r.closeRetired()
 	out := r.ready
 	r.ready = Ready{}
 	return out
--- /dev/null
+++ b/dispatch/subset/subset_test.go
@@ -0,0 +1,92 @@
+package subset
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func names(prefix string, n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("%s-%d", prefix, i))
+	}
+	return out
+}
+
+// chosenBy counts the agents that choose each entry.
+func chosenBy(agents, entries []string) map[string]int {
+	by := map[string]int{}
+	for _, a := range agents {
+		for _, e := range First(a, entries, Links) {
+			by[e]++
+		}
+	}
+	return by
+}
+
+// Each entry must have agents enough for the jobs that callers happen to bring it, and
+// none so many that a small one spends itself on links. The bounds are three standard
+// deviations of a draw by chance, in a hundred entries one or none lies outside.
+func TestEntriesGetAboutAsManyAgents(t *testing.T) {
+	for _, c := range []struct{ entries, agents int }{{55, 240}, {120, 520}, {12, 66}} {
+		by := chosenBy(names("agent", c.agents), names("10.0.0", c.entries))
+		mean := float64(c.agents) * min(1, Links/float64(c.entries))
+		outside := 0
+		for _, n := range by {
+			if d := float64(n) - mean; d*d > 9*mean {
+				outside++
+			}
+		}
+		if len(by) != c.entries || outside > 1 {
+			t.Errorf("%d entries and %d agents: %d entries have agents, %d of them too few or too many", c.entries, c.agents, len(by), outside)
+		}
+	}
+}
+
+// An entry is replaced by another one. Agents must not give up links to the others:
+// each link that moves costs both sides a greeting and the entry what it knew.
+func TestFewLinksMove(t *testing.T) {
+	agents, entries := names("agent", 240), names("10.0.0", 55)
+	changed := append(slices.Clone(entries[1:]), "10.0.0-new")
+	moved := 0
+	for _, a := range agents {
+		before, after := First(a, entries, Links), First(a, changed, Links)
+		for _, e := range after {
+			if !slices.Contains(before, e) {
+				moved++
+			}
+		}
+	}
+	if per := 240 * Links / 55; moved > 3*per {
+		t.Errorf("%d links moved; the one that went had about %d, and the one that came has as many", moved, per)
+	}
+}
+
+// Up to so many entries the site is a full mesh, in whatever order they are told.
+func TestSmallSitesAreAFullMesh(t *testing.T) {
+	entries := names("10.0.0", Links)
+	if diff := cmp.Diff(entries, First("agent", entries, Links)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// All entries of a failure domain are lost, and with them some or all of an agent's
+// links. It takes as many others, goes on trying those that it lost, and comes back to
+// them alone.
+func TestOthersStandInForEntriesOutOfReach(t *testing.T) {
+	ranked := Rank("agent", names("10.0.0", 30))
+	lost := map[string]bool{ranked[0]: true, ranked[2]: true, ranked[3]: true}
+	got := Choose(ranked, 4, func(a string) bool { return lost[a] })
+	if diff := cmp.Diff(ranked[:7], got); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(ranked[:4], Choose(ranked, 4, func(string) bool { return false })); diff != "" {
+		t.Error(diff)
+	}
+	if got := Choose(ranked, 4, func(string) bool { return true }); len(got) != len(ranked) {
+		t.Errorf("tries %d entries of %d with all of them out of reach", len(got), len(ranked))
+	}
+}
--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -2,34 +2,20 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
-
-	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
-	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/dispatch/subset"
 	"github.com/papayahoist/papayahoist/node/clock"
-	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
 const (
-	// attachTimeout bounds the opening of a link: some round trips, and the wait for
-	// a processor that has used up its share.
-	attachTimeout = 400 * time.Millisecond
-	// dialWithin bounds the wait for a connection, which the kernel of the entry's
-	// machine grants without its process: some round trips. The first packet to a
-	// machine without power is lost and sent again after a second; a new attempt is
-	// what notices sooner that it is back.
-	dialWithin = 150 * time.Millisecond
 	// redialMin and redialMax bound the pause between attempts at an entry. Short at
 	// first: runs are stopped when an entry stays silent.
 	redialMin = 50 * time.Millisecond
 	redialMax = time.Second
-	// redialEach is the pause, for each entry that is known, while none is linked: no
+	// redialEach is the pause, for each entry that is tried, while none is linked: no
 	// work comes then, and an entry that is back must not wait. It bounds an agent's
 	// attempts to a hundred a second.
 	redialEach = 10 * time.Millisecond
@@ -38,16 +24,18 @@
 	forgetAfter = 20 * time.Second
 	// findEvery is how often entries are looked for elsewhere while none is linked.
 	findEvery = 2 * time.Second
+	// reviewEvery is how often the choice of entries is looked at besides its changes.
+	reviewEvery = time.Second
+	// settleFor is how long a link is kept that the choice has passed over. After a start
+	// of all machines the entries become known one by one, and the choice changes with
+	// each: links would be opened and closed again.
+	settleFor = 2 * time.Second
+	// maxTargets bounds the addresses that an agent remembers: those it is told of, some
+	// times over. The ones named last are kept.
+	maxTargets = 4 * subset.Told
 )
 
-// link is one connection to an entry.
-type link struct {
-	epoch uint64
-	out   *rpc.Queue[*pb.WorkerFrame]
-	end   context.CancelFunc
-}
-
-// entries keeps a link to each entry that is known.
+// entries keeps links to some of the entries that are known; see package subset.
 type entries struct {
 	r *Runner
 
@@ -62,6 +50,13 @@
 	incarnation string // of the entry met there last
 	named       time.Time
 	linked      bool
+	// down: the last attempt at a link failed.
+	down bool
+	// tried: a goroutine keeps or tries the link.
+	tried bool
+	// wanted is when the choice last held it.
+	wanted   time.Time
+	retiring bool
 }
 
 func newEntries(r *Runner) *entries { return &entries{r: r, known: make(map[string]*target)} }
@@ -69,13 +64,14 @@
 // run keeps the links until the runner is closed.
 func (e *entries) run() {
 	e.learn(e.r.opts.Entries)
-	var found time.Time
 	for e.r.ctx.Err() == nil {
-		if e.r.opts.FindEntries != nil && !e.anyLinked() && time.Since(found) >= findEvery {
-			found = time.Now()
+		if e.r.opts.FindEntries != nil && !e.anyLinked() {
 			e.find()
+			e.r.pause(findEvery)
+			continue
 		}
-		e.r.pause(findEvery / 4)
+		e.r.pause(reviewEvery)
+		e.review()
 	}
 }
 
@@ -108,32 +104,107 @@
 		e.r.opts.Logger.Warn("entries_not_found", "err", err)
 		return
 	}
-	e.learn(addresses)
+	e.learn(subset.First(e.r.opts.Core.Agent, addresses, subset.Told))
 }
 
-// learn takes in addresses of living entries, and links to those that are new.
+// learn takes in addresses of living entries, and links to those that are chosen.
 func (e *entries) learn(addresses []string) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	for _, address := range addresses {
 		t := e.known[address]
 		if t == nil {
 			t = &target{address: address}
 			e.known[address] = t
-			go e.keep(t)
 		}
 		t.named = clock.Now()
 	}
+	e.trim()
+	e.mu.Unlock()
+	e.review()
+}
+
+// trim forgets the addresses named longest ago when there are too many. The lock is
+// held.
+func (e *entries) trim() {
+	if len(e.known) <= maxTargets {
+		return
+	}
+	var idle []*target
+	for _, t := range e.known {
+		if !t.tried && !slices.Contains(e.r.opts.Entries, t.address) {
+			idle = append(idle, t)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *target) int { return a.named.Compare(b.named) })
+	for _, t := range idle[:min(len(idle), len(e.known)-maxTargets)] {
+		delete(e.known, t.address)
+	}
+}
+
+// choose returns the targets to keep or try links with. The lock is held.
+func (e *entries) choose() []*target {
+	addresses := make([]string, 0, len(e.known))
+	for address := range e.known {
+		addresses = append(addresses, address)
+	}
+	ranked := subset.Rank(e.r.opts.Core.Agent, addresses)
+	var out []*target
+	for _, a := range subset.Choose(ranked, subset.Links, func(a string) bool { return e.known[a].down }) {
+		out = append(out, e.known[a])
+	}
+	return out
+}
+
+// review begins links to entries that are chosen, and closes those to others once
+// enough of the chosen are linked.
+func (e *entries) review() {
+	e.mu.Lock()
+	now := clock.Now()
+	var retire, keep []string
+	linked := 0
+	for _, t := range e.choose() {
+		t.wanted = now
+		if t.linked {
+			linked++
+		}
+		if t.retiring {
+			t.retiring = false
+			keep = append(keep, t.incarnation)
+		}
+		if !t.tried {
+			t.tried = true
+			go e.keep(t)
+		}
+	}
+	for _, t := range e.known {
+		if t.linked && !t.retiring && linked >= subset.Links && now.Sub(t.wanted) >= settleFor {
+			t.retiring = true
+			retire = append(retire, t.incarnation)
+		}
+	}
+	e.mu.Unlock()
+	e.r.decide(func(now time.Time) {
+		for _, incarnation := range keep {
+			e.r.core.Keep(now, incarnation)
+		}
+		for _, incarnation := range retire {
+			e.r.core.Retire(now, incarnation)
+		}
+	})
 }
 
-// keep links to one entry again and again until its address is forgotten.
+// keep links to one entry again and again while it is chosen, until its address is
+// forgotten.
 func (e *entries) keep(t *target) {
 	pause := redialMin
 	for e.r.ctx.Err() == nil {
 		began := clock.Now()
 		if e.attach(t) {
 			pause = redialMin
-		} else if e.forget(t) {
+		} else if e.failed(t) {
+			return
+		}
+		if e.left(t) {
 			return
 		}
 		if clock.Now().Sub(began) < redialMax {
@@ -143,108 +214,44 @@
 	}
 }
 
-func (e *entries) forget(t *target) bool {
+// failed takes in that no link could be opened, and reports whether the address is
+// forgotten.
+func (e *entries) failed(t *target) (forgotten bool) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if clock.Now().Sub(t.named) < forgetAfter || slices.Contains(e.r.opts.Entries, t.address) {
-		return false
+	first := !t.down
+	t.down = true
+	if clock.Now().Sub(t.named) >= forgetAfter && !slices.Contains(e.r.opts.Entries, t.address) {
+		delete(e.known, t.address)
+		forgotten = true
 	}
-	delete(e.known, t.address)
-	return true
-}
-
-type linkStream = connect.BidiStreamForClient[pb.WorkerFrame, pb.OrderFrame]
-
-// attach opens a link and serves it until it ends. It reports whether it was open.
-func (e *entries) attach(t *target) bool {
-	e.mu.Lock()
-	e.epoch++
-	epoch, met := e.epoch, t.incarnation
 	e.mu.Unlock()
-	ctx, cancel := context.WithCancel(e.r.ctx)
-	defer cancel()
-	client := rpc.NewClientWithin(dialWithin, nil)
-	defer client.CloseIdleConnections()
-	late := time.AfterFunc(attachTimeout, cancel)
-	asked := clock.Now()
-	stream := papayahoistv1connect.NewWorkServiceClient(client, rpc.URL(t.address, nil), rpc.NoCompressionWanted).Attach(ctx)
-	err := stream.Send(&pb.WorkerFrame{Hello: e.r.greeting(met, epoch)})
-	var first *pb.OrderFrame
-	if err == nil {
-		first, err = stream.Receive()
-	}
-	late.Stop()
-	if err != nil || first.GetHello() == nil {
-		if met != "" && errors.Is(err, syscall.ECONNREFUSED) {
-			// Nothing listens where the entry was: its process has ended.
-			e.gone(t, met, "nothing listens at the entry's address")
-		}
-		return false
+	if first || forgotten {
+		e.review() // others stand in for it
 	}
-	hello := first.Hello
-	if met != "" && met != hello.Incarnation {
-		e.gone(t, met, "another process answers at the entry's address")
-	}
-	e.serve(ctx, cancel, stream, t, hello, epoch, asked, first.SentNs)
-	return true
+	return forgotten
 }
 
-// gone takes in that an entry process has ended.
-func (e *entries) gone(t *target, incarnation, why string) {
+// left reports whether an entry without a link isn't chosen any more, and ends the
+// attempts at it then.
+func (e *entries) left(t *target) bool {
 	e.mu.Lock()
-	t.incarnation = ""
-	e.mu.Unlock()
-	e.r.decide(func(now time.Time) { e.r.core.EntryGone(now, incarnation, why) })
-}
-
-func (e *entries) serve(ctx context.Context, cancel context.CancelFunc, stream *linkStream, t *target, hello *pb.EntryGreeting, epoch uint64, asked time.Time, sentNs int64) {
-	l := &link{epoch: epoch, out: rpc.NewQueue[*pb.WorkerFrame](), end: cancel}
-	e.set(t, hello.Incarnation, true)
-	defer e.set(t, hello.Incarnation, false)
-	up := false
-	e.r.decide(func(now time.Time) {
-		if up = e.r.core.LinkUp(now, asked, hello, epoch, sentNs); up {
-			e.r.links[hello.Incarnation] = l
-		}
-	})
-	if !up {
-		return
-	}
-	e.r.opts.Logger.Info("entry_linked", "entry", hello.Entry, "incarnation", hello.Incarnation, "epoch", epoch)
-	go write(ctx, stream, l)
-	ended := false
-	for {
-		f, err := stream.Receive()
-		if err != nil {
-			break
-		}
-		if len(f.Entries) > 0 {
-			e.learn(f.Entries)
-		}
-		ended = ended || f.Ended
-		e.r.decide(func(now time.Time) { e.r.core.Step(now, hello.Incarnation, epoch, f) })
+	defer e.mu.Unlock()
+	if slices.Contains(e.choose(), t) {
+		return false
 	}
-	e.r.opts.Logger.Info("entry_unlinked", "entry", hello.Entry, "incarnation", hello.Incarnation, "epoch", epoch, "ended", ended)
-	e.r.decide(func(now time.Time) {
-		if e.r.links[hello.Incarnation] == l {
-			delete(e.r.links, hello.Incarnation)
-		}
-		e.r.core.LinkDown(now, hello.Incarnation, epoch)
-	})
+	t.tried, t.retiring = false, false
+	return true
 }
 
 func (e *entries) set(t *target, incarnation string, linked bool) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	t.linked = linked
 	t.named = clock.Now()
 	if linked {
-		t.incarnation = incarnation
+		t.incarnation, t.down = incarnation, false
 	}
-}
-
-func write(ctx context.Context, stream *linkStream, l *link) {
-	if l.out.Drain(ctx, stream.Send) != nil {
-		l.end()
+	e.mu.Unlock()
+	if linked {
+		e.review() // those that stood in for it may go
 	}
 }
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -130,7 +130,7 @@
 			l.out.Put(f.Frame)
 		}
 	}
-	for _, entry := range ready.Redial {
+	for _, entry := range append(ready.Redial, ready.Closed...) {
 		if l := r.links[entry]; l != nil {
 			l.end()
 		}
