--- a/dispatch/leasedcheck/faults.go
+++ b/dispatch/leasedcheck/faults.go
@@ -6,7 +6,11 @@
 func (w *World) fault() {
 	a := w.agents[w.rand.IntN(len(w.agents))]
 	e := w.entries[w.rand.IntN(len(w.entries))]
-	switch w.rand.IntN(10) {
+	kinds := 10
+	if w.o.Links > 0 {
+		kinds = 13 // three of thirteen are choices
+	}
+	switch w.rand.IntN(kinds) {
 	case 0:
 		if e.up {
 			e.kill()
@@ -32,6 +36,8 @@
 	case 7:
 		w.trace("%s loses calls", a.name)
 		a.worker.lossy = w.now.Add(500*time.Millisecond + w.upTo(3*time.Second))
+	case 10, 11, 12:
+		a.choose()
 	case 9:
 		if e.up {
 			e.leave()
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -18,7 +18,18 @@
 
 // Anything may fail at any time, together or twice. Callers must not see a task run
 // twice at a time, an answer that is not whole, or "not run" of what has run.
-func TestPromisesHoldUnderFaults(t *testing.T) {
+func TestPromisesHoldUnderFaults(t *testing.T) { promisesHold(t, options) }
+
+// In a fleet an agent is linked to some of the entries, and leaves one for another while
+// jobs run and things fail. What is on its way over a link that is left must neither run
+// unseen nor be said not to run.
+func TestPromisesHoldWithSomeLinks(t *testing.T) {
+	promisesHold(t, func(seed uint64) Options {
+		return Options{Seed: seed, Entries: 5, Agents: 6, Links: 2, Jobs: 120, Faults: int(seed % 16)}
+	})
+}
+
+func promisesHold(t *testing.T, options func(seed uint64) Options) {
 	var total Result
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
 		o := options(seed)
--- a/dispatch/leasedcheck/links.go
+++ b/dispatch/leasedcheck/links.go
@@ -173,5 +173,9 @@
 		a.linked[i] = nil
 		a.decide(func(now time.Time) { a.core.LinkDown(now, a.met[i], c.epoch) })
 	}
-	a.after(60*time.Millisecond, func() { a.dial(c.e) })
+	a.after(60*time.Millisecond, func() {
+		if a.wanted[i] {
+			a.dial(c.e)
+		}
+	})
 }
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -121,6 +121,7 @@
 	epoch  uint64
 	conns  []*conn
 	linked []*conn
+	wanted []bool   // the entries that it links to
 	met    []string // incarnation of each entry met last
 	cut    []time.Time
 	token  uint64
@@ -147,7 +148,14 @@
 			a.w.trace("%s %s task %s run %d of %s: %s", a.name, d.Event, d.Task, d.Run, d.Entry, d.Reason)
 		},
 	})
-	for _, e := range a.w.entries {
+	a.wanted = make([]bool, n)
+	links := n
+	if a.w.o.Links > 0 {
+		links = a.w.o.Links
+	}
+	for i := range links {
+		e := a.w.entries[(a.index+i)%n]
+		a.wanted[e.index] = true
 		a.dial(e)
 	}
 	a.look(true)
@@ -174,7 +182,7 @@
 			}
 		}
 	}
-	for _, incarnation := range r.Redial {
+	for _, incarnation := range append(r.Redial, r.Closed...) {
 		for i, c := range a.linked {
 			if c != nil && a.met[i] == incarnation {
 				c.closeByAgent()
@@ -184,6 +192,23 @@
 	a.setTimer(a.core.Next(), func() { a.decide(a.core.Tick) })
 }
 
+// choose has the agent leave one entry for another.
+func (a *agentNode) choose() {
+	left, taken := a.w.entries[a.w.rand.IntN(len(a.wanted))], a.w.entries[a.w.rand.IntN(len(a.wanted))]
+	if !a.up || !a.wanted[left.index] || a.wanted[taken.index] {
+		return
+	}
+	a.w.trace("%s leaves %s for %s", a.name, left.name, taken.name)
+	a.wanted[left.index], a.wanted[taken.index] = false, true
+	a.run(a.life, func() {
+		a.dial(taken)
+		a.decide(func(now time.Time) {
+			a.core.Retire(now, a.met[left.index])
+			a.core.Keep(now, a.met[taken.index])
+		})
+	})
+}
+
 // look makes a look; waiting ones follow each other.
 func (a *agentNode) look(waiting bool) {
 	l, ok := a.core.NextLook(a.w.now, waiting)
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -15,7 +15,10 @@
 	Seed    uint64
 	Entries int
 	Agents  int
-	Jobs    int
+	// Links is how many entries an agent is linked to; zero: all, always. Which ones
+	// changes as a fault.
+	Links int
+	Jobs  int
 	// Faults is how many faults happen in the time in which jobs arrive.
 	Faults int
 	// Trace is told of each event; nil: nobody.
