An entry whose own agents lack room or a label has others invite agents of theirs

Cause: with a part of the links, a job may need workers of which its entry knows none, and was refused as fitting no worker, for good; and a burst at one door finds that entry's workers taken while others are idle. Ruled out: handing the job over, which puts a third process between a caller and its runs and so another bound into every promise. Tests with their loads: a label only elsewhere, no room here, nobody has room, small sites ask nobody.

--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -26,9 +26,11 @@
 	switch {
 	case d.meeting(now):
 		// Nobody knows yet.
-	case known == 0:
+	case slices.Contains(fits, false) && d.ask(now, j, fits):
+		// Others may know.
+	case known == 0, d.partial() && slices.Contains(fits, false):
 		return refuse(ReasonNoWorkers, false, d.retryAfter(time.Second))
-	case !fits:
+	case slices.Contains(fits, false):
 		return refuse(ReasonTooLarge, true, 0)
 	}
 	d.unblock(j)
@@ -61,14 +63,17 @@
 		for _, p := range chosen {
 			p.agent.free = p.agent.free.Plus(p.step.Size)
 		}
+		if !j.late {
+			d.want(now, j, &j.steps[left[0].step])
+		}
 	}
 	return nil, &Answer{Outcome: NotRun, Reason: ReasonOverload, RetryAfter: d.retryAfter(d.predictWait(now, j))}
 }
 
 // fits reports how many workers of the service are known, and whether each step's
 // task fits one that may run it.
-func (d *Dispatcher) fits(j *job) (known int, fits bool) {
-	ok := make([]bool, len(j.steps))
+func (d *Dispatcher) fits(j *job) (known int, fits []bool) {
+	fits = make([]bool, len(j.steps))
 	for _, a := range d.agents {
 		if !a.session.IsUp() || a.state.GetService() != j.queue.Service {
 			continue
@@ -76,10 +81,10 @@
 		known++
 		for i := range j.steps {
 			s := &j.steps[i]
-			ok[i] = ok[i] || s.Size.FitsIn(a.capacity) && a.hasLabel(s.Requires)
+			fits[i] = fits[i] || s.Size.FitsIn(a.capacity) && a.hasLabel(s.Requires)
 		}
 	}
-	return known, !slices.Contains(ok, false)
+	return known, fits
 }
 
 const (
--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -43,6 +43,7 @@
 	dirty       bool
 	eager       bool     // it was told that work waits
 	entries     []string // that it is told of
+	invitedBy   []string // entries that want a link, not told yet
 	tellEntries bool
 
 	touched bool // since the last call of Ready
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -156,6 +156,8 @@
 	Answers []Answer
 	// Close lists agents, by incarnation, whose links must be closed.
 	Close []string
+	// Wants are for other entries; see Invite.
+	Wants []Want
 }
 
 // Dispatcher is the state of one entry.
@@ -180,6 +182,7 @@
 	due     indexheap.Heap[*job] // those without an answer, by when they are due
 	waits   map[string]*waitlist // by service
 	learned map[string]*learned  // by queue
+	wants   map[string]*asked    // by service and label
 	config  *pb.Configuration
 
 	begunAt time.Time // when the first input came
@@ -212,7 +215,7 @@
 	return &Dispatcher{
 		opts: o, health: health.New(o.Health),
 		jobs: make(map[uint64]*job), byID: make(map[string]*job), ending: make(map[string]*job),
-		waits: make(map[string]*waitlist), learned: make(map[string]*learned), byIncarnation: make(map[string]*agent), greeted: make(map[string]greeting),
+		waits: make(map[string]*waitlist), learned: make(map[string]*learned), wants: make(map[string]*asked), byIncarnation: make(map[string]*agent), greeted: make(map[string]greeting),
 	}
 }
 
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -23,6 +23,7 @@
 	agents  map[string]*fakeAgent // by incarnation
 	answers map[uint64]Answer
 	jobs    int
+	wants   []Want
 }
 
 type fakeAgent struct {
@@ -34,6 +35,9 @@
 	frees             int64 // what is said to come free soon
 	seen              uint64
 	clean             bool
+	labels            []string
+	entries           []string // told last
+	invitedBy         []string
 }
 
 func newBed(t *testing.T, agents ...string) *bed {
@@ -80,7 +84,7 @@
 // stateNow is what the agent reports.
 func (a *fakeAgent) stateNow() *pb.WorkerState {
 	s := &pb.WorkerState{
-		Worker: "w-" + a.incarnation, Service: "s", Accepting: true, Clean: a.clean, SeenOrder: a.seen,
+		Worker: "w-" + a.incarnation, Service: "s", Accepting: true, Clean: a.clean, SeenOrder: a.seen, Labels: a.labels,
 		Capacity: &pb.Size{CpuMillis: uint32(a.capacity), MemoryMb: 1000},
 		Room:     &pb.Room{CpuMillis: int32(a.capacity - a.used), MemoryMb: 1000},
 	}
@@ -100,11 +104,16 @@
 		a.ack = f.Frame.Seq
 		a.orders = append(a.orders, f.Frame.Orders...)
 		a.stops = append(a.stops, f.Frame.Stops...)
+		a.invitedBy = append(a.invitedBy, f.Frame.InvitedBy...)
+		if len(f.Frame.Entries) > 0 {
+			a.entries = f.Frame.Entries
+		}
 		for _, o := range f.Frame.Orders {
 			a.seen = o.Number
 			a.used += int64(o.Size.CpuMillis)
 		}
 	}
+	b.wants = append(b.wants, r.Wants...)
 	for _, a := range r.Answers {
 		b.answers[a.Number] = a
 	}
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -117,6 +117,7 @@
 		f.Entries = a.entries
 	}
 	f.Seq, f.Ack = a.session.Send(now, len(f.Orders) > 0 || len(f.Stops) > 0)
+	f.InvitedBy, a.invitedBy = a.invitedBy, nil
 	a.out = pb.OrderFrame{}
 	a.dirty, a.tellEntries, a.eager, a.lastSent = false, false, eager, now
 	d.ready.Frames = append(d.ready.Frames, Out{Agent: a.incarnation, Epoch: a.session.Epoch(), Frame: f})
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -62,8 +62,12 @@
 	patience time.Duration
 	// late: it was taken in though it ends after its objective.
 	late bool
-	// meeting: it came before the agents were met, and is decided on then.
+	// meeting: it came before the agents were met, or others are asked for workers that
+	// may run it, and it is decided on when this is over.
 	meeting bool
+	// asked: other entries were asked for workers that may run it, until askedUntil.
+	asked      bool
+	askedUntil time.Time
 	// objective is when it should have ended, and startBy when its longest chain must
 	// begin for that.
 	objective time.Time
@@ -165,7 +169,7 @@
 	d.byID[idKey(in.Queue.Name, in.ID)] = j
 	j.dueAt = j.holdEnd
 	if j.meeting {
-		j.dueAt = link.Earlier(j.holdEnd, d.metBy())
+		j.dueAt = link.Earlier(j.holdEnd, d.decideBy(j))
 	}
 	d.due.Push(j)
 	d.sendChosen(now, chosen)
--- a/dispatch/dispatcher/meet.go
+++ b/dispatch/dispatcher/meet.go
@@ -31,13 +31,21 @@
 // admitOrHold admits a new job, or holds it while the agents are being met.
 func (d *Dispatcher) admitOrHold(now time.Time, j *job) ([]placement, *Answer) {
 	chosen, refused := d.admit(now, j)
-	if refused != nil && d.meeting(now) {
+	if refused != nil && now.Before(d.decideBy(j)) && !d.opts.Without.Has(without.HeldJobs) {
 		j.meeting, j.late = true, false
 		return nil, nil
 	}
 	return chosen, refused
 }
 
+// decideBy is when a job that was held is decided on.
+func (d *Dispatcher) decideBy(j *job) time.Time {
+	if met := d.metBy(); met.After(j.askedUntil) {
+		return met
+	}
+	return j.askedUntil
+}
+
 // decideMet decides on a job that was held.
 func (d *Dispatcher) decideMet(now time.Time, j *job) {
 	j.meeting = false
--- a/dispatch/without/without.go
+++ b/dispatch/without/without.go
@@ -43,11 +43,13 @@
 	StartBy
 	// Patience: an order that waits longer than foretold is offered elsewhere.
 	Patience
+	// Invitations: an entry whose own agents lack room or a label asks for others.
+	Invitations
 )
 
 var names = []string{
 	"late-work", "held-jobs", "passed-by", "part-of-workers", "moves", "health", "learning", "giving-up", "eager", "ahead",
-	"start-by", "patience",
+	"start-by", "patience", "invitations",
 }
 
 // Names of all mechanisms.
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -129,6 +129,9 @@
 		}
 		delete(d.callers, a.Number)
 	}
+	for _, w := range r.Wants {
+		go d.invite(w)
+	}
 	for _, agent := range r.Close {
 		if l := d.links[agent]; l != nil {
 			l.end()
--- a/node/dispatcher/links.go
+++ b/node/dispatcher/links.go
@@ -8,6 +8,8 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
+	"github.com/papayahoist/papayahoist/dispatch/size"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -88,6 +90,15 @@
 	return connect.NewResponse(s.d.peers.serve(req.Msg)), nil
 }
 
+// Invite has agents of this entry link to another one.
+func (s *service) Invite(_ context.Context, req *connect.Request[pb.InviteRequest]) (*connect.Response[pb.InviteResponse], error) {
+	m := req.Msg
+	w := dispatcher.Want{Service: m.Service, Size: size.Of(m.Size), Label: m.Label, Agents: int(min(m.Agents, maxInvited))}
+	invited := 0
+	s.d.decide(func(now time.Time) { invited = s.d.core.Invite(now, m.Address, w) })
+	return connect.NewResponse(&pb.InviteResponse{Agents: uint32(invited)}), nil
+}
+
 // Cancel ends a job that another entry's caller has given up.
 func (s *service) Cancel(_ context.Context, req *connect.Request[pb.CancelRequest]) (*connect.Response[pb.CancelResponse], error) {
 	return connect.NewResponse(&pb.CancelResponse{Known: s.d.cancelHere(req.Msg.Queue, req.Msg.Job)}), nil
--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -30,6 +30,9 @@
 	// of all machines the entries become known one by one, and the choice changes with
 	// each: links would be opened and closed again.
 	settleFor = 2 * time.Second
+	// guestFor is how long a link is kept that an entry has asked for: the bursts that
+	// make entries ask last some seconds.
+	guestFor = 10 * time.Second
 	// maxTargets bounds the addresses that an agent remembers: those it is told of, some
 	// times over. The ones named last are kept.
 	maxTargets = 4 * subset.Told
@@ -55,8 +58,11 @@
 	// tried: a goroutine keeps or tries the link.
 	tried bool
 	// wanted is when the choice last held it.
-	wanted   time.Time
-	retiring bool
+	wanted time.Time
+	// guestUntil is until when its entry, which has asked for the link, gets one beside
+	// those chosen.
+	guestUntil time.Time
+	retiring   bool
 }
 
 func newEntries(r *Runner) *entries { return &entries{r: r, known: make(map[string]*target)} }
@@ -152,9 +158,30 @@
 	for _, a := range subset.Choose(ranked, subset.Links, func(a string) bool { return e.known[a].down }) {
 		out = append(out, e.known[a])
 	}
+	for _, a := range ranked[len(out):] {
+		if t := e.known[a]; clock.Now().Before(t.guestUntil) {
+			out = append(out, t)
+		}
+	}
 	return out
 }
 
+// invited takes in that entries ask for a link.
+func (e *entries) invited(addresses []string) {
+	e.mu.Lock()
+	until := clock.Now().Add(guestFor)
+	for _, address := range addresses {
+		t := e.known[address]
+		if t == nil {
+			t = &target{address: address, named: clock.Now()}
+			e.known[address] = t
+		}
+		t.guestUntil = until
+	}
+	e.mu.Unlock()
+	e.review()
+}
+
 // review begins links to entries that are chosen, and closes those to others once
 // enough of the chosen are linked.
 func (e *entries) review() {
--- a/node/runner/links.go
+++ b/node/runner/links.go
@@ -101,6 +101,9 @@
 		if len(f.Entries) > 0 {
 			e.learn(f.Entries)
 		}
+		if len(f.InvitedBy) > 0 {
+			e.invited(f.InvitedBy)
+		}
 		ended = ended || f.Ended
 		e.r.decide(func(now time.Time) { e.r.core.Step(now, hello.Incarnation, epoch, f) })
 	}
