Metrics: frames by what they carry, exchanges

What a fleet costs its machines at rest and for a job is told by operators' counters: papayahoist_frames_total by kind and papayahoist_exchanges_total.

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -38,9 +38,13 @@
 	// they reach it.
 	NodesListen, Address string
 	// Seeds are nodes' addresses of entries, which may be stale.
-	Seeds  []string
-	Core   dispatcher.Options
-	Logger *slog.Logger
+	Seeds []string
+	Core  dispatcher.Options
+	// OnFrame is told of each frame that goes to an agent, OnExchange of each exchange
+	// that this entry begins; nil: nobody.
+	OnFrame    func(*pb.OrderFrame)
+	OnExchange func()
+	Logger     *slog.Logger
 }
 
 // Dispatcher is the part of an entry that deals with agents and other entries.
@@ -63,6 +67,12 @@
 
 // New binds the nodes' port.
 func New(o Options) (*Dispatcher, error) {
+	if o.OnFrame == nil {
+		o.OnFrame = func(*pb.OrderFrame) {}
+	}
+	if o.OnExchange == nil {
+		o.OnExchange = func() {}
+	}
 	l, err := net.Listen("tcp", o.NodesListen)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listen on %s", o.NodesListen)
@@ -121,6 +131,7 @@
 	for _, f := range r.Frames {
 		if l := d.links[f.Agent]; l != nil && l.epoch == f.Epoch {
 			l.out.Put(f.Frame)
+			d.opts.OnFrame(f.Frame)
 		}
 	}
 	for _, a := range r.Answers {
--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -131,6 +131,7 @@
 
 // shareOnce returns which version of the configuration the other goes by.
 func (p *peers) shareOnce(ctx context.Context, x *peer, whole bool) (theirs uint64, ok bool) {
+	p.d.opts.OnExchange()
 	resp, err := x.client.Share(ctx, connect.NewRequest(p.request(x, whole)))
 	if err != nil {
 		// The connection may have gone silent: the next exchange takes a new one.
--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -60,6 +60,7 @@
 	client := adapter.NewStore(s.StoreAddress, adapter.StoreOptions{OnCall: a.metrics.storeCall})
 	a.r = runner.New(runner.Options{
 		Entries: s.Seeds, Worker: adapter.NewWorker(s.WorkerAddress, int(s.Connections)), Logger: a.logger,
+		OnFrame:     a.metrics.toEntry,
 		FindEntries: func(ctx context.Context) ([]string, error) { return roster.Find(ctx, client) },
 		Core: corerunner.Options{
 			Agent: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Times: times, Link: leasedLink(times),
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -105,6 +105,7 @@
 	}
 	e.d, err = dispatcher.New(dispatcher.Options{
 		NodesListen: s.NodesListen, Address: s.Address(), Seeds: s.Seeds, Logger: e.logger,
+		OnFrame: e.metrics.toAgent, OnExchange: e.metrics.exchanges.Inc,
 		Core: coredispatcher.Options{
 			Entry: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Times: times, Link: leasedLink(times),
 			RemoteFactor: s.Bounds.RemoteFactor, ReportsPerSecond: reportsPerCore * s.ProcessorShare,
--- a/node/process/leased_metrics.go
+++ b/node/process/leased_metrics.go
@@ -9,6 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 )
 
 // leasedMetrics counts what an entry or agent for leased workers decides. Labels are
@@ -20,6 +22,8 @@
 	waits     prometheus.Histogram
 	runs      *prometheus.HistogramVec
 	calls     *prometheus.CounterVec
+	frames    *prometheus.CounterVec
+	exchanges prometheus.Counter
 }
 
 // secondsBuckets lie around the objectives of sub-second tasks.
@@ -43,8 +47,14 @@
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayahoist_store_calls_total", Help: "Calls to the platform's store, by kind and result.",
 		}, []string{"kind", "result"}),
+		frames: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayahoist_frames_total", Help: "Frames sent on links between entries and agents, by what they carry.",
+		}, []string{"kind"}),
+		exchanges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "papayahoist_exchanges_total", Help: "Exchanges with other entries that this entry began.",
+		}),
 	}
-	m.registry.MustRegister(m.decisions, m.jobs, m.waits, m.runs, m.calls, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.decisions, m.jobs, m.waits, m.runs, m.calls, m.frames, m.exchanges, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -69,6 +79,37 @@
 	m.calls.WithLabelValues(kind, result).Inc()
 }
 
+// Kinds of frames. One that carries several things counts as the first of them.
+const (
+	frameOrders    = "orders"
+	frameNews      = "news"
+	frameReport    = "report"
+	frameEntries   = "entries"
+	frameHeartbeat = "heartbeat" // also acknowledgements, and word that runs may go on
+)
+
+func (m *leasedMetrics) toAgent(f *pb.OrderFrame) {
+	kind := frameHeartbeat
+	switch {
+	case len(f.Orders) > 0 || len(f.Stops) > 0:
+		kind = frameOrders
+	case len(f.Entries) > 0 || len(f.InvitedBy) > 0:
+		kind = frameEntries
+	}
+	m.frames.WithLabelValues(kind).Inc()
+}
+
+func (m *leasedMetrics) toEntry(f *pb.WorkerFrame) {
+	kind := frameHeartbeat
+	switch {
+	case len(f.News) > 0:
+		kind = frameNews
+	case f.State != nil:
+		kind = frameReport
+	}
+	m.frames.WithLabelValues(kind).Inc()
+}
+
 // serve serves the metrics at the address; empty: not at all.
 func (m *leasedMetrics) serve(address string) (*http.Server, error) {
 	if address == "" {
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -31,7 +31,9 @@
 	Core    runner.Options
 	// FindEntries asks elsewhere for entries when none answers; nil: nowhere.
 	FindEntries func(ctx context.Context) ([]string, error)
-	Logger      *slog.Logger
+	// OnFrame is told of each frame that goes to an entry; nil: nobody.
+	OnFrame func(*pb.WorkerFrame)
+	Logger  *slog.Logger
 }
 
 const (
@@ -58,6 +60,9 @@
 
 // New returns a Runner; Run starts it.
 func New(o Options) *Runner {
+	if o.OnFrame == nil {
+		o.OnFrame = func(*pb.WorkerFrame) {}
+	}
 	r := &Runner{
 		opts: o, core: runner.New(o.Core), links: make(map[string]*link), lookNow: make(chan struct{}, 1),
 	}
@@ -128,6 +133,7 @@
 	for _, f := range ready.Frames {
 		if l := r.links[f.Entry]; l != nil && l.epoch == f.Epoch {
 			l.out.Put(f.Frame)
+			r.opts.OnFrame(f.Frame)
 		}
 	}
 	for _, entry := range append(ready.Redial, ready.Closed...) {
