Overload is refused at once: waits by what they proved to be, late work only while it gets done

Cause: at 1.2 times the load that workers can do, a replay of the load on virtual time refused 67 of 5,733 jobs of the middle queue and answered 2,236 late: reports are a fifth of a second old, twelve entries place by the same ones, more urgent work passes, and what has missed its start goes first and makes the next miss its own. Now a queue's jobs are admitted with the error of its lately foretold waits in mind (margin); a job that has missed its start before anything of it began is late work; late work is passed by all that is in time when its wait is foretold, and is taken in only while four of five such jobs get done.

--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -52,7 +52,7 @@
 // begun already.
 func (d *Dispatcher) admit(now time.Time, j *job) ([]placement, *Answer) {
 	for _, j.late = range []bool{false, true} {
-		if j.late && d.opts.Without.Has(without.LateWork) {
+		if j.late && !d.takesLate(now) {
 			break
 		}
 		chosen, left, _ := d.choose(now, j)
--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -67,6 +67,8 @@
 	agent  *agent
 	size   size.Size
 	sentAt time.Time
+	// foretold is how long it was to wait for room.
+	foretold time.Duration
 	// expected on a sound worker.
 	expected time.Duration
 	started  bool
@@ -219,7 +221,7 @@
 	t.runs++
 	t.job.highestRun = max(t.job.highestRun, t.runs)
 	o := &order{
-		number: d.orderNo, task: t, run: t.runs, agent: a, size: s.Size, sentAt: now, expected: s.expect,
+		number: d.orderNo, task: t, run: t.runs, agent: a, size: s.Size, sentAt: now, foretold: wait, expected: s.expect,
 	}
 	a.live = append(a.live, o)
 	a.frees.Add(o.expected, s.Size.CPUMillis)
@@ -264,7 +266,9 @@
 		t.runs += runNumberStep
 	case runner.ReasonLate:
 		d.arrivedLate(now, a)
-	case runner.ReasonRoom, runner.ReasonWaited, runner.ReasonStopped, runner.ReasonHeld:
+	case runner.ReasonRoom, runner.ReasonWaited:
+		d.waited(o, now.Sub(o.sentAt)+offerAnew)
+	case runner.ReasonStopped, runner.ReasonHeld:
 	default:
 		if a.session.IsUp() {
 			t.avoid = append(t.avoid, a)
@@ -278,6 +282,9 @@
 	if j.ended {
 		return
 	}
+	if !now.Before(t.startBy()) {
+		d.fallBehind(j)
+	}
 	d.requeue(j, t)
 	if !d.opts.Without.Has(without.GivingUp) && (!now.Before(t.latestStart()) || !j.started && !d.servable(now, t)) {
 		// Its answer would be of no use; the others of its tasks would only take room.
@@ -363,6 +370,7 @@
 		o.started, t.job.started = true, true
 	case pb.OrderState_ORDER_STATE_DONE:
 		ran := time.Duration(n.RunMs) * time.Millisecond
+		d.waited(o, now.Sub(o.sentAt)-ran)
 		d.drop(o)
 		// Its start may have gone unanswered.
 		t.job.started = true
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -183,7 +183,10 @@
 	waits   map[string]*waitlist // by service
 	learned map[string]*learned  // by queue
 	wants   map[string]*asked    // by service and label
-	config  *pb.Configuration
+	margins map[string]*margin   // by queue
+	// lateYield is what comes of late work.
+	lateYield yield
+	config    *pb.Configuration
 
 	begunAt time.Time // when the first input came
 	// dueAt is when a tick was asked for, and lag how late the process is, as ticks
@@ -215,7 +218,7 @@
 	return &Dispatcher{
 		opts: o, health: health.New(o.Health),
 		jobs: make(map[uint64]*job), byID: make(map[string]*job), ending: make(map[string]*job),
-		waits: make(map[string]*waitlist), learned: make(map[string]*learned), wants: make(map[string]*asked), byIncarnation: make(map[string]*agent), greeted: make(map[string]greeting),
+		waits: make(map[string]*waitlist), learned: make(map[string]*learned), wants: make(map[string]*asked), margins: make(map[string]*margin), byIncarnation: make(map[string]*agent), greeted: make(map[string]greeting),
 	}
 }
 
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -271,6 +271,9 @@
 
 // answer ends a job: what waits is dropped, what runs is stopped.
 func (d *Dispatcher) answer(now time.Time, j *job, a Answer) {
+	if j.late {
+		d.lateYield.take(now, a.Outcome == Completed)
+	}
 	a.Number = j.number
 	d.endJob(now, j)
 	d.ready.Answers = append(d.ready.Answers, a)
--- a/dispatch/dispatcher/mix.go
+++ b/dispatch/dispatcher/mix.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,10 @@
 	at      int64 // bucket of the last addition
 }
 
+// lateUrgency is that of work that was taken in late, of whatever queue: all that is in
+// time goes first.
+const lateUrgency = math.MaxUint32
+
 // workOf is the work of one urgency; a bucket has few, so a list serves, and sums
 // come out the same each time.
 type workOf struct {
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/place"
 	"github.com/papayahoist/papayahoist/dispatch/subset"
 	"github.com/papayahoist/papayahoist/dispatch/without"
@@ -144,7 +143,7 @@
 		w := d.waitlist(p.task.job.queue.Service)
 		w.drain.add(now, work(p.step.Size, p.step.expect))
 		d.ordered.add(now, 1)
-		w.mix.add(now, p.task.job.queue.Priority, p.step.Size, p.step.expect)
+		w.mix.add(now, p.task.job.urgency(), p.step.Size, p.step.expect)
 		d.send(now, p.agent, p.task, p.step, p.wait)
 	}
 }
@@ -171,8 +170,8 @@
 	if n == 0 {
 		return nil, 0
 	}
-	limit := d.mayWait(now, t)
-	passed := d.passedBy(now, t.job.queue)
+	limit := max(0, d.mayWait(now, t)-d.marginOf(t.job))
+	passed := d.passedBy(now, t.job)
 	left := max(minChoice, n/d.sharers())
 	if d.opts.Without.Has(without.PartOfWorkers) {
 		left = n
@@ -204,12 +203,20 @@
 // sharers is how many entries place work on a worker that this one does.
 func (d *Dispatcher) sharers() int { return min(max(1, len(d.entries)), subset.Links) }
 
-// passedBy is how many times longer than the work ahead of it a task of a queue waits.
-func (d *Dispatcher) passedBy(now time.Time, q *pb.Queue) float64 {
+// urgency is by what a job's work is passed.
+func (j *job) urgency() uint32 {
+	if j.late {
+		return lateUrgency
+	}
+	return j.queue.Priority
+}
+
+// passedBy is how many times longer than the work ahead of it a task of a job waits.
+func (d *Dispatcher) passedBy(now time.Time, j *job) float64 {
 	if d.opts.Without.Has(without.PassedBy) {
 		return 1
 	}
-	return d.waitlist(q.Service).mix.passedBy(now, q.Priority)
+	return d.waitlist(j.queue.Service).mix.passedBy(now, j.urgency())
 }
 
 // servable reports whether some worker is expected to start a task while that is of
@@ -217,7 +224,7 @@
 func (d *Dispatcher) servable(now time.Time, t *task) bool {
 	s := &t.job.steps[t.step]
 	limit := t.latestStart().Sub(now)
-	passed := d.passedBy(now, t.job.queue)
+	passed := d.passedBy(now, t.job)
 	return slices.ContainsFunc(d.agents, func(a *agent) bool {
 		wait := a.wait(s.Size, t.job.queue.Priority, t.job.late)
 		return time.Duration(passed*float64(wait)) <= limit && d.mayRun(now, a, t, s)
--- a/dispatch/leasedcheck/check.go
+++ b/dispatch/leasedcheck/check.go
@@ -78,6 +78,10 @@
 	tries   int
 	refused int
 	over    bool
+	// Of a load: when it was sent, its kind and objective.
+	sent      time.Time
+	kind      int
+	objective time.Duration
 }
 
 // attempt is one request of a caller at an entry.
@@ -136,7 +140,10 @@
 		x.finish(&x.w.checker.r.Other)
 		return
 	}
-	e := x.w.entries[x.w.rand.IntN(len(x.w.entries))]
+	x.sendTo(x.w.entries[x.w.rand.IntN(len(x.w.entries))])
+}
+
+func (x *caller) sendTo(e *entryNode) {
 	x.tries++
 	if !e.up {
 		x.w.at(resend, x.send)
@@ -189,6 +196,11 @@
 	}
 	t.over = true
 	c := &t.c.w.checker
+	if l := t.c.w.load; l != nil {
+		t.c.over = true
+		l.over(t.c, a.Outcome, true)
+		return
+	}
 	t.c.w.trace("%s answers %s: %v %s", t.e.name, t.c.id, a.Outcome, a.Reason)
 	switch a.Outcome {
 	case dispatcher.Completed:
@@ -238,6 +250,9 @@
 		return
 	}
 	t.over = true
+	if l := t.c.w.load; l != nil {
+		l.over(t.c, dispatcher.Unknown, false)
+	}
 	t.c.finish(&t.c.w.checker.r.Other)
 	t.gone()
 }
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
@@ -31,8 +32,12 @@
 	e.waiting = map[uint64][]*attempt{}
 	e.core = dispatcher.New(dispatcher.Options{
 		Entry: e.name, Incarnation: fmt.Sprintf("%s.%d", e.name, e.life), FailureDomain: "d", Times: e.w.times, Link: e.w.link,
-		Random: e.w.rand.Float64,
+		Random:  e.w.rand.Float64,
+		Without: e.w.o.Without,
 		Decided: func(d dispatcher.Decision) {
+			if l := e.w.load; l != nil {
+				l.decided(d)
+			}
 			e.w.trace("%s %s job %s task %s run %d at %s: %s %s", e.name, d.Event, d.Job, d.Task, d.Run, d.Agent, d.Outcome, d.Reason)
 		},
 	})
@@ -45,6 +50,7 @@
 	for _, o := range r.Frames {
 		if c := e.links[o.Agent]; c != nil && c.epoch == o.Epoch {
 			c.toAgent(func() {
+				c.a.invited(o.Frame.InvitedBy)
 				c.a.decide(func(now time.Time) {
 					c.a.core.Step(now, fmt.Sprintf("%s.%d", e.name, c.eLife), c.epoch, o.Frame)
 				})
@@ -57,6 +63,9 @@
 		}
 		delete(e.waiting, a.Number)
 	}
+	for _, want := range r.Wants {
+		e.ask(want)
+	}
 	for _, incarnation := range r.Close {
 		if c := e.links[incarnation]; c != nil {
 			c.closeByEntry()
@@ -65,6 +74,24 @@
 	e.setTimer(e.core.Next(), func() { e.decide(e.core.Tick) })
 }
 
+// ask has two other entries invite agents of theirs.
+func (e *entryNode) ask(want dispatcher.Want) {
+	for range 2 {
+		other := e.w.entries[e.w.rand.IntN(len(e.w.entries))]
+		if other == e || !other.up {
+			continue
+		}
+		life := e.life
+		e.w.at(e.w.latency(), func() {
+			other.run(other.life, func() {
+				invited := 0
+				other.decide(func(now time.Time) { invited = other.core.Invite(now, e.name, want) })
+				e.w.at(e.w.latency(), func() { e.run(life, func() { e.core.Invited(want, invited) }) })
+			})
+		})
+	}
+}
+
 // setTimer asks for one call at the time; the last one asked for counts.
 func (p *process) setTimer(at time.Time, f func()) {
 	if at.IsZero() {
@@ -143,7 +170,7 @@
 	a.conns, a.linked, a.met = make([]*conn, n), make([]*conn, n), make([]string, n)
 	a.token++
 	a.core = runner.New(runner.Options{
-		Agent: a.name, Incarnation: a.incarnationOf(a.life), Times: a.w.times, Link: a.w.link, Token: a.token,
+		Agent: a.name, Incarnation: a.incarnationOf(a.life), Times: a.w.times, Link: a.w.link, Token: a.token, Without: a.w.o.Without,
 		Decided: func(d runner.Decision) {
 			a.w.trace("%s %s task %s run %d of %s: %s", a.name, d.Event, d.Task, d.Run, d.Entry, d.Reason)
 		},
@@ -192,6 +219,16 @@
 	a.setTimer(a.core.Next(), func() { a.decide(a.core.Tick) })
 }
 
+// invited links to entries that ask for it.
+func (a *agentNode) invited(names []string) {
+	for _, e := range a.w.entries {
+		if slices.Contains(names, e.name) && !a.wanted[e.index] {
+			a.wanted[e.index] = true
+			a.dial(e)
+		}
+	}
+}
+
 // choose has the agent leave one entry for another.
 func (a *agentNode) choose() {
 	left, taken := a.w.entries[a.w.rand.IntN(len(a.wanted))], a.w.entries[a.w.rand.IntN(len(a.wanted))]
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -75,16 +75,20 @@
 
 // crash ends this life; another one begins after a while.
 func (s *simWorker) crash(dark bool) {
+	pause := 100*time.Millisecond + s.w.upTo(time.Second)
+	if dark {
+		pause += time.Second
+	}
+	s.crashFor(pause)
+}
+
+func (s *simWorker) crashFor(pause time.Duration) {
 	s.w.trace("%s crashes", s.id())
 	for _, task := range sortedKeys(s.runs) {
 		s.w.checker.ends(s, task)
 	}
 	s.up = false
 	s.runs = map[string]*simRun{}
-	pause := 100*time.Millisecond + s.w.upTo(time.Second)
-	if dark {
-		pause += time.Second
-	}
 	s.w.at(pause, func() { s.a.worker = newSimWorker(s.w, s.a, s.life+1) })
 }
 
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/without"
 )
 
 // Options of a run.
@@ -21,6 +22,8 @@
 	Jobs  int
 	// Faults is how many faults happen in the time in which jobs arrive.
 	Faults int
+	// Without are mechanisms that are switched off.
+	Without without.Set
 	// Trace is told of each event; nil: nobody.
 	Trace func(string)
 }
@@ -49,6 +52,7 @@
 	agents  []*agentNode
 	callers []*caller
 	checker checker
+	load    *loadPlay // nil: none is played
 }
 
 const (
@@ -58,8 +62,8 @@
 	resend  = 1300 * time.Millisecond
 )
 
-// Run plays one seed.
-func Run(o Options) Result {
+// newWorld starts all processes.
+func newWorld(o Options) *World {
 	w := &World{o: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), now: time.Unix(1_000_000, 0)}
 	w.times, _ = bounds.Derive(bounds.Given{Resend: resend, MaxLease: time.Second, Stop: 50 * time.Millisecond})
 	w.link = link.Options{AckDelay: 70 * time.Millisecond, AckTimeout: 430 * time.Millisecond, Heartbeat: time.Second, HeartbeatTimeout: 2500 * time.Millisecond}
@@ -70,6 +74,21 @@
 	for i := range o.Agents {
 		w.agents = append(w.agents, newAgentNode(w, i))
 	}
+	if o.Links > 0 {
+		var names []string
+		for _, e := range w.entries {
+			names = append(names, e.name)
+		}
+		for _, e := range w.entries {
+			e.decide(func(time.Time) { e.core.SetEntries(names) })
+		}
+	}
+	return w
+}
+
+// Run plays one seed.
+func Run(o Options) Result {
+	w := newWorld(o)
 	w.at(300*time.Millisecond, func() {
 		for range o.Jobs {
 			w.at(w.upTo(traffic), w.newCaller)
