--- a/dispatch/dispatcher/invite_test.go
+++ b/dispatch/dispatcher/invite_test.go
@@ -123,11 +123,7 @@
 		t.Fatalf("told %d entries, want %d", len(a.entries), subset.Told)
 	}
 	told := a.entries
-	var rest []string
-	for _, e := range b.d.entries {
-		rest = append(rest, e)
-	}
-	ranked := subset.Rank("a", rest)
+	ranked := subset.Rank("a", b.d.entries)
 	a.entries = nil
 	b.d.SetEntries(ranked[:len(ranked)-1])
 	b.ready()
--- a/dispatch/leasedcheck/load_test.go
+++ b/dispatch/leasedcheck/load_test.go
@@ -31,9 +31,7 @@
 		all.Value += r.Value / seeds
 		all.Orders += r.Orders
 		all.Refused += r.Refused
-		for _, s := range r.ByKind {
-			all.ByKind = append(all.ByKind, s)
-		}
+		all.ByKind = append(all.ByKind, r.ByKind...)
 	}
 	return all
 }
