--- a/dispatch/dispatcher/invite.go
+++ b/dispatch/dispatcher/invite.go
@@ -36,6 +36,9 @@
 	// askWithin is how long a job is held that no known worker may run: a question and
 	// its answer, the frame to the agent and its greeting, on processors with other work.
 	askWithin = 150 * time.Millisecond
+	// maxWants bounds what is remembered of questions: labels come from callers, who may
+	// name any number of them.
+	maxWants = 64
 )
 
 // asked is when something was asked for last.
@@ -57,6 +60,9 @@
 	key := j.queue.Service + "/" + s.Requires
 	w := d.wants[key]
 	if w == nil {
+		if len(d.wants) >= maxWants {
+			clear(d.wants)
+		}
 		w = &asked{}
 		d.wants[key] = w
 	}
--- a/dispatch/dispatcher/invite_test.go
+++ b/dispatch/dispatcher/invite_test.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// A caller sends jobs with ever new labels that no worker has. What the entry remembers of
+// its questions must not grow with them.
+func TestQuestionsAreBounded(t *testing.T) {
+	b := newBed(t, "a")
+	b.fleet()
+	for i := range 10 * maxWants {
+		j := tasks(1, 1000, 100*time.Millisecond)
+		j.Steps[0].Requires = fmt.Sprint("label-", i)
+		b.submit(j)
+	}
+	if n := len(b.d.wants); n > maxWants {
+		t.Errorf("%d questions are remembered, want at most %d", n, maxWants)
+	}
+}
+
 // Another entry asks for workers. Those that are taken, or lack the label, must not be
 // sent to it: it would get orders refused for its trouble.
 func TestOnlyAgentsWithRoomAreInvited(t *testing.T) {
