--- a/cmd/internal/timeline/logs.go
+++ b/cmd/internal/timeline/logs.go
@@ -38,20 +38,18 @@
 	t := &Timeline{Filter: filter}
 	for name, r := range readers {
 		unread := 0
-		lines := bufio.NewScanner(r)
-		lines.Buffer(nil, maxLineBytes)
-		for lines.Scan() {
-			l, ok := parseLogLine(lines.Text())
+		err := eachLine(name, r, func(text string) {
+			l, ok := parseLogLine(text)
 			if !ok {
 				unread++
-				continue
+				return
 			}
 			if l.matches(filter) {
 				t.Events = append(t.Events, l.event())
 			}
-		}
-		if err := lines.Err(); err != nil {
-			return nil, fmt.Errorf("%s: %w", name, err)
+		})
+		if err != nil {
+			return nil, err
 		}
 		if unread > 0 {
 			t.Missing = append(t.Missing, Missing{Address: name, Reason: fmt.Sprintf("%d lines can't be read", unread)})
@@ -64,6 +62,19 @@
 	return t, nil
 }
 
+// eachLine hands on the lines of one process's log. Errors name the process.
+func eachLine(name string, r io.Reader, take func(text string)) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		take(lines.Text())
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
 func parseLogLine(text string) (l logLine, ok bool) {
 	i := strings.IndexByte(text, '{')
 	if i < 0 || json.Unmarshal([]byte(text[i:]), &l) != nil || l.Message == "" {
@@ -79,10 +90,13 @@
 	switch {
 	case f.Job != "" && l.Job != f.Job, f.Contract != "" && l.Queue != f.Contract, f.Worker != "" && l.Process != f.Worker && l.Agent != f.Worker:
 		return false
-	case !f.From.IsZero() && l.Time.Before(f.From):
-		return false
 	}
-	return f.Until.IsZero() || l.Time.Before(f.Until)
+	return f.within(l.Time)
+}
+
+// within reports whether a time lies in the filter's.
+func (f Filter) within(t time.Time) bool {
+	return !t.Before(f.From) && (f.Until.IsZero() || t.Before(f.Until))
 }
 
 func (l *logLine) event() Event {
--- a/cmd/internal/timeline/losses.go
+++ b/cmd/internal/timeline/losses.go
@@ -1,7 +1,6 @@
 package timeline
 
 import (
-	"bufio"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -61,13 +60,8 @@
 	out := &Losses{ByReason: make(map[string]int), ByQueue: make(map[string]int)}
 	rows := make(map[Loss]int)
 	for name, r := range readers {
-		lines := bufio.NewScanner(r)
-		lines.Buffer(nil, maxLineBytes)
-		for lines.Scan() {
-			out.take(lines.Text(), f, rows)
-		}
-		if err := lines.Err(); err != nil {
-			return nil, fmt.Errorf("%s: %w", name, err)
+		if err := eachLine(name, r, func(text string) { out.take(text, f, rows) }); err != nil {
+			return nil, err
 		}
 	}
 	for row, jobs := range rows {
@@ -87,7 +81,7 @@
 		return
 	}
 	came := a.Time.Add(-time.Duration(a.Elapsed * float64(time.Millisecond)))
-	if f.Contract != "" && a.Queue != f.Contract || came.Before(f.From) || !f.Until.IsZero() && !came.Before(f.Until) {
+	if f.Contract != "" && a.Queue != f.Contract || !f.within(came) {
 		return
 	}
 	l.Answered++
