--- a/cmd/internal/soak/schedule.go
+++ b/cmd/internal/soak/schedule.go
@@ -16,11 +16,12 @@
 	JobsPerSecond    float64
 }
 
-// Sizes by name. Large is a few hundred processes and relays, on addresses of one
+// Sizes by name. In a fleet agents are linked to some of the entries only. Large is a few hundred processes and relays, on addresses of one
 // network of 254.
 var sizes = []Size{
 	{"small", 2, 3, 15},
 	{"usual", 3, 8, 40},
+	{"fleet", 20, 30, 60},
 	{"large", 12, 150, 250},
 }
 
--- a/cmd/papayahoist/soak.go
+++ b/cmd/papayahoist/soak.go
@@ -30,7 +30,7 @@
 	command := app.Command("soak", "Run entries and agents as processes, inject faults on a seed's schedule, and check the promises.")
 	command.Flag("seed", "Fixes the schedule and the jobs.").Default("1").Uint64Var(&c.seed)
 	command.Flag("duration", "How long it plays.").Default("1m").DurationVar(&c.duration)
-	command.Flag("size", "Of the site.").Default("usual").EnumVar(&c.size, "small", "usual", "large")
+	command.Flag("size", "Of the site.").Default("usual").EnumVar(&c.size, "small", "usual", "fleet", "large")
 	command.Flag("daemon", "The program papayahoistd; default: beside this program.").StringVar(&c.daemon)
 	command.Flag("keep", "Folder for schedule, settings, logs and report; default: one that is removed when all went well.").StringVar(&c.keep)
 	command.Flag("replay", "Play the schedule in this folder again.").StringVar(&c.replay)
