--- a/dispatch/leasedcheck/doc.go
+++ b/dispatch/leasedcheck/doc.go
@@ -9,4 +9,8 @@
 // to workers that are carried out late or whose answers are lost, workers that crash
 // and come back as another life, leases that lapse, callers that leave or send a job
 // again.
+//
+// RunLoad plays jobs at a rate that a fleet can't wholly serve, or nearly so, and counts
+// what is earned, refused and held for nothing, so that a change of what waits, is
+// refused or is placed shows its worth in seconds.
 package leasedcheck
