Load replays run side by side, and the load that two tests share is played once

Under the race detector and beside other work the package took 557 s of the 600 that go test allows. The loads, seeds and bounds are the same.

--- a/dispatch/leasedcheck/load_test.go
+++ b/dispatch/leasedcheck/load_test.go
@@ -1,6 +1,7 @@
 package leasedcheck
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -22,12 +23,21 @@
 // not fit beside other tasks, a third more comes than workers can do.
 var overload = Load{Kinds: deskKinds, Used: 0.75, Burst: 1.2, Lost: 0.25, Lasts: 8 * time.Second}
 
+// overloaded is the fleet under the overload, with all mechanisms.
+var overloaded = sync.OnceValue(func() LoadResult { return sum(fleet, overload) })
+
 // sum plays a load on some seeds.
 func sum(o Options, l Load) (all LoadResult) {
 	const seeds = 3
-	for seed := range uint64(seeds) {
-		o.Seed = seed
-		r := RunLoad(o, l)
+	var results [seeds]LoadResult
+	var wg sync.WaitGroup
+	for seed := range results {
+		o := o
+		o.Seed = uint64(seed)
+		wg.Go(func() { results[seed] = RunLoad(o, l) })
+	}
+	wg.Wait()
+	for _, r := range results {
 		all.Value += r.Value / seeds
 		all.Orders += r.Orders
 		all.Refused += r.Refused
@@ -52,7 +62,8 @@
 // be held to the end of the time for no answer: at most one in thirty is. Of a load that
 // is a third too much, two thirds of what could be earned is earned.
 func TestOverloadIsRefusedAndNotHeld(t *testing.T) {
-	r := sum(fleet, overload)
+	t.Parallel()
+	r := overloaded()
 	if got := r.share(heldInVain); got > 1./30 {
 		t.Errorf("%.3f of the callers were held for no answer", got)
 	}
@@ -64,7 +75,8 @@
 // The same load with one of the mechanisms switched off that answer it. Each must be
 // worth something here, or it goes.
 func TestEachMechanismAnswersTheOverload(t *testing.T) {
-	with := sum(fleet, overload)
+	t.Parallel()
+	with := overloaded()
 	worth := func(r LoadResult) float64 { return r.Value - r.share(heldInVain) }
 	for name, off := range map[string]without.Set{"margin": without.Margin, "fall-behind": without.FallBehind, "late-yield": without.LateYield} {
 		o := fleet
@@ -78,6 +90,7 @@
 // Callers happen to be led to one door: it gets a third of all jobs, and its own part of
 // the workers is an entry's like any other's. It must serve them with others' workers.
 func TestOneDoorGetsAThirdOfTheJobs(t *testing.T) {
+	t.Parallel()
 	even := sum(fleet, Load{Kinds: deskKinds, Used: 0.7, Lasts: 4 * time.Second})
 	uneven := sum(fleet, Load{Kinds: deskKinds, Used: 0.7, Lasts: 4 * time.Second, Skew: 0.3})
 	if uneven.Value < even.Value-0.05 {
@@ -88,6 +101,7 @@
 // A fleet whose agents are linked to a part of the entries must serve a usual load as
 // well as one where all are linked to all.
 func TestPartOfTheLinksServesAsWell(t *testing.T) {
+	t.Parallel()
 	usual := Load{Kinds: deskKinds, Used: 0.6, Lasts: 4 * time.Second}
 	all := fleet
 	all.Links = 0
