Evacuated failure domains get no new starts

Cause: operators evacuate a failure domain by a key in the platform's store, and no code read it.

Change: entries follow all that operators write, by the one watch that followed the configuration alone. Which domains are evacuated is one list as of a revision of the store; of two lists the higher revision counts (dispatch/evacuation), so news may come from the store, another entry or an entry's greeting in any order. Entries place nothing there from that moment; the agent, which alone starts tasks, refuses what waits and what is on its way, and lets runs end.

Ruled out: agents that read the store themselves (a watch for each of hundreds of agents, priced and counted); a record for each domain (an entry that begins anew could not tell an agent that a domain is no longer on any list).

Every newer list goes to all agents now.

--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -33,6 +33,9 @@
 	case slices.Contains(fits, false):
 		return refuse(ReasonTooLarge, true, 0)
 	}
+	if known > 0 && !d.meeting(now) && !d.partial() && d.allEvacuated(j.queue.Service) {
+		return refuse(ReasonEvacuated, false, d.retryAfter(maxRetryAfter))
+	}
 	d.unblock(j)
 	if lag := d.lag.now(now); lag > j.patience {
 		// This process itself is later than that: what it took in besides would be late
--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -45,6 +45,8 @@
 	entries     []string // that it is told of
 	invitedBy   []string // entries that want a link, not told yet
 	tellEntries bool
+	// tellEvacuations: the next frame tells which failure domains are evacuated.
+	tellEvacuations bool
 
 	touched bool // since the last call of Ready
 	wakeAt  time.Time
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/bounds"
+	"github.com/papayahoist/papayahoist/dispatch/evacuation"
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/health"
 	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
@@ -74,7 +75,9 @@
 
 // Decision is one decision for the log.
 type Decision struct {
-	Event   string
+	Event string
+	// Domain is a failure domain.
+	Domain  string
 	Job     string
 	Queue   string
 	Version uint64
@@ -130,6 +133,7 @@
 // Reasons of answers.
 const (
 	ReasonNoWorkers   = "no workers known"
+	ReasonEvacuated   = "the failure domains of all workers are evacuated"
 	ReasonTooLarge    = "a task fits no worker"
 	ReasonOverload    = "more urgent work takes all workers"
 	ReasonBusy        = "the entry itself is behind"
@@ -187,6 +191,8 @@
 	// lateYield is what comes of late work.
 	lateYield yield
 	config    *pb.Configuration
+	// evacuations are the failure domains in which nothing may start.
+	evacuations evacuation.View
 
 	begunAt time.Time // when the first input came
 	// dueAt is when a tick was asked for, and lag how late the process is, as ticks
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -38,6 +38,8 @@
 	labels            []string
 	entries           []string // told last
 	invitedBy         []string
+	domain            string          // empty: that of the entry
+	evacuations       *pb.Evacuations // told last
 }
 
 func newBed(t *testing.T, agents ...string) *bed {
@@ -61,6 +63,9 @@
 func (b *bed) attach(name, incarnation string) *fakeAgent {
 	a := b.agents[incarnation]
 	g := &pb.AgentGreeting{Agent: name, Incarnation: incarnation, FailureDomain: "hall"}
+	if a != nil && a.domain != "" {
+		g.FailureDomain = a.domain
+	}
 	if a == nil {
 		a = &fakeAgent{name: name, incarnation: incarnation, capacity: 4000, clean: true}
 		b.agents[incarnation] = a
@@ -108,6 +113,9 @@
 		if len(f.Frame.Entries) > 0 {
 			a.entries = f.Frame.Entries
 		}
+		if f.Frame.Evacuations != nil {
+			a.evacuations = f.Frame.Evacuations
+		}
 		for _, o := range f.Frame.Orders {
 			a.seen = o.Number
 			a.used += int64(o.Size.CpuMillis)
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -106,7 +106,7 @@
 	}
 	eager := d.waitlist(a.state.GetService()).eager
 	renew := len(a.live) > 0 && !now.Before(a.lastSent.Add(d.renewEvery()))
-	if !a.dirty && !renew && !a.session.Due(now) && !a.tellEntries && !d.over {
+	if !a.dirty && !renew && !a.session.Due(now) && !a.tellEntries && !a.tellEvacuations && !d.over {
 		return
 	}
 	f := &pb.OrderFrame{
@@ -116,9 +116,12 @@
 	if a.tellEntries {
 		f.Entries = a.entries
 	}
+	if a.tellEvacuations {
+		f.Evacuations = d.evacuations.Message()
+	}
 	f.Seq, f.Ack = a.session.Send(now, len(f.Orders) > 0 || len(f.Stops) > 0)
 	f.InvitedBy, a.invitedBy = a.invitedBy, nil
 	a.out = pb.OrderFrame{}
-	a.dirty, a.tellEntries, a.eager, a.lastSent = false, false, eager, now
+	a.dirty, a.tellEntries, a.tellEvacuations, a.eager, a.lastSent = false, false, false, eager, now
 	d.ready.Frames = append(d.ready.Frames, Out{Agent: a.incarnation, Epoch: a.session.Epoch(), Frame: f})
 }
--- a/dispatch/dispatcher/invite.go
+++ b/dispatch/dispatcher/invite.go
@@ -110,7 +110,7 @@
 		if invited >= w.Agents {
 			break
 		}
-		if !a.session.IsUp() || !a.state.GetAccepting() || a.state.GetService() != w.Service || a.standing != place.Open {
+		if !d.takesOrders(a, w.Service) || a.standing != place.Open {
 			continue
 		}
 		if !a.hasLabel(w.Label) || !w.Size.FitsIn(a.free) || len(a.state.GetQueued()) > 0 {
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -26,6 +26,8 @@
 	*pb.AgentGreeting
 	at      time.Time
 	entries []string // that the agent was told in answer
+	// evacuations that the agent was told in answer
+	evacuations *pb.Evacuations
 }
 
 // LinkUp takes in that an agent asks for a link, and returns the first frame for it.
@@ -33,7 +35,7 @@
 func (d *Dispatcher) LinkUp(now time.Time, g *pb.AgentGreeting) *pb.OrderFrame {
 	d.begin(now)
 	entries := subset.First(g.Agent, d.entries, subset.Told)
-	d.greeted[g.Incarnation] = greeting{g, now, entries}
+	d.greeted[g.Incarnation] = greeting{g, now, entries, d.evacuations.Message()}
 	// The agent has closed its earlier link before it asked for this one.
 	if a := d.agent(g.Incarnation); a != nil && a.session.IsUp() {
 		d.down(now, a, "the agent asked for another link")
@@ -41,6 +43,7 @@
 	return &pb.OrderFrame{
 		Hello: &pb.EntryGreeting{
 			Entry: d.opts.Entry, Incarnation: d.opts.Incarnation, FailureDomain: d.opts.FailureDomain,
+			Evacuations: d.evacuations.Message(),
 		},
 		SentNs: now.UnixNano(), Clock: d.opts.Events.Stamp(now), Entries: entries,
 	}
@@ -77,6 +80,7 @@
 	a.lastSent, a.gaveUp, a.greetedAt, a.afterOther = now, false, g.at, afterOther
 	a.out = pb.OrderFrame{}
 	a.entries, a.tellEntries, a.dirty, a.eager = g.entries, false, true, false
+	a.tellEvacuations = g.evacuations != d.evacuations.Message()
 	d.setEntriesOf(a)
 	d.touch(a)
 	d.opts.Decided(Decision{Event: "agent_linked", Agent: a.name, Waiting: len(a.live), Age: now.Sub(g.at)})
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -235,20 +235,25 @@
 func (d *Dispatcher) accepting(service string) int {
 	n := 0
 	for _, a := range d.agents {
-		if a.session.IsUp() && a.state.GetAccepting() && a.state.GetService() == service {
+		if d.takesOrders(a, service) {
 			n++
 		}
 	}
 	return n
 }
 
+// takesOrders reports whether a worker of a service takes orders now.
+func (d *Dispatcher) takesOrders(a *agent, service string) bool {
+	return a.session.IsUp() && a.state.GetAccepting() && a.state.GetService() == service && !d.evacuations.Has(a.domain)
+}
+
 // mayRun reports whether a worker may be given a task at all.
 func (d *Dispatcher) mayRun(now time.Time, a *agent, t *task, s *step) bool {
 	if a.standing != place.Open {
 		d.updateStanding(now, a) // its time may be over
 	}
 	switch {
-	case !a.session.IsUp() || !a.state.GetAccepting() || a.state.GetService() != t.job.queue.Service:
+	case !d.takesOrders(a, t.job.queue.Service):
 		return false
 	case a.standing == place.Suspended || a.standing == place.Trial && len(a.live) > 0:
 		return false
--- /dev/null
+++ b/dispatch/evacuation/evacuation.go
@@ -0,0 +1,38 @@
+// Package evacuation keeps which failure domains operators have evacuated: nothing may
+// start on their workers until they are restored.
+//
+// What goes wrong without an order of news: an entry that was cut off comes back with
+// what it knew before, and a domain counts as restored, or as evacuated, because of the
+// older of two words. One would see starts in an evacuated domain, or a third of the
+// workers idle after it was restored. Each word is therefore the whole list as of a
+// revision of the platform's store, and of two the higher revision counts, whichever way
+// each has come.
+package evacuation
+
+import (
+	"slices"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+)
+
+// View is what one process knows. The zero View knows of no evacuation.
+type View struct{ newest *pb.Evacuations }
+
+// Merge takes in a list, from the store or another process, and reports whether it is
+// newer than what was known. The list must not be changed afterwards.
+func (v *View) Merge(m *pb.Evacuations) bool {
+	if m.GetRevision() <= v.newest.GetRevision() {
+		return false
+	}
+	v.newest = m
+	return true
+}
+
+// Has reports whether a failure domain is evacuated.
+func (v *View) Has(domain string) bool { return slices.Contains(v.newest.GetDomains(), domain) }
+
+// Domains are those evacuated. The slice is replaced, never changed.
+func (v *View) Domains() []string { return v.newest.GetDomains() }
+
+// Message is the newest list, nil before the first. It must not be changed.
+func (v *View) Message() *pb.Evacuations { return v.newest }
--- a/dispatch/leasedcheck/check.go
+++ b/dispatch/leasedcheck/check.go
@@ -66,6 +66,7 @@
 			c.broken("caller of %s got no answer", x.id)
 		}
 	}
+	c.restored()
 	return c.r
 }
 
@@ -173,6 +174,10 @@
 	if t.left {
 		return
 	}
+	if !t.e.configured() {
+		t.answer(dispatcher.Answer{Outcome: dispatcher.NotRun, Reason: "no configuration yet"})
+		return
+	}
 	t.e.decide(func(now time.Time) {
 		j := t.c.job
 		j.TimeLimit = t.c.ends.Sub(now)
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -29,6 +29,17 @@
 	})
 }
 
+// Operators evacuate failure domains and restore them while anything fails, some entries
+// are turned away by the store, agents and entries begin anew, and the store forgets its
+// history. Nothing may start in a domain once its evacuation has had the time to spread,
+// and at the end all must know what operators said last: a domain that stays evacuated by
+// mistake is a part of the workers lost.
+func TestPromisesHoldWithEvacuations(t *testing.T) {
+	promisesHold(t, func(seed uint64) Options {
+		return Options{Seed: seed, Entries: 4, Agents: 6, Links: int(seed % 3), Jobs: 120, Faults: int(seed % 12), Evacuations: 1 + int(seed%16)}
+	})
+}
+
 func promisesHold(t *testing.T, options func(seed uint64) Options) {
 	var total Result
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -30,7 +30,15 @@
 	e.wake = dispatcher.Wake{}
 	e.links = map[string]*conn{}
 	e.waiting = map[uint64][]*attempt{}
-	e.core = dispatcher.New(dispatcher.Options{
+	e.core = e.newCore()
+	if e.w.evacuates() {
+		e.w.operators.tell(e)
+		e.after(e.w.upTo(shareEvery), e.share)
+	}
+}
+
+func (e *entryNode) newCore() *dispatcher.Dispatcher {
+	return dispatcher.New(dispatcher.Options{
 		Entry: e.name, Incarnation: fmt.Sprintf("%s.%d", e.name, e.life), FailureDomain: "d", Times: e.w.times, Link: e.w.link,
 		Random:  e.w.rand.Float64,
 		Without: e.w.o.Without,
@@ -169,8 +177,12 @@
 	a.up = true
 	a.conns, a.linked, a.met = make([]*conn, n), make([]*conn, n), make([]string, n)
 	a.token++
+	domain := ""
+	if a.w.evacuates() {
+		domain = domainOf(a.index)
+	}
 	a.core = runner.New(runner.Options{
-		Agent: a.name, Incarnation: a.incarnationOf(a.life), Times: a.w.times, Link: a.w.link, Token: a.token, Without: a.w.o.Without,
+		Agent: a.name, Incarnation: a.incarnationOf(a.life), FailureDomain: domain, Times: a.w.times, Link: a.w.link, Token: a.token, Without: a.w.o.Without,
 		Decided: func(d runner.Decision) {
 			a.w.trace("%s %s task %s run %d of %s: %s", a.name, d.Event, d.Task, d.Run, d.Entry, d.Reason)
 		},
@@ -192,6 +204,7 @@
 	input(a.w.now)
 	r := a.core.Ready(a.w.now)
 	for _, s := range r.Starts {
+		a.w.checker.ordered(a, s.Task)
 		a.worker.callStart(a, s)
 	}
 	for _, s := range r.Stops {
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -22,6 +22,9 @@
 	Jobs  int
 	// Faults is how many faults happen in the time in which jobs arrive.
 	Faults int
+	// Evacuations is how many times operators evacuate or restore a failure domain in
+	// that time, and as often the store forgets its history.
+	Evacuations int
 	// Without are mechanisms that are switched off.
 	Without without.Set
 	// Trace is told of each event; nil: nobody.
@@ -46,13 +49,14 @@
 	events eventHeap
 	number uint64
 
-	times   bounds.Times
-	link    link.Options
-	entries []*entryNode
-	agents  []*agentNode
-	callers []*caller
-	checker checker
-	load    *loadPlay // nil: none is played
+	times     bounds.Times
+	link      link.Options
+	entries   []*entryNode
+	agents    []*agentNode
+	callers   []*caller
+	checker   checker
+	operators operators
+	load      *loadPlay // nil: none is played
 }
 
 const (
@@ -67,6 +71,7 @@
 	w := &World{o: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), now: time.Unix(1_000_000, 0)}
 	w.times, _ = bounds.Derive(bounds.Given{Resend: resend, MaxLease: time.Second, Stop: 50 * time.Millisecond})
 	w.link = link.Options{AckDelay: 70 * time.Millisecond, AckTimeout: 430 * time.Millisecond, Heartbeat: time.Second, HeartbeatTimeout: 2500 * time.Millisecond}
+	w.operators = operators{w: w, revision: 1, evacuated: map[string]time.Time{}}
 	w.checker = checker{w: w, running: map[string]map[*simWorker]uint32{}, started: map[string]bool{}, done: map[string]bool{}, refused: map[string]bool{}}
 	for i := range o.Entries {
 		w.entries = append(w.entries, newEntryNode(w, i))
@@ -96,6 +101,10 @@
 		for range o.Faults {
 			w.at(w.upTo(traffic), w.fault)
 		}
+		for range o.Evacuations {
+			w.at(w.upTo(traffic), w.operators.act)
+			w.at(w.upTo(traffic), w.operators.forget)
+		}
 	})
 	end := w.now.Add(traffic + settle)
 	for len(w.events) > 0 && w.events[0].at.Before(end) {
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -124,6 +124,7 @@
 	e.late.measure(asked, sentNs)
 	e.heard = asked
 	e.stale, e.reportedAt = true, time.Time{}
+	r.setEvacuations(now, e, g.Evacuations)
 	for _, n := range e.unacked {
 		e.unsent = append(e.unsent, n.news)
 	}
@@ -181,6 +182,7 @@
 	if f.ReportEveryMs > 0 {
 		e.reportEvery = time.Duration(f.ReportEveryMs) * time.Millisecond
 	}
+	r.setEvacuations(now, e, f.Evacuations)
 	for _, o := range f.Orders {
 		r.take(now, e, o, late)
 	}
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -6,6 +6,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/bounds"
+	"github.com/papayahoist/papayahoist/dispatch/evacuation"
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
@@ -95,6 +96,8 @@
 	HeldStatement = "worker states no capacity"
 	// HeldRetiring: this agent closes its link to the entry.
 	HeldRetiring = "agent is linked to other entries"
+	// HeldEvacuated: operators have evacuated the failure domain.
+	HeldEvacuated = "failure domain is evacuated"
 )
 
 // Decision is one decision for the log.
@@ -207,8 +210,9 @@
 	recent     map[string]uint32
 	recentList []string
 
-	entries []*entry
-	ready   Ready
+	entries     []*entry
+	evacuations evacuation.View
+	ready       Ready
 }
 
 // maxRecent bounds the ends remembered: some seconds of the shortest tasks.
@@ -282,6 +286,8 @@
 	switch {
 	case r.leaving:
 		return HeldLeaving
+	case r.Evacuated():
+		return HeldEvacuated
 	case !r.known:
 		return HeldUnknown
 	case r.worker.Draining:
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -256,11 +256,28 @@
 		}
 	})
 	if newer {
-		d.peers.push(c.Version)
+		d.peers.push()
 	}
 	return newer
 }
 
+// SetEvacuations takes in which failure domains are evacuated, and passes it on to the
+// other entries when they have changed.
+func (d *Dispatcher) SetEvacuations(m *pb.Evacuations) {
+	changed := false
+	d.decide(func(now time.Time) { changed = d.core.SetEvacuations(now, m) })
+	if changed {
+		d.peers.push()
+	}
+}
+
+// Evacuations are the failure domains known to be evacuated; nil: none was heard of.
+func (d *Dispatcher) Evacuations() *pb.Evacuations {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Evacuations()
+}
+
 // Configuration in force; nil before the first.
 func (d *Dispatcher) Configuration() *pb.Configuration {
 	d.mu.Lock()
--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -94,10 +94,21 @@
 
 // behind reports whether another entry is not known to have what this one has.
 func (p *peers) behind(x *peer) bool {
-	version := p.d.Configuration().GetVersion()
+	own := p.inForce()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return x.version < version || p.leaving || x.heard.IsZero()
+	return own.newerThan(x) || p.leaving || x.heard.IsZero()
+}
+
+// inForce is what this entry goes by, of all that operators write.
+type inForce struct{ version, evacuations uint64 }
+
+func (p *peers) inForce() inForce {
+	return inForce{p.d.Configuration().GetVersion(), p.d.Evacuations().GetRevision()}
+}
+
+func (f inForce) newerThan(x *peer) bool {
+	return x.version < f.version || x.evacuations < f.evacuations
 }
 
 // share makes one exchange, and a second one when the other shows that it lacks the
@@ -116,6 +127,7 @@
 	c := p.d.Configuration()
 	req := &pb.ShareRequest{
 		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Address: p.d.opts.Address, Version: c.GetVersion(),
+		Evacuations: p.d.Evacuations(),
 	}
 	if whole {
 		req.Configuration = c
@@ -139,7 +151,7 @@
 		return 0, false
 	}
 	m := resp.Msg
-	p.heard(x, told{m.Incarnation, m.Version, m.EntriesDigest, m.Entries, m.Records})
+	p.heard(x, told{m.Incarnation, m.Version, m.EntriesDigest, m.Entries, m.Records, m.Evacuations})
 	if m.Configuration != nil {
 		p.d.SetConfiguration(m.Configuration)
 	}
@@ -153,14 +165,18 @@
 	digest      uint64
 	entries     []string
 	records     []*pb.EntryRecord
+	evacuations *pb.Evacuations
 }
 
 func (p *peers) heard(x *peer, t told) {
+	// Before a configuration that came with it: an entry that takes jobs knows both.
+	p.d.SetEvacuations(t.evacuations)
 	p.do(func(now time.Time) {
 		if !p.view.Lives(x.address) || x.incarnation != t.incarnation {
 			p.d.opts.Logger.Info("entry_found", "entry", x.address, "incarnation", t.incarnation, "version", t.version)
 		}
-		x.incarnation, x.heard, x.version, x.digest = t.incarnation, now, t.version, t.digest
+		x.incarnation, x.heard, x.digest = t.incarnation, now, t.digest
+		x.version, x.evacuations = t.version, t.evacuations.GetRevision()
 		p.view.Heard(now, x.address)
 		if len(t.records) == 0 {
 			// An entry of an earlier version tells addresses only.
@@ -192,6 +208,7 @@
 
 // serve answers another entry's exchange.
 func (p *peers) serve(req *pb.ShareRequest) *pb.ShareResponse {
+	p.d.SetEvacuations(req.Evacuations)
 	if req.Configuration != nil {
 		p.d.SetConfiguration(req.Configuration)
 	}
@@ -200,11 +217,12 @@
 	x := p.all[req.Address]
 	p.mu.Unlock()
 	if x != nil {
-		p.heard(x, told{req.Incarnation, req.Version, req.EntriesDigest, req.Entries, req.Records})
+		p.heard(x, told{req.Incarnation, req.Version, req.EntriesDigest, req.Entries, req.Records, req.Evacuations})
 	}
 	c := p.d.Configuration()
 	resp := &pb.ShareResponse{
 		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Version: c.GetVersion(), Waiting: p.waitingMessage(),
+		Evacuations: p.d.Evacuations(),
 	}
 	if req.Version < c.GetVersion() {
 		resp.Configuration = c
@@ -218,12 +236,10 @@
 	return resp
 }
 
-// push brings a new configuration to partners that the store has not told; from these
-// it goes on to theirs.
-func (p *peers) push(version uint64) {
-	time.AfterFunc(pushAfter+rand.N(pushAfter), func() {
-		p.wakePartners(func(x *peer) bool { return x.version < version })
-	})
+// push brings what operators have changed to partners that the store has not told; from
+// these it goes on to theirs.
+func (p *peers) push() {
+	time.AfterFunc(pushAfter+rand.N(pushAfter), func() { p.wakePartners(p.inForce().newerThan) })
 }
 
 // wakePartners exchanges at once with those chosen.
--- a/node/dispatcher/exchange_test.go
+++ b/node/dispatcher/exchange_test.go
@@ -88,6 +88,28 @@
 	}
 }
 
+// The store turns one entry away while a failure domain is evacuated, and while it is
+// restored. It must hear of both from an entry that the store serves, before it lets that
+// entry's configuration send callers to it.
+func TestEvacuationsComeFromAnotherEntry(t *testing.T) {
+	one := newTestDispatcher(t)
+	two := newTestDispatcher(t, one.Address())
+	for len(one.Entries()) < 2 || len(two.Entries()) < 2 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	one.SetEvacuations(&pb.Evacuations{Revision: 5, Domains: []string{"shed"}})
+	for len(two.Evacuations().GetDomains()) != 1 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	two.SetEvacuations(&pb.Evacuations{Revision: 8})
+	for len(one.Evacuations().GetDomains()) != 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if resp := one.peers.serve(&pb.ShareRequest{Version: 9, Configuration: &pb.Configuration{Version: 9}, Evacuations: &pb.Evacuations{Revision: 7, Domains: []string{"hall"}}}); len(resp.Evacuations.GetDomains()) != 0 {
+		t.Errorf("goes by %v, which is older", resp.Evacuations)
+	}
+}
+
 // A caller asks one entry how many jobs of a queue wait. Those that wait at other
 // entries count, whether or not this entry exchanges with them.
 func TestWaitingCountsOtherEntries(t *testing.T) {
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -37,7 +37,8 @@
 	incarnation string
 	heard       time.Time
 	digest      uint64 // of the living entries that it has told
-	version     uint64
+	version     uint64 // of the configuration in force there
+	evacuations uint64 // revision of the evacuations known there
 }
 
 // peers keeps the other entries. With its partners among them this one exchanges what
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -164,7 +164,7 @@
 	wg.Go(func() { e.log.Run(kept) })
 	go e.roster.Run(kept, e.d.Learn)
 	go func() {
-		_ = follow.Run(kept, e.store, adapter.ConfigurationKey, &configurationReader{e}, follow.Options{MinWait: followMin, MaxWait: followMax})
+		_ = follow.Run(kept, e.store, adapter.OperatorPrefix, &operatorReader{e: e}, follow.Options{MinWait: followMin, MaxWait: followMax})
 	}()
 	jobs := &http.Server{
 		Handler: adapter.NewJobsHandler(e.d), MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -173,6 +173,7 @@
 	e.metrics.gauge("papayahoist_links", "Agents with a link.", func() float64 { return float64(e.d.Links()) })
 	e.metrics.gauge("papayahoist_open_jobs", "Jobs without an answer.", func() float64 { return float64(e.d.Open()) })
 	e.metrics.gauge("papayahoist_configuration_version", "Version in force.", func() float64 { return float64(e.d.Configuration().GetVersion()) })
+	e.metrics.gauge("papayahoist_evacuated_domains", "Failure domains known to be evacuated.", func() float64 { return float64(len(e.d.Evacuations().GetDomains())) })
 	scrapes, err := e.metrics.serve(e.o.Settings.MetricsListen)
 	if err != nil {
 		cancel()
--- a/node/process/leased_log.go
+++ b/node/process/leased_log.go
@@ -53,6 +53,7 @@
 			m.runs.WithLabelValues(d.Outcome).Observe(d.Elapsed.Seconds())
 		}
 		var a attrs
+		a.text("domain", d.Domain)
 		a.text("job", d.Job)
 		a.text("queue", d.Queue)
 		a.number("version", d.Version)
--- a/node/process/leased_test.go
+++ b/node/process/leased_test.go
@@ -43,12 +43,29 @@
 	running map[string]int
 	doubled []string
 	began   int
+	at      map[string]int // by worker
+	jobs    int
 }
 
-func (w *runWatch) start(task string, run uint32, _ string) {
+func (w *runWatch) beganAt(worker string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.at[worker]
+}
+
+// next is the number of a new job.
+func (s *leasedSite) next() int {
+	s.watch.mu.Lock()
+	defer s.watch.mu.Unlock()
+	s.watch.jobs++
+	return s.watch.jobs
+}
+
+func (w *runWatch) start(worker, task string, run uint32) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.began++
+	w.at[worker]++
 	w.running[task]++
 	if w.running[task] > 1 {
 		w.doubled = append(w.doubled, fmt.Sprintf("%s run %d", task, run))
@@ -72,7 +89,7 @@
 }
 
 func newLeasedSite(t *testing.T, entries, agents int) *leasedSite {
-	s := &leasedSite{t: t, store: standin.NewStore(), watch: runWatch{running: map[string]int{}}}
+	s := &leasedSite{t: t, store: standin.NewStore(), watch: runWatch{running: map[string]int{}, at: map[string]int{}}}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
 	storeAddress := strings.TrimPrefix(server.URL, "http://")
@@ -96,6 +113,9 @@
 	s.t.Cleanup(stop)
 }
 
+// domainOf is the failure domain of an agent.
+func domainOf(i int) string { return []string{"hall", "shed"}[i%2] }
+
 var leasedBounds = settings.Bounds{Resend: 1300 * time.Millisecond, MaxLease: time.Second, Stop: 50 * time.Millisecond, Grace: 4 * time.Second}
 
 func (s *leasedSite) entry(name, nodes string, seeds []string, storeAddress string) {
@@ -113,20 +133,21 @@
 
 func (s *leasedSite) agent(i int, seeds []string, storeAddress string) {
 	reports := freeAddress(s.t)
+	id := fmt.Sprintf("w%d", i)
 	w := standin.NewWorker(standin.WorkerOptions{
-		ID: fmt.Sprintf("w%d", i), Service: "s", CPU: 4000, Memory: 1000, Agent: reports, Every: 50 * time.Millisecond,
+		ID: id, Service: "s", CPU: 4000, Memory: 1000, Agent: reports, Every: 50 * time.Millisecond,
 		Length: func(spec string) time.Duration {
 			d, _ := time.ParseDuration(spec)
 			return d
 		},
-		Began: s.watch.start, Ended: s.watch.end,
+		Began: func(task string, run uint32, _ string) { s.watch.start(id, task, run) }, Ended: s.watch.end,
 	})
 	server := httptest.NewServer(w)
 	s.t.Cleanup(server.Close)
 	s.workers = append(s.workers, w)
 	p := &leasedProcess{}
 	a, err := process.NewLeasedAgent(process.LeasedAgentOptions{Out: io.Discard, Settings: settings.LeasedAgent{
-		Name: fmt.Sprintf("agent-%d", i), FailureDomain: "hall", ReportsListen: reports, Connections: 8,
+		Name: fmt.Sprintf("agent-%d", i), FailureDomain: domainOf(i), ReportsListen: reports, Connections: 8,
 		WorkerAddress: strings.TrimPrefix(server.URL, "http://"), StoreAddress: storeAddress, Seeds: seeds, Bounds: leasedBounds,
 	}})
 	if err != nil {
@@ -247,6 +268,40 @@
 	}
 }
 
+// An operator evacuates a failure domain, and restores it later. Its worker gets nothing
+// meanwhile from any entry, also after the store has forgotten its history, jobs are
+// served by the others, and from the restoring on it is used again.
+func TestLeasedDomainIsEvacuated(t *testing.T) {
+	s := newLeasedSite(t, 2, 2)
+	s.configure(3, "/stamps/")
+	s.until("both entries to be ready", func() bool { return s.ready(s.entries[0]) && s.ready(s.entries[1]) })
+	key := adapter.OperatorPrefix + "evacuate/shed"
+	// serve sends each entry a job with as many tasks as one worker has room for, and
+	// reports whether the worker in the domain was used.
+	serve := func() (used bool) {
+		before := s.watch.beganAt("w1")
+		for _, e := range s.entries {
+			s.call(e, http.MethodPost, fmt.Sprintf("/stamps/%016x", s.next()), leasedJob(8, 5*time.Millisecond))
+		}
+		return s.watch.beganAt("w1") > before
+	}
+	s.until("the worker to be used", serve)
+	s.store.Put(key, []byte("{}"))
+	s.until("the worker to be left", func() bool { return !serve() && !serve() })
+	s.store.DropHistory()
+	other := s.watch.beganAt("w0")
+	for range 5 {
+		if serve() {
+			t.Error("something was started in the evacuated domain")
+		}
+	}
+	if s.watch.beganAt("w0") == other {
+		t.Error("nothing was served by the other domain")
+	}
+	s.store.Remove(key)
+	s.until("the worker to be used again", serve)
+}
+
 // The platform stops an entry while it has a job. The caller must get its answer, and
 // the process must end by itself.
 func TestLeasedEntryAnswersBeforeItStops(t *testing.T) {
