Room is told at once after a job was refused for want of it

Cause: with refusals at once no job waits, so no agent is eager, and an entry hears of room a tenth of a second late.

Change: some agents go on telling of room at once for 300 ms after a refusal.

--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -70,6 +70,7 @@
 			d.want(now, j, &j.steps[left[0].step])
 		}
 	}
+	d.waitlist(j.queue.Service).refusedAt = now
 	return nil, &Answer{Outcome: NotRun, Reason: ReasonOverload, RetryAfter: d.retryAfter(d.predictWait(now, j))}
 }
 
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -330,7 +330,7 @@
 		d.jobDue(now, d.due.First())
 	}
 	d.place(now)
-	d.tellEager()
+	d.tellEager(now)
 	d.flushTouched(now)
 	r := d.ready
 	d.ready = Ready{}
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -38,6 +38,7 @@
 	labels            []string
 	entries           []string // told last
 	invitedBy         []string
+	eager             bool
 	domain            string          // empty: that of the entry
 	evacuations       *pb.Evacuations // told last
 }
@@ -109,6 +110,7 @@
 		a.ack = f.Frame.Seq
 		a.orders = append(a.orders, f.Frame.Orders...)
 		a.stops = append(a.stops, f.Frame.Stops...)
+		a.eager = f.Frame.Eager
 		a.invitedBy = append(a.invitedBy, f.Frame.InvitedBy...)
 		if len(f.Frame.Entries) > 0 {
 			a.entries = f.Frame.Entries
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -30,11 +30,20 @@
 // get a frame anyway. Work waits for the first room, not for a report of all.
 const eagerAgents = 16
 
-// tellEager has some agents told that work of their service waits, and those that were
-// told so when it no longer does.
-func (d *Dispatcher) tellEager() {
+// eagerAfter is how long after a job was refused for want of room agents go on to tell of
+// room at once: the next jobs of the same burst come meanwhile.
+//
+// What goes wrong without it: under overload jobs are refused, so none waits, and room that
+// comes free is heard of a tenth of a second later. By then it is taken; orders go to
+// workers that are full, and jobs are refused beside workers that are not. One would see
+// "no room" for a third of the orders.
+const eagerAfter = 300 * time.Millisecond
+
+// tellEager has some agents told that work of their service waits, or was refused a moment
+// ago, and those that were told so when that is over.
+func (d *Dispatcher) tellEager(now time.Time) {
 	for service, w := range d.waits {
-		if eager := len(w.jobs) > 0 && !d.opts.Without.Has(without.Eager); eager != w.eager {
+		if eager := (len(w.jobs) > 0 || now.Sub(w.refusedAt) < eagerAfter) && !d.opts.Without.Has(without.Eager); eager != w.eager {
 			w.eager = eager
 			d.tellEagerOf(service, eager)
 		}
--- a/dispatch/dispatcher/frames_test.go
+++ b/dispatch/dispatcher/frames_test.go
@@ -50,3 +50,24 @@
 		t.Errorf("%d links, want that of the agent that still reports", b.d.Links())
 	}
 }
+
+// All workers are full, and jobs are refused. None waits, but the next ones come within
+// moments, and each must find the room that has come free since. When no more are refused,
+// reports come as seldom as before.
+func TestRoomIsToldAtOnceAfterARefusal(t *testing.T) {
+	b := newBed(t, "a")
+	a := b.agents["a-1"]
+	a.used = a.capacity
+	b.report(a)
+	if _, refused := b.submit(tasks(1, 1000, 10*time.Millisecond)); refused == nil || refused.Reason != ReasonOverload {
+		t.Fatalf("answer %+v, want a refusal for want of room", refused)
+	}
+	if !a.eager {
+		t.Error("the agent was not asked to tell of room at once")
+	}
+	b.wait(eagerAfter + 50*time.Millisecond)
+	b.report(a)
+	if a.eager {
+		t.Error("the agent still tells of each change")
+	}
+}
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -18,6 +18,8 @@
 	drain rate // work placed
 	mix   mix
 	eager bool // agents were told that work waits
+	// refusedAt is when a job was last refused for want of room.
+	refusedAt time.Time
 }
 
 func goesBefore(a, b *job) int {
