How late a frame is: bounded by what the entry acknowledged, not by how a link was opened

The log shows five agents that refuse orders as too late at one moment, all less than 5 ms after the jobs came to the entry. Agents take the difference of the clocks from the opening of the link: asked for here, answered there. A link opened in 170 ms, when all machines begin at once, makes every frame seem 170 ms late for the next 10 to 20 s; 4 ms more are over the limit. Two such orders make the entry count as behind. The same bias made an entry's word seem older, and its runs be given up sooner.

Change: each frame that acknowledges one of the agent's gives a bound, the greatest of the last one or two periods counts. It is never greater than the true difference, so nothing starts later than before; and frames that all come late are late, also after 20 s, when the earlier way compared them with each other.

Ruled out: leaving the opening out (an order behind a late greeting would be started, a test holds that); a shorter limit for the opening (links would be refused when processors are busy).

--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -119,9 +119,7 @@
 	e.session.Up(now, epoch, r.opts.Link)
 	e.retiring = false
 	e.late = lateness{}
-	// The greeting was sent after the link was asked for: no difference of the clocks
-	// smaller than this one is possible.
-	e.late.measure(asked, sentNs)
+	e.late.bound(now, asked, sentNs)
 	e.heard = asked
 	e.stale, e.reportedAt = true, time.Time{}
 	r.setEvacuations(now, e, g.Evacuations)
@@ -173,7 +171,8 @@
 	if !e.session.Received(now, f.Seq, f.Ack, content) {
 		return
 	}
-	late := e.late.measure(now, f.SentNs)
+	e.late.acked(now, f.Ack, f.SentNs)
+	late := e.late.of(now, f.SentNs)
 	if word := now.Add(-late); word.After(e.heard) {
 		e.heard = word
 	}
@@ -335,6 +334,7 @@
 	// That it is left has to be acknowledged before the link is closed.
 	retiring := f.State != nil && e.retiring
 	f.Seq, f.Ack = e.session.Send(now, len(f.News) > 0 || retiring)
+	e.late.sent(now, f.Seq)
 	if retiring && e.retireSeq == 0 {
 		e.retireSeq = f.Seq
 	}
@@ -373,31 +373,3 @@
 	}
 	return s
 }
-
-// lateness tells how much later than the fastest frame a frame has arrived, from
-// two clocks that run alike and show different times. The smallest difference of
-// the last one to two periods stands for a frame that was not held up.
-type lateness struct {
-	current, previous time.Duration
-	known, hasOld     bool
-	since             time.Time
-}
-
-// latenessPeriod bounds how long a smallest difference counts: clocks drift.
-const latenessPeriod = 10 * time.Second
-
-func (l *lateness) measure(now time.Time, sentNs int64) time.Duration {
-	d := time.Duration(now.UnixNano() - sentNs)
-	if l.known && now.Sub(l.since) >= latenessPeriod {
-		l.previous, l.hasOld, l.known = l.current, true, false
-	}
-	if !l.known {
-		l.current, l.known, l.since = d, true, now
-	}
-	l.current = min(l.current, d)
-	least := l.current
-	if l.hasOld {
-		least = min(least, l.previous)
-	}
-	return d - least
-}
