--- a/cmd/internal/soak/cluster.go
+++ b/cmd/internal/soak/cluster.go
@@ -44,6 +44,9 @@
 	storePort
 )
 
+// domainName is the failure domain of an entry, or of an agent and its worker.
+func domainName(index int) string { return fmt.Sprintf("domain-%d", index%domains) }
+
 // cluster is all that runs.
 type cluster struct {
 	size    Size
@@ -168,7 +171,7 @@
 		return nil, err
 	}
 	return n, c.daemon(n, daemon, fmt.Sprintf("entry-%d", i), "leased-entry", seeds, map[string]any{
-		"failure_domain": fmt.Sprintf("domain-%d", i%domains), "callers_listen": at(n.ip, callersPort), "ready_listen": at(n.ip, readyPort),
+		"failure_domain": domainName(i), "callers_listen": at(n.ip, callersPort), "ready_listen": at(n.ip, readyPort),
 		"nodes_listen": at(n.ip, nodesPort), "nodes_address": at(n.ip, nodesRelayPort), "processor_share": 1,
 	})
 }
@@ -190,7 +193,7 @@
 	}
 	c.hosts = append(c.hosts, h)
 	return n, c.daemon(n, daemon, fmt.Sprintf("agent-%d", i), "leased-agent", seeds, map[string]any{
-		"failure_domain": fmt.Sprintf("domain-%d", i%domains), "reports_listen": at(n.ip, reportsPort), "worker_address": worker,
+		"failure_domain": domainName(i), "reports_listen": at(n.ip, reportsPort), "worker_address": worker,
 		"connections": 8,
 	})
 }
--- a/cmd/internal/soak/inject.go
+++ b/cmd/internal/soak/inject.go
@@ -152,6 +152,9 @@
 	case NewVersion:
 		i.o.write()
 		return
+	case EvacuateDomain:
+		i.o.evacuate(domainName(a.Worker), a.For)
+		return
 	case OldVersion:
 		i.o.old()
 	case NoVersion:
--- a/cmd/internal/soak/ledger.go
+++ b/cmd/internal/soak/ledger.go
@@ -24,6 +24,7 @@
 	promiseOwn       = "a task is what its caller sent"
 	promiseDrain     = "no start on a leaving worker"
 	promiseRoute     = "no start of a dropped queue"
+	promiseEvacuated = "no start in an evacuated domain"
 	promiseInForce   = "configuration in force in time"
 	promiseNoRevert  = "configuration never goes back"
 	promiseStop      = "a planned stop cuts nothing and ends"
@@ -34,6 +35,7 @@
 // life is one life of a worker, for the ledger.
 type life struct {
 	name     string
+	domain   string
 	capacity int64
 	// lapsed tells whether its lease is over though its runs still show.
 	lapsed func() bool
@@ -68,12 +70,14 @@
 	// calm reports whether promises with a time bound hold at a moment.
 	calm func(time.Duration) bool
 
-	mu       sync.Mutex
-	jobs     map[string]*job
-	holders  map[string]map[*life]bool // by task, where it runs
-	dropped  map[string]time.Duration  // queues out of the configuration, since when that is in the store
-	findings []Finding
-	starts   int
+	mu      sync.Mutex
+	jobs    map[string]*job
+	holders map[string]map[*life]bool // by task, where it runs
+	dropped map[string]time.Duration  // queues out of the configuration, since when that is in the store
+	// evacuated are failure domains, since when; two operators may have done so.
+	evacuated map[string][]time.Duration
+	findings  []Finding
+	starts    int
 }
 
 // Bounds of promises with a time, as the stand-in platform states them.
@@ -87,6 +91,7 @@
 func NewLedger(calm func(time.Duration) bool) *Ledger {
 	return &Ledger{
 		calm: calm, jobs: map[string]*job{}, holders: map[string]map[*life]bool{}, dropped: map[string]time.Duration{},
+		evacuated: map[string][]time.Duration{},
 	}
 }
 
@@ -172,6 +177,7 @@
 	l.beganOnce(at, w, task, run)
 	w.running[task] = taskRun{run, spec.CPU}
 	l.beganWorker(at, w, task)
+	l.beganDomain(at, w, task)
 }
 
 func (l *Ledger) beganJob(at time.Duration, w *life, j *job, task string) {
@@ -214,6 +220,29 @@
 	}
 }
 
+// beganDomain holds an evacuation, where it went through calm time alone.
+func (l *Ledger) beganDomain(at time.Duration, w *life, task string) {
+	for _, since := range l.evacuated[w.domain] {
+		if at-since > configurationBound && l.calm(at) && l.calm(since) {
+			l.broken(at, promiseEvacuated, "task %s begins on %s, %v after %s was evacuated", task, w.name, at-since, w.domain)
+		}
+	}
+}
+
+// Evacuated notes that a failure domain was evacuated.
+func (l *Ledger) Evacuated(at time.Duration, domain string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evacuated[domain] = append(l.evacuated[domain], at)
+}
+
+// Restored notes that a failure domain is about to be restored.
+func (l *Ledger) Restored(domain string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.evacuated, domain)
+}
+
 // Ended notes that a run ended; how is the worker's word for it.
 func (l *Ledger) Ended(w *life, task string, how string) {
 	l.mu.Lock()
--- a/cmd/internal/soak/ledger_test.go
+++ b/cmd/internal/soak/ledger_test.go
@@ -28,6 +28,23 @@
 			l.Began(1, one, task, 1, spec)
 			l.Began(2, two, task, 2, spec)
 		}, []string{promiseOneRun}},
+		{"a task begins long after its worker's domain was evacuated", func(l *Ledger, one, _ *life) {
+			l.Evacuated(1, one.domain)
+			l.Began(time.Hour, one, task, 1, spec)
+		}, []string{promiseEvacuated}},
+		{"a task begins while an evacuation spreads", func(l *Ledger, one, _ *life) {
+			l.Evacuated(1, one.domain)
+			l.Began(2, one, task, 1, spec)
+		}, nil},
+		{"a task begins in another domain", func(l *Ledger, _, two *life) {
+			l.Evacuated(1, "hall")
+			l.Began(time.Hour, two, task, 1, spec)
+		}, nil},
+		{"a task begins after the domain was restored", func(l *Ledger, one, _ *life) {
+			l.Evacuated(1, one.domain)
+			l.Restored(one.domain)
+			l.Began(time.Hour, one, task, 1, spec)
+		}, nil},
 		{"a task runs again after its worker is gone", func(l *Ledger, one, two *life) {
 			l.Began(1, one, task, 1, spec)
 			l.LifeOver(one)
@@ -108,5 +125,5 @@
 }
 
 func testLife(name string) *life {
-	return &life{name: name, capacity: 1000, running: map[string]taskRun{}, lapsed: func() bool { return false }}
+	return &life{name: name, domain: "domain of " + name, capacity: 1000, running: map[string]taskRun{}, lapsed: func() bool { return false }}
 }
--- a/cmd/internal/soak/operator.go
+++ b/cmd/internal/soak/operator.go
@@ -117,6 +117,16 @@
 	}
 }
 
+// evacuate evacuates a failure domain for a while.
+func (o *operator) evacuate(domain string, lasts time.Duration) {
+	key := adapter.EvacuationKey(domain)
+	o.c.store.Put(key, []byte("{}"))
+	o.c.ledger.Evacuated(o.c.since(), domain)
+	time.Sleep(lasts)
+	o.c.ledger.Restored(domain)
+	o.c.store.Remove(key)
+}
+
 // run asks all entries until the context ends.
 func (o *operator) run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/cmd/internal/soak/schedule.go
+++ b/cmd/internal/soak/schedule.go
@@ -61,6 +61,8 @@
 	OldVersion    Kind = "old_version"        // an operator writes an older one again
 	NoVersion     Kind = "unreadable_version" // bytes that are no configuration
 	SameTimeWrite Kind = "versions_race"      // several versions at once, not in order
+
+	EvacuateDomain Kind = "evacuate_domain" // that of Worker; then it is restored
 )
 
 // Path is a link on which a relay stands.
@@ -123,6 +125,9 @@
 	calmLength = recovery + 4*time.Second
 	// stormLength is the longest stretch of faults between calm spans.
 	stormLength = 12 * time.Second
+	// evacuation is how long a domain is evacuated in a calm span: longer than the word
+	// may take.
+	evacuation = configurationBound + 1500*time.Millisecond
 	// faultLength is the longest time that one fault goes on.
 	faultLength = 3 * time.Second
 	// meanGap is between two series of faults on the usual size; larger sites get
@@ -140,7 +145,7 @@
 	if least := warmUp + stormLength/2 + calmLength; duration < least {
 		return Schedule{}, ErrOptions.New("duration %v; the least is %v", duration, least)
 	}
-	p := planner{rand.New(rand.NewPCG(seed, 1)), size, Schedule{Seed: seed, Duration: duration, Size: size.Name}}
+	p := planner{rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), size, Schedule{Seed: seed, Duration: duration, Size: size.Name}}
 	at := warmUp
 	for at+stormLength/2+calmLength <= duration {
 		storm := stormLength/2 + p.upTo(stormLength/2)
@@ -159,8 +164,10 @@
 
 type planner struct {
 	rand *rand.Rand
-	size Size
-	s    Schedule
+	// evacuations are drawn apart, so that a seed's other actions don't hang on them.
+	evacuations *rand.Rand
+	size        Size
+	s           Schedule
 }
 
 func (p *planner) upTo(d time.Duration) time.Duration {
@@ -182,6 +189,14 @@
 	if p.rand.IntN(4) == 0 {
 		p.add(Action{At: to - time.Millisecond, Kind: KillAll})
 	}
+	if p.evacuations.IntN(2) == 0 {
+		at := from + time.Duration(p.evacuations.Int64N(int64(to-from)))
+		p.evacuate(at, to-at, false)
+	}
+}
+
+func (p *planner) evacuate(at, lasts time.Duration, calm bool) {
+	p.add(Action{At: at, For: lasts, Kind: EvacuateDomain, Worker: p.evacuations.IntN(p.size.Workers), Calm: calm})
 }
 
 // series is one fault, or the same some times over on the same target or others.
@@ -268,6 +283,9 @@
 	a := Action{At: from + recovery, For: time.Second, Kind: kinds[p.rand.IntN(len(kinds))], Calm: true}
 	p.aim(&a)
 	p.add(a)
+	if p.evacuations.IntN(2) == 0 {
+		p.evacuate(from+recovery, evacuation, true)
+	}
 }
 
 // calmAt reports whether nothing has been wrong for a while.
--- a/cmd/internal/soak/workers.go
+++ b/cmd/internal/soak/workers.go
@@ -78,7 +78,7 @@
 		return
 	}
 	h.lives++
-	l := &life{name: fmt.Sprintf("w%d.%d", h.index, h.lives), capacity: workerCPU, running: map[string]taskRun{}}
+	l := &life{name: fmt.Sprintf("w%d.%d", h.index, h.lives), domain: domainName(h.index), capacity: workerCPU, running: map[string]taskRun{}}
 	ledger, since := h.c.ledger, h.c.since
 	w := standin.NewWorker(standin.WorkerOptions{
 		ID: l.name, Service: service, CPU: workerCPU, Memory: workerMemory, Agent: h.agent, Every: reportEvery, Rate: h.rate,
--- a/node/process/leased_test.go
+++ b/node/process/leased_test.go
@@ -275,7 +275,7 @@
 	s := newLeasedSite(t, 2, 2)
 	s.configure(3, "/stamps/")
 	s.until("both entries to be ready", func() bool { return s.ready(s.entries[0]) && s.ready(s.entries[1]) })
-	key := adapter.OperatorPrefix + "evacuate/shed"
+	key := adapter.EvacuationKey("shed")
 	// serve sends each entry a job with as many tasks as one worker has room for, and
 	// reports whether the worker in the domain was used.
 	serve := func() (used bool) {
