A worker's life is on record for its agent's next process

The log shows all 76 agents linked 0.05 s after they begin, 865 times with 'no worker known'; workers become known with their next reports, the last after 1.1 s. Entries hold what comes for 0.5 s and then refuse 453 jobs, 324 of them late.

Its next process reads it and makes a look at that life; only an answer of that very life makes it count, and a report goes before it.

Ruled out: asking the worker (no call tells its capacity); entries that remember agents' workers (they are killed as well); holding jobs for longer (they would be late). No promise rests on it: runs of the process before are found by the same look, and nothing starts beside them.

--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -158,6 +158,8 @@
 	linked []*conn
 	wanted []bool   // the entries that it links to
 	met    []string // incarnation of each entry met last
+	// record is the life of the worker that is on record, also one that has ended.
+	record runner.Worker
 	cut    []time.Time
 	token  uint64
 }
@@ -187,6 +189,10 @@
 			a.w.trace("%s %s task %s run %d of %s: %s", a.name, d.Event, d.Task, d.Run, d.Entry, d.Reason)
 		},
 	})
+	if a.record.ID != "" && a.life%2 == 1 {
+		// It is read in every other process: the store may be away.
+		a.after(a.w.latency(), func() { a.decide(func(now time.Time) { a.core.Recalled(now, a.record) }) })
+	}
 	a.wanted = make([]bool, n)
 	links := n
 	if a.w.o.Links > 0 {
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -69,7 +69,13 @@
 	report := runner.Worker{
 		ID: s.id(), Service: "s", Capacity: size.Size{CPUMillis: capacity, MemoryMB: 1 << 20}, Draining: s.draining, Sequence: s.reported,
 	}
-	s.a.run(s.a.life, func() { s.a.decide(func(now time.Time) { s.a.core.Reported(now, report) }) })
+	s.a.run(s.a.life, func() {
+		s.a.decide(func(now time.Time) {
+			if s.a.core.Reported(now, report) {
+				s.a.record = report
+			}
+		})
+	})
 	s.w.at(300*time.Millisecond, s.report)
 }
 
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -328,12 +328,27 @@
 		return false
 	}
 	r.Gone(now, "a new life of the worker reports")
+	r.meet(now, w, "reports")
+	return true
+}
+
+// Recalled takes in the life of the worker that an earlier process beside it knew. It
+// counts only while no report has come, and until the worker answers a look as that life
+// nothing starts; another life's answer says that it is gone.
+func (r *Runner) Recalled(now time.Time, w Worker) {
+	if r.known {
+		return
+	}
+	r.meet(now, w, "on record")
+}
+
+// meet begins with a life of the worker.
+func (r *Runner) meet(now time.Time, w Worker, how string) {
 	r.worker, r.known = w, true
 	r.looked, r.silent, r.lastEnd = false, false, 0
-	r.decided(now, Decision{Event: "worker_known", Reason: w.ID})
+	r.decided(now, Decision{Event: "worker_known", Reason: w.ID + ": " + how})
 	r.ready.Look = true
 	r.changed()
-	return true
 }
 
 // Left takes in that a worker says it ends.
--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -17,6 +17,7 @@
 	"github.com/papayahoist/papayahoist/node/rpc"
 	"github.com/papayahoist/papayahoist/node/runner"
 	"github.com/papayahoist/papayahoist/node/settings"
+	"github.com/papayahoist/papayahoist/node/workerrecord"
 	"github.com/papayahoist/papayahoist/platform/adapter"
 )
 
@@ -34,6 +35,7 @@
 	log     *decisionlog.Log
 	logger  *slog.Logger
 	r       *runner.Runner
+	records *workerrecord.Keeper
 	reports net.Listener
 	metrics *leasedMetrics
 }
@@ -68,6 +70,7 @@
 			Token: uint64(time.Now().UnixMilli()), Without: off, Decided: logRunner(a.log, a.metrics),
 		},
 	})
+	a.records = workerrecord.New(workerrecord.Options{Store: client, Agent: s.Name, Logger: a.logger})
 	a.logger.Info("process_started", "version", o.Version, "incarnation", incarnation, "silence_ms", times.Silence.Milliseconds(),
 		"lease_ms", times.Lease.Milliseconds())
 	return a, nil
@@ -84,10 +87,11 @@
 		cancel()
 		return err
 	}
-	reports := &http.Server{Handler: adapter.NewReportsHandler(a.r), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	reports := &http.Server{Handler: adapter.NewReportsHandler(recordedReports{a.r, a.records}), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- serveHTTP(reports, a.reports) }()
 	go a.r.Run()
+	go a.recall(kept)
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
@@ -110,6 +114,35 @@
 	return nil
 }
 
+// recall begins with the worker that is on record, and keeps the record from then on.
+func (a *LeasedAgent) recall(ctx context.Context) {
+	if w, ok := a.records.Read(ctx); ok {
+		a.r.Recalled(w)
+	}
+	a.records.Run(ctx)
+}
+
+// recordedReports passes a worker's reports on, and keeps them on record where they count.
+type recordedReports struct {
+	r       *runner.Runner
+	records *workerrecord.Keeper
+}
+
+// Reported implements adapter.Reports.
+func (r recordedReports) Reported(w corerunner.Worker) bool {
+	ok := r.r.Reported(w)
+	if ok {
+		r.records.Reported(w)
+	}
+	return ok
+}
+
+// Left implements adapter.Reports.
+func (r recordedReports) Left(id string) {
+	r.r.Left(id)
+	r.records.Left(id)
+}
+
 // Reload takes in a replaced settings file.
 func (a *LeasedAgent) Reload(s settings.LeasedAgent) {
 	a.r.Learn(s.Seeds)
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -96,6 +96,11 @@
 	return ok
 }
 
+// Recalled takes in the worker's life that an earlier process had on record.
+func (r *Runner) Recalled(w runner.Worker) {
+	r.decide(func(now time.Time) { r.core.Recalled(now, w) })
+}
+
 // Left takes in that a worker says it ends.
 func (r *Runner) Left(id string) {
 	r.decide(func(now time.Time) { r.core.Left(now, id) })
