Evacuations of an exchange are taken in once; reasons of worker_known are few

An exchange that was answered took the list in twice. The reason of worker_known began with the worker's id, and the counter of decisions had a series for each life of a worker; it begins with how the life was met now.

--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -346,7 +346,7 @@
 func (r *Runner) meet(now time.Time, w Worker, how string) {
 	r.worker, r.known = w, true
 	r.looked, r.silent, r.lastEnd = false, false, 0
-	r.decided(now, Decision{Event: "worker_known", Reason: w.ID + ": " + how})
+	r.decided(now, Decision{Event: "worker_known", Reason: how + ": " + w.ID})
 	r.ready.Look = true
 	r.changed()
 }
--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -151,7 +151,9 @@
 		return 0, false
 	}
 	m := resp.Msg
-	p.heard(x, told{m.Incarnation, m.Version, m.EntriesDigest, m.Entries, m.Records, m.Evacuations})
+	p.heard(x, told{m.Incarnation, m.Version, m.EntriesDigest, m.Entries, m.Records, m.Evacuations.GetRevision()})
+	// Before a configuration that comes with it: an entry that takes jobs knows both.
+	p.d.SetEvacuations(m.Evacuations)
 	if m.Configuration != nil {
 		p.d.SetConfiguration(m.Configuration)
 	}
@@ -165,18 +167,16 @@
 	digest      uint64
 	entries     []string
 	records     []*pb.EntryRecord
-	evacuations *pb.Evacuations
+	evacuations uint64 // their revision
 }
 
 func (p *peers) heard(x *peer, t told) {
-	// Before a configuration that came with it: an entry that takes jobs knows both.
-	p.d.SetEvacuations(t.evacuations)
 	p.do(func(now time.Time) {
 		if !p.view.Lives(x.address) || x.incarnation != t.incarnation {
 			p.d.opts.Logger.Info("entry_found", "entry", x.address, "incarnation", t.incarnation, "version", t.version)
 		}
 		x.incarnation, x.heard, x.digest = t.incarnation, now, t.digest
-		x.version, x.evacuations = t.version, t.evacuations.GetRevision()
+		x.version, x.evacuations = t.version, t.evacuations
 		p.view.Heard(now, x.address)
 		if len(t.records) == 0 {
 			// An entry of an earlier version tells addresses only.
@@ -217,7 +217,7 @@
 	x := p.all[req.Address]
 	p.mu.Unlock()
 	if x != nil {
-		p.heard(x, told{req.Incarnation, req.Version, req.EntriesDigest, req.Entries, req.Records, req.Evacuations})
+		p.heard(x, told{req.Incarnation, req.Version, req.EntriesDigest, req.Entries, req.Records, req.Evacuations.GetRevision()})
 	}
 	c := p.d.Configuration()
 	resp := &pb.ShareResponse{
