--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -41,6 +41,7 @@
 }
 
 func promisesHold(t *testing.T, options func(seed uint64) Options) {
+	t.Parallel()
 	var total Result
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
 		o := options(seed)
@@ -66,6 +67,7 @@
 // fail by themselves or whose callers leave. Single seeds differ by how their jobs
 // happen to come, so many are counted together.
 func TestCalmSchedulesServe(t *testing.T) {
+	t.Parallel()
 	const seeds, jobs = 20, 40
 	completed := 0
 	for seed := range uint64(seeds) {
@@ -84,6 +86,7 @@
 // went through its jobs in the order of a map, and what they came to differed from run
 // to run.
 func TestSchedulesRepeat(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		play := func() (events []string) {
 			o := options(seed)
