--- a/node/workerrecord/workerrecord_test.go
+++ b/node/workerrecord/workerrecord_test.go
@@ -76,6 +76,12 @@
 	return 1, s.call()
 }
 
+func (s *fakeStore) made() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *fakeStore) setAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -136,16 +142,16 @@
 		k := run(t, s)
 		k.Reported(worker)
 		time.Sleep(writeWithin + time.Second)
-		before := s.calls
+		before := s.made()
 		for range 100 {
 			k.Reported(worker)
 			time.Sleep(time.Second)
 		}
-		if s.calls != before {
-			t.Errorf("%d calls in 100 s", s.calls-before)
+		if made := s.made(); made != before {
+			t.Errorf("%d calls in 100 s", made-before)
 		}
 		time.Sleep(renewEvery + writeWithin)
-		if s.calls == before {
+		if s.made() == before {
 			t.Error("the record was not renewed before its lease ends")
 		}
 	})
