Workers reborn under their identifier, crashing tasks, capacities that move

Cause: a worker's life was told from the next by its identifier alone. One that begins anew under its identifier counts its ends, reports and clock anew: its ends looked old, its runs lost, and its tasks ran again. Nothing counted a worker's crash against the task that was starting there, and a changed capacity was neither told at once nor held against what waits.

Change: a life is (identifier, born) in reports, answers, calls, records, events. A start in doubt when its life ends is held back until the next life has answered a look with a higher token. Agents tell all their entries under which tasks their worker crashed; after two crashes at its start, three at any time, a task's job has failed. Crashes of three workers together are no evidence. Capacity follows the newest report.

Also: a start without an answer is sent again (the worker takes a run once) before it is fenced; a worker is silent after two looks without an answer, one is lost on its way often enough; runs on a silent worker lapse, so that their tasks may run elsewhere.

--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -37,6 +37,9 @@
 		return refuse(ReasonEvacuated, false, d.retryAfter(maxRetryAfter))
 	}
 	d.unblock(j)
+	if a := d.refuseCondemned(j); a != nil {
+		return a
+	}
 	if lag := d.lag.now(now); lag > j.patience {
 		// This process itself is later than that: what it took in besides would be late
 		// by its fault, with all that it has, while another entry can serve it in time.
--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -51,6 +51,8 @@
 	wakePos int // in Dispatcher.wakes
 	// afterOther: an earlier process of the same agent is listed.
 	afterOther bool
+	// trialUntil is how long nothing is sent beside a suspected task.
+	trialUntil time.Time
 }
 
 // Before implements indexheap.Item: the agent for which time matters next goes first.
@@ -196,6 +198,7 @@
 	if f.State != nil {
 		d.takeState(now, a, f.State)
 	}
+	d.takeCrashes(now, a, f.Crashes)
 	for _, n := range f.News {
 		if o := a.byNumber(n.Number); o != nil {
 			d.news(now, o, n)
--- /dev/null
+++ b/dispatch/dispatcher/crash_test.go
@@ -0,0 +1,164 @@
+package dispatcher
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/runner"
+)
+
+// crash has an agent's worker crash under some of its orders. Those named began just before.
+func (b *bed) crash(a *fakeAgent, atStart ...*pb.Order) {
+	f := &pb.WorkerFrame{}
+	for _, o := range a.orders {
+		reason := runner.ReasonCrashedLater
+		if slices.Contains(atStart, o) {
+			reason = runner.ReasonCrashed
+		}
+		f.News = append(f.News, &pb.OrderNews{Number: o.Number, State: pb.OrderState_ORDER_STATE_LOST, Reason: reason})
+		f.Crashes = append(f.Crashes, &pb.TaskCrash{Task: o.Task, Worker: "life-" + a.incarnation, AtStart: slices.Contains(atStart, o)})
+	}
+	a.orders, a.used = nil, 0
+	a.seq++
+	f.Seq, f.Ack, f.State = a.seq, a.ack, a.stateNow()
+	b.d.Step(b.now, a.incarnation, a.epoch, f)
+	b.ready()
+}
+
+// A task crashes each worker that starts it. After two, no third one is given it, and the
+// caller is told that sending the job again is of no use.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	b := newBed(t, "a", "b", "c")
+	n := b.accepted(tasks(1, 1000, 100*time.Millisecond))
+	first := b.sent()[0]
+	at := b.at(first)
+	b.crash(at, first)
+	second := b.sent()
+	if len(second) != 1 || b.at(second[0]) == at {
+		t.Fatalf("orders %v after the first crash, want one elsewhere", second)
+	}
+	b.crash(b.at(second[0]), second[0])
+	b.wantAnswer(n, Failed, ReasonCrashes)
+	if a := b.answers[n]; !a.Permanent {
+		t.Error("the caller isn't told that it is final")
+	}
+	if len(b.sent()) != 0 {
+		t.Error("a third worker was given the task")
+	}
+	if !slices.ContainsFunc(b.d.crashes.order, func(c *crashRecord) bool { return len(c.crashes) == 2 }) {
+		t.Error("the crashes are not remembered")
+	}
+}
+
+// A worker crashes under several tasks. Those that had run for a while are no suspects, and
+// a second crash under them by coincidence doesn't give their jobs up.
+func TestBystandersOfCrashesAreNotGivenUp(t *testing.T) {
+	b := newBed(t, "a")
+	n := b.accepted(tasks(1, 1000, 100*time.Millisecond))
+	b.crash(b.agents["a-1"])
+	b.attach("b", "b-1")
+	if len(b.sent()) != 1 {
+		t.Fatal("the task was not ordered again")
+	}
+	b.crash(b.at(b.sent()[0]))
+	if a, ok := b.answers[n]; ok {
+		t.Errorf("answer %+v after two crashes at other times", a)
+	}
+}
+
+// A suspected task must not take down a worker beside others' runs: it goes to the one with
+// least on it, and nothing is sent there until it has proved harmless.
+func TestSuspectedTaskRunsApart(t *testing.T) {
+	b := newBed(t, "a", "b", "c")
+	for _, name := range []string{"b", "c"} {
+		a := b.agents[name+"-1"]
+		a.used = 1000
+		b.report(a)
+	}
+	b.accepted(tasks(1, 3500, 100*time.Millisecond))
+	first := b.sent()[0]
+	b.agents["c-1"].used = 0
+	b.report(b.agents["c-1"])
+	b.crash(b.at(first), first)
+	second := b.sent()[0]
+	apart := b.at(second)
+	if apart != b.agents["c-1"] {
+		t.Fatalf("the suspected task went to %s, want the idle worker", apart.name)
+	}
+	for range 6 {
+		b.accepted(tasks(1, 400, 50*time.Millisecond))
+	}
+	if len(apart.orders) != 1 {
+		t.Errorf("%d orders beside the suspected task", len(apart.orders)-1)
+	}
+	b.wait(trialFor)
+	b.tell(second, pb.OrderState_ORDER_STATE_DONE, "", 100*time.Millisecond)
+	for range 6 {
+		b.accepted(tasks(1, 400, 50*time.Millisecond))
+	}
+	if len(apart.orders) == 0 {
+		t.Error("the worker is not used after the trial")
+	}
+}
+
+// Another entry has seen two workers crash under a task, and its caller sends the job again
+// here: it must not be started, and its caller must not wait.
+func TestTaskCondemnedElsewhereIsNotStarted(t *testing.T) {
+	b := newBed(t, "a", "b")
+	for _, name := range []string{"a-1", "b-1", "a-1"} {
+		a := b.agents[name]
+		a.seq++
+		b.d.Step(b.now, name, a.epoch, &pb.WorkerFrame{Seq: a.seq, Ack: a.ack, State: a.stateNow(), Crashes: []*pb.TaskCrash{
+			{Task: "0000000000000001.0.0.0", Worker: "life-" + name, AtStart: true},
+		}})
+	}
+	_, refused := b.submit(tasks(1, 1000, 100*time.Millisecond))
+	if refused == nil || refused.Outcome != Failed || refused.Reason != ReasonCrashes {
+		t.Fatalf("answer %+v, want failed", refused)
+	}
+	if _, refused = b.submit(tasks(1, 1000, 100*time.Millisecond)); refused != nil {
+		t.Errorf("another job is refused: %+v", refused)
+	}
+}
+
+// A rack loses power, and its workers crash under tasks that have just begun. None of these
+// is suspected: their next runs need no worker of their own.
+func TestCrashesWithOneCauseAreNoEvidence(t *testing.T) {
+	b := newBed(t, "a", "b", "c", "d", "e")
+	n := b.accepted(tasks(4, 3000, 100*time.Millisecond))
+	for _, o := range b.sent()[:3] {
+		b.crash(b.at(o), o)
+	}
+	for _, r := range b.d.crashes.order {
+		if all, atStart := r.count(); all+atStart > 0 {
+			t.Errorf("%s: %d crashes count", r.task, all)
+		}
+	}
+	if a, ok := b.answers[n]; ok {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// Crashes are told again on each new link, and must not count twice.
+func TestCrashCountsOnce(t *testing.T) {
+	var c crashes
+	now := time.Unix(1000, 0)
+	m := &pb.TaskCrash{Task: "t", Worker: "w", AtStart: true}
+	c.take(now, m)
+	c.take(now.Add(time.Second), m)
+	if c.byTask["t"].condemned() {
+		t.Error("one crash counts as two")
+	}
+	c.take(now.Add(2*rememberCrashes), &pb.TaskCrash{Task: "u", Worker: "w"})
+	if c.byTask["t"] != nil || len(c.order) != 1 {
+		t.Error("a crash is remembered too long")
+	}
+	for i := range 2 * maxCrashedTasks {
+		c.take(now.Add(2*rememberCrashes), &pb.TaskCrash{Task: utoa(uint64(i)), Worker: "w"})
+	}
+	if len(c.byTask) > maxCrashedTasks+1 || len(c.order) != len(c.byTask) {
+		t.Errorf("%d tasks are remembered", len(c.byTask))
+	}
+}
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -141,6 +141,7 @@
 	ReasonDeadline    = "time limit reached"
 	ReasonHopeless    = "too little time left"
 	ReasonAttempts    = "a task failed too often"
+	ReasonCrashes     = "workers crashed under a task"
 	ReasonAgentLost   = "an agent can't be reached"
 	ReasonLeaving     = "the entry is shutting down"
 	ReasonUnsupported = "not supported"
@@ -193,6 +194,7 @@
 	config    *pb.Configuration
 	// evacuations are the failure domains in which nothing may start.
 	evacuations evacuation.View
+	crashes     crashes
 
 	begunAt time.Time // when the first input came
 	// dueAt is when a tick was asked for, and lag how late the process is, as ticks
--- a/dispatch/dispatcher/late.go
+++ b/dispatch/dispatcher/late.go
@@ -10,22 +10,6 @@
 // Late work is that of jobs which can't end within their objective and whose answer is of
 // use all the same. It goes behind all that can be in time.
 
-// fallBehind takes in that a job has missed the start that it needed to end within its
-// objective. One of which nothing has begun is late work from now on.
-//
-// What goes wrong without it: for seconds more work arrives than workers can do. What has
-// missed its start must start soonest of all, so it goes first everywhere and makes the
-// next miss its own start: nearly all end late, where most could be in time. One would
-// see full workers, few refusals, and answers late in every queue. A job that has begun
-// keeps its place: behind all others it would hold its caller to the end for nothing.
-func (d *Dispatcher) fallBehind(j *job) {
-	if j.late || j.started || d.opts.Without.Has(without.FallBehind) {
-		return
-	}
-	d.unlist(j)
-	j.late = true
-}
-
 // yield is the share of late work that lately was completed.
 type yield struct {
 	share float64
--- a/dispatch/dispatcher/orders.go
+++ b/dispatch/dispatcher/orders.go
@@ -58,6 +58,9 @@
 	o := &order{
 		number: d.orderNo, task: t, run: t.runs, agent: a, size: s.Size, sentAt: now, expected: s.expect,
 	}
+	if d.suspected(t) {
+		a.trialUntil = now.Add(trialFor)
+	}
 	a.live = append(a.live, o)
 	a.frees.Add(o.expected, s.Size.CPUMillis)
 	t.job.orders = append(t.job.orders, o)
@@ -117,9 +120,6 @@
 	if j.ended {
 		return
 	}
-	if !now.Before(t.startBy()) {
-		d.fallBehind(j)
-	}
 	d.requeue(j, t)
 	if !d.opts.Without.Has(without.GivingUp) && (!now.Before(t.latestStart()) || !j.started && !d.servable(now, t)) {
 		// Its answer would be of no use; the others of its tasks would only take room.
@@ -161,7 +161,7 @@
 		d.drop(o)
 		t.job.started = true
 		d.decideEnd(now, o, "stopped or lost", time.Duration(n.RunMs)*time.Millisecond)
-		d.requeue(t.job, t)
+		d.afterLoss(now, t, a, n.Reason)
 	case pb.OrderState_ORDER_STATE_STALLED:
 		d.stalled(now, o, n)
 	}
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -175,6 +175,10 @@
 	limit := max(0, d.mayWait(now, t)-d.marginOf(now, t.job))
 	passed := d.passedBy(now, t.job)
 	left := max(minChoice, n/d.sharers())
+	suspected := d.suspected(t)
+	if suspected {
+		left = n
+	}
 	if d.opts.Without.Has(without.PartOfWorkers) {
 		left = n
 	}
@@ -188,7 +192,11 @@
 		if time.Duration(passed*float64(wait)) > limit {
 			continue
 		}
-		if score := float64(wait) + d.score(a, t, s); best == nil || score < bestScore {
+		score := float64(wait) + d.score(a, t, s)
+		if suspected {
+			score += float64(crowdCost) * (1 - a.free.CPUShare(a.capacity))
+		}
+		if best == nil || score < bestScore {
 			best, bestScore, bestWait = a, score, wait
 		}
 		if s.Rack == "" || a.hasLabel(s.Rack) {
@@ -261,7 +269,7 @@
 		return false
 	case !s.Size.FitsIn(a.capacity) || !a.hasLabel(s.Requires):
 		return false
-	case slices.Contains(t.avoid, a):
+	case slices.Contains(t.avoid, a) || now.Before(a.trialUntil):
 		return false
 	}
 	return s.MaxPerWorker == 0 || a.ofStep(t) < s.MaxPerWorker
--- a/dispatch/leasedcheck/faults.go
+++ b/dispatch/leasedcheck/faults.go
@@ -10,6 +10,10 @@
 	if w.o.Links > 0 {
 		kinds = 13 // three of thirteen are choices
 	}
+	if w.o.Reborn && w.chance(0.4) {
+		w.workerFault(a)
+		return
+	}
 	switch w.rand.IntN(kinds) {
 	case 0:
 		if e.up {
@@ -54,6 +58,27 @@
 	}
 }
 
+// workerFault has a worker start again under its identifier, at once or behind a cut, or
+// change its capacity.
+func (w *World) workerFault(a *agentNode) {
+	s := a.worker
+	switch {
+	case !s.up:
+	case w.chance(0.5):
+		s.resize(int64(w.rand.IntN(2 * capacity)))
+	case w.chance(0.5):
+		w.trace("%s loses calls", a.name)
+		s.lossy = w.now.Add(w.upTo(time.Second))
+		w.at(w.upTo(time.Second), func() {
+			if s.up {
+				s.crashFor(w.upTo(500 * time.Millisecond))
+			}
+		})
+	default:
+		s.crashFor(w.upTo(200 * time.Millisecond))
+	}
+}
+
 func (w *World) freeze(p *process) {
 	if !p.up {
 		return
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -40,6 +40,16 @@
 	})
 }
 
+// Workers crash, also by tasks that crash whoever starts them, and begin anew under the
+// identifier that they had, with clocks, sequences and numbers anew, while calls to them are
+// lost or late; and their capacity shrinks and grows. A run of an earlier life must neither
+// go unseen on a later one nor be taken for ended while it may still begin there.
+func TestPromisesHoldWithWorkersReborn(t *testing.T) {
+	promisesHold(t, func(seed uint64) Options {
+		return Options{Seed: seed, Entries: 4, Agents: 5, Links: int(seed % 3), Jobs: 120, Faults: 2 + int(seed%14), Reborn: true}
+	})
+}
+
 func promisesHold(t *testing.T, options func(seed uint64) Options) {
 	t.Parallel()
 	var total Result
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -36,6 +36,8 @@
 	retiring  bool
 	retireSeq uint64
 
+	crashes []*pb.TaskCrash // not told on this link
+
 	stale       bool // the state has changed since it was told
 	eager       bool
 	reportEvery time.Duration
@@ -123,6 +125,7 @@
 	e.heard = asked
 	e.stale, e.reportedAt = true, time.Time{}
 	r.setEvacuations(now, e, g.Evacuations)
+	e.crashes = r.recentCrashes(now)
 	for _, n := range e.unacked {
 		e.unsent = append(e.unsent, n.news)
 	}
@@ -326,7 +329,8 @@
 }
 
 func (r *Runner) send(now time.Time, e *entry) {
-	f := &pb.WorkerFrame{News: e.unsent}
+	f := &pb.WorkerFrame{News: e.unsent, Crashes: e.crashes}
+	e.crashes = nil
 	if e.stale {
 		f.State = r.state(now, e)
 		e.stale, e.reportedAt = false, now
--- a/dispatch/runner/evacuate.go
+++ b/dispatch/runner/evacuate.go
@@ -30,7 +30,5 @@
 	}
 	r.decided(now, Decision{Event: event, Entry: from.name, Reason: r.opts.FailureDomain})
 	r.flushQueue(now)
-	for _, e := range r.entries {
-		e.stale, e.reportedAt = true, time.Time{} // at once
-	}
+	r.tellAtOnce()
 }
--- a/dispatch/runner/queue.go
+++ b/dispatch/runner/queue.go
@@ -60,7 +60,7 @@
 func (r *Runner) frees(now time.Time) *forecast.Frees {
 	var f forecast.Frees
 	for _, x := range r.order {
-		if x.phase == queued || x.foreign {
+		if x.phase == queued || x.phase == unfenced || x.foreign {
 			continue
 		}
 		total := x.total
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -84,6 +84,14 @@
 	ReasonStopped = "stopped before it began"
 )
 
+// Reasons of lost runs. Entries act on the first.
+const (
+	// ReasonCrashed: the worker crashed soon after it was told to start the run.
+	ReasonCrashed = "worker crashed at the start"
+	// ReasonCrashedLater: the worker crashed while the run had gone on for a while.
+	ReasonCrashedLater = "worker crashed"
+)
+
 // Reasons for which a worker takes no orders.
 const (
 	HeldNone      = ""
@@ -117,7 +125,7 @@
 
 // Worker is what a worker reports about itself.
 type Worker struct {
-	ID       string
+	Life
 	Service  string
 	Labels   []string
 	Capacity size.Size
@@ -128,7 +136,7 @@
 
 // Start asks the driver to start a run.
 type Start struct {
-	Worker  string
+	Worker  Life
 	Task    string
 	Run     uint32
 	Payload string
@@ -139,7 +147,7 @@
 
 // Stop asks the driver to stop a run. Its answer must be reported.
 type Stop struct {
-	Worker string
+	Worker Life
 	Task   string
 	Run    uint32
 	Token  uint64
@@ -147,7 +155,7 @@
 
 // Look asks the driver to renew the lease and to read what runs and what ended.
 type Look struct {
-	Worker string
+	Worker Life
 	// Until is on the worker's clock; zero renews nothing.
 	Until time.Duration
 	Token uint64
@@ -189,7 +197,8 @@
 	worker  Worker
 	known   bool
 	looked  bool // this life of the worker has answered a look
-	silent  bool // the last look had no answer
+	missed  bool // the last look had no answer
+	silent  bool // the last two looks had no answer
 	leaving bool
 	token   uint64
 
@@ -197,8 +206,10 @@
 	clockAt  time.Time
 	renewed  time.Time // when a call that renews the lease was last sent
 	lookedAt time.Time
-	lastEnd  uint64
-	number   uint64 // of looks and starts, to tell which came first
+	// answeredLook is when the latest look that was answered was sent.
+	answeredLook time.Time
+	lastEnd      uint64
+	number       uint64 // of looks and starts, to tell which came first
 
 	runs  map[string]*run // by task
 	order []*run          // the same, oldest first
@@ -212,6 +223,7 @@
 
 	entries     []*entry
 	evacuations evacuation.View
+	crashes     []crash // of the last minute, oldest first
 	ready       Ready
 }
 
@@ -242,6 +254,9 @@
 	// the run never begins, or ends it.
 	fencing
 	stopping
+	// unfenced: the start was not answered, and nothing rules out yet that it is carried
+	// out later: by the worker's next life, or by this one once it can be reached.
+	unfenced
 )
 
 type run struct {
@@ -263,14 +278,18 @@
 	startBy time.Time // to end within its job's objective
 	late    bool      // its job was taken in though it ends later
 	sentAt  time.Time // start or stop, for repeats
+	sends   int       // of its start
 	began   time.Time
 	// total is how long the run lasts at its pace so far; zero: not known yet.
 	total time.Duration
 	// reportAt is how long the run must have lasted to be reported as stalled again.
 	reportAt time.Duration
 	wanted   bool // false: its entry has asked to stop it
+	listed   bool // the life known has listed it
 	stopped  bool // the worker has answered a stop
 	foreign  bool
+	lost     string    // why, of an unfenced run
+	fenceBy  time.Time // when an unfenced run is taken for lost all the same
 }
 
 // New returns a Runner that knows no worker.
@@ -307,69 +326,6 @@
 	return HeldNone
 }
 
-// Reported takes in what a worker says of itself. It returns false for a life that
-// is not the one that answers, or one that was heard of before.
-func (r *Runner) Reported(now time.Time, w Worker) bool {
-	if r.known && w.ID == r.worker.ID {
-		if w.Sequence < r.worker.Sequence {
-			return false
-		}
-		changed := w.Draining != r.worker.Draining
-		r.worker = w
-		if changed {
-			r.decided(now, Decision{Event: "worker_draining", Reason: r.held()})
-			r.flushQueue(now)
-		}
-		r.changed()
-		return true
-	}
-	if r.known && r.looked && !r.silent {
-		// A report that was held up, of a life that has ended: the one known answers.
-		return false
-	}
-	r.Gone(now, "a new life of the worker reports")
-	r.meet(now, w, "reports")
-	return true
-}
-
-// Recalled takes in the life of the worker that an earlier process beside it knew. It
-// counts only while no report has come, and until the worker answers a look as that life
-// nothing starts; another life's answer says that it is gone.
-func (r *Runner) Recalled(now time.Time, w Worker) {
-	if r.known {
-		return
-	}
-	r.meet(now, w, "on record")
-}
-
-// meet begins with a life of the worker.
-func (r *Runner) meet(now time.Time, w Worker, how string) {
-	r.worker, r.known = w, true
-	r.looked, r.silent, r.lastEnd = false, false, 0
-	r.decided(now, Decision{Event: "worker_known", Reason: how + ": " + w.ID})
-	r.ready.Look = true
-	r.changed()
-}
-
-// Left takes in that a worker says it ends.
-func (r *Runner) Left(now time.Time, id string) {
-	if r.known && r.worker.ID == id {
-		r.Gone(now, "the worker left")
-	}
-}
-
-// Gone takes in that the known life of the worker has ended, and its runs with it.
-func (r *Runner) Gone(now time.Time, why string) {
-	if !r.known {
-		return
-	}
-	r.decided(now, Decision{Event: "worker_gone", Reason: why})
-	r.known, r.looked = false, false
-	r.loseAll(now, why)
-	r.flushQueue(now)
-	r.changed()
-}
-
 // Leave stops taking orders. What runs goes on.
 func (r *Runner) Leave(now time.Time) {
 	r.leaving = true
@@ -377,11 +333,19 @@
 	r.changed()
 }
 
-// Drained reports whether nothing runs.
-func (r *Runner) Drained() bool { return len(r.runs) == 0 }
+// Drained reports whether nothing waits or runs.
+func (r *Runner) Drained() bool { return len(r.queue) == 0 && r.Running() == 0 }
 
-// Running is the number of runs that hold capacity.
-func (r *Runner) Running() int { return len(r.order) - len(r.queue) }
+// Running is the number of runs that are on the worker, or may be.
+func (r *Runner) Running() int {
+	n := 0
+	for _, x := range r.order {
+		if x.phase != queued && x.phase != unfenced {
+			n++
+		}
+	}
+	return n
+}
 
 // Worker returns the worker known, if any.
 func (r *Runner) Worker() (Worker, bool) { return r.worker, r.known }
@@ -470,15 +434,6 @@
 	return x.entry.name
 }
 
-// loseAll takes in that nothing runs on the worker any more.
-func (r *Runner) loseAll(now time.Time, why string) {
-	for _, x := range slices.Clone(r.order) {
-		if x.phase != queued {
-			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, why)
-		}
-	}
-}
-
 // flushQueue refuses what waits, when nothing may start.
 func (r *Runner) flushQueue(now time.Time) {
 	if r.held() == HeldNone {
@@ -504,7 +459,7 @@
 	if r.silent && r.Running() > 0 && now.After(r.renewed.Add(bounds.Lapse(r.opts.Times.Lease)+bounds.Slack)) {
 		// The worker has been out of reach for longer than its lease lasts, so it has
 		// ended everything by itself.
-		r.loseAll(now, "the lease has lapsed")
+		r.loseAll(now, unanswered, func(*run) string { return "the lease has lapsed" })
 	}
 }
 
@@ -517,6 +472,10 @@
 		if !x.stopped && !now.Before(x.sentAt.Add(stopAgainAfter)) {
 			r.sendStop(now, x)
 		}
+	case unfenced:
+		if !now.Before(x.fenceBy) {
+			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, x.lost)
+		}
 	}
 }
 
@@ -531,6 +490,8 @@
 			if !x.stopped {
 				next = link.Earlier(next, x.sentAt.Add(stopAgainAfter))
 			}
+		case unfenced:
+			next = link.Earlier(next, x.fenceBy)
 		}
 	}
 	if r.silent && r.Running() > 0 {
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -9,11 +9,16 @@
 
 // start sends the start of a run to the worker.
 func (r *Runner) start(now time.Time, x *run) {
-	x.phase, x.sentAt, x.began = starting, now, now
+	x.phase, x.began = starting, now
 	r.used = r.used.Plus(x.size)
-	r.renewed = now
+	r.sendStart(now, x)
+}
+
+func (r *Runner) sendStart(now time.Time, x *run) {
+	x.sentAt, r.renewed = now, now
+	x.sends++
 	r.ready.Starts = append(r.ready.Starts, Start{
-		Worker: r.worker.ID, Task: x.task, Run: x.run, Payload: x.payload, Until: r.until(now), Token: r.token,
+		Worker: r.worker.Life, Task: x.task, Run: x.run, Payload: x.payload, Until: r.until(now), Token: r.token,
 	})
 }
 
@@ -40,9 +45,12 @@
 
 // StartAnswered takes in the answer to a start.
 func (r *Runner) StartAnswered(now time.Time, s Start, v StartVerdict, clock time.Duration, why string) {
+	if !r.knows(s.Worker) {
+		return
+	}
 	r.heardClock(now, clock)
 	x := r.runs[s.Task]
-	if x == nil || x.run != s.Run || x.phase != starting && x.phase != doubtful || s.Worker != r.worker.ID {
+	if x == nil || x.run != s.Run || x.phase != starting && x.phase != doubtful {
 		return
 	}
 	switch v {
@@ -58,8 +66,12 @@
 	case Unsent:
 		r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonWorker+": not reached")
 	case OtherLife:
-		r.Gone(now, "another life of the worker answers")
+		r.succeeded(now, "another life of the worker answers")
 	case Unanswered:
+		if r.maySendAgain(now, x) {
+			r.sendStart(now, x)
+			return
+		}
 		// It may have begun and its answer be lost, or it may be carried out later. A
 		// look tells the first; a stop that is answered rules out the second.
 		x.phase = doubtful
@@ -69,6 +81,17 @@
 	}
 }
 
+// maxSends bounds how often a start is sent: of calls that are lost one time in three, all
+// three are one time in thirty.
+const maxSends = 3
+
+// maySendAgain reports whether a start that had no answer is sent again. A worker takes the
+// same run once, so the task begins a moment later, where fencing the run and ordering
+// another one elsewhere would take several calls, each of which may be lost too.
+func (r *Runner) maySendAgain(now time.Time, x *run) bool {
+	return x.phase == starting && x.wanted && x.sends < maxSends && r.held() == HeldNone && !r.mute(now, x.entry)
+}
+
 // raiseToken takes a token above that of an earlier process. Its size is unknown;
 // doubling the step finds it in a few calls.
 func (r *Runner) raiseToken() { r.token += max(1, r.token) }
@@ -108,16 +131,19 @@
 
 func (r *Runner) sendStop(now time.Time, x *run) {
 	x.sentAt = now
-	r.ready.Stops = append(r.ready.Stops, Stop{Worker: r.worker.ID, Task: x.task, Run: x.run, Token: r.token})
+	r.ready.Stops = append(r.ready.Stops, Stop{Worker: r.worker.Life, Task: x.task, Run: x.run, Token: r.token})
 }
 
 // StopAnswered takes in that the worker has answered a stop: the run has ended or
 // is ending, and it does not begin any more. Looks that begin from now on show
 // which.
 func (r *Runner) StopAnswered(now time.Time, s Stop, clock time.Duration) {
+	if !r.knows(s.Worker) {
+		return
+	}
 	r.heardClock(now, clock)
 	x := r.runs[s.Task]
-	if x == nil || x.run != s.Run || s.Worker != r.worker.ID || x.phase != stopping && x.phase != fencing {
+	if x == nil || x.run != s.Run || x.phase != stopping && x.phase != fencing {
 		return
 	}
 	r.number++
@@ -132,9 +158,15 @@
 	if !r.known {
 		return Look{}, false
 	}
-	l := Look{Worker: r.worker.ID, Token: r.token, Seen: r.lastEnd, number: r.number, sent: now}
-	if r.clock > 0 && !r.hasForeign() {
-		// Runs of an earlier process are not renewed: what can't be stopped lapses.
+	l := Look{Worker: r.worker.Life, Token: r.token, Seen: r.lastEnd, number: r.number, sent: now}
+	if r.silent {
+		// Its next life may answer, whose ends have numbers of their own: none of them may
+		// count as seen.
+		l.Seen = 0
+	}
+	if r.clock > 0 && !r.hasForeign() && !r.silent {
+		// What can't be stopped lapses: runs of an earlier process, and those on a worker
+		// out of reach, whose tasks may then run elsewhere.
 		l.Until = r.until(now)
 		r.renewed = now
 	}
@@ -194,6 +226,8 @@
 
 // Seen is the worker's answer to a look.
 type Seen struct {
+	// Born is when the life that answers was born; see Life.
+	Born    int64
 	Clock   time.Duration
 	Running []Row
 	Ended   []End
@@ -201,15 +235,18 @@
 
 // Looked takes in the answer to a look.
 func (r *Runner) Looked(now time.Time, l Look, s Seen) {
-	if !r.known || l.Worker != r.worker.ID {
+	if !r.knows(l.Worker) || !r.answers(now, l, s.Born) {
 		return
 	}
 	r.heardClock(now, s.Clock)
 	r.lookedAt = now
 	back := r.silent || !r.looked
-	r.silent, r.looked = false, true
+	r.silent, r.looked, r.missed = false, true, false
+	if l.sent.After(r.answeredLook) {
+		r.answeredLook = l.sent
+	}
 	if back {
-		r.decided(now, Decision{Event: "worker_answers", Reason: r.worker.ID})
+		r.decided(now, Decision{Event: "worker_answers", Reason: r.worker.Life.String()})
 	}
 	for _, e := range s.Ended {
 		r.ended(now, e)
@@ -248,6 +285,9 @@
 // listed takes in that a run is on the worker.
 func (r *Runner) listed(now time.Time, l Look, row Row) {
 	x := r.runs[row.Task]
+	if x != nil && x.run == row.Run {
+		x.listed = true
+	}
 	switch {
 	case x == nil && r.recent[row.Task] >= row.Run:
 		// The answer of an older look, or a run whose stop is under way.
@@ -265,7 +305,7 @@
 		r.changed()
 	case x.run != row.Run:
 		// The end of the run that is listed comes with a later answer.
-	case x.phase == doubtful && l.number >= x.number:
+	case (x.phase == doubtful || x.phase == unfenced) && l.number >= x.number:
 		r.begun(now, x)
 	case x.phase == running && row.Percent >= 0:
 		r.progress(now, x, row.Percent)
@@ -307,6 +347,8 @@
 			continue
 		}
 		switch {
+		case x.phase == unfenced:
+			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, x.lost)
 		case x.phase == doubtful:
 			x.phase = fencing
 			r.sendStop(now, x)
@@ -327,15 +369,23 @@
 // LookFailed takes in that a look had no answer. Refused says that nothing listens
 // at the worker's address: its process has ended.
 func (r *Runner) LookFailed(now time.Time, l Look, refused bool) {
-	if !r.known || l.Worker != r.worker.ID {
+	if !r.knows(l.Worker) {
 		return
 	}
 	if refused {
-		r.Gone(now, "nothing listens at the worker's address")
+		r.crashed(now, "nothing listens at the worker's address")
+		return
+	}
+	if l.sent.Before(r.answeredLook) {
+		return // the worker has answered a later one
+	}
+	if !r.missed && r.looked {
+		// One call may be lost on its way; the worker is silent when the next is, too.
+		r.missed, r.ready.Look = true, true
 		return
 	}
 	if !r.silent {
-		r.decided(now, Decision{Event: "worker_silent", Reason: "a look had no answer"})
+		r.decided(now, Decision{Event: "worker_silent", Reason: "two looks had no answer"})
 		r.silent = true
 		r.flushQueue(now)
 		r.changed()
@@ -343,7 +393,10 @@
 }
 
 // LookFenced takes in that the worker knows a higher token.
-func (r *Runner) LookFenced(now time.Time, clock time.Duration) {
+func (r *Runner) LookFenced(now time.Time, l Look, clock time.Duration) {
+	if !r.knows(l.Worker) {
+		return
+	}
 	r.heardClock(now, clock)
 	r.raiseToken()
 	r.ready.Look = true
--- a/dispatch/without/without.go
+++ b/dispatch/without/without.go
@@ -43,8 +43,6 @@
 	StartBy
 	// Patience: an order that waits longer than foretold is offered elsewhere.
 	Patience
-	// FallBehind: a job that has missed its start before any task began is late work.
-	FallBehind
 	// Margin: jobs are admitted with the error of lately foretold waits in mind.
 	Margin
 	// LateYield: late work is taken in only while it gets done.
@@ -55,7 +53,7 @@
 
 var names = []string{
 	"late-work", "held-jobs", "passed-by", "part-of-workers", "moves", "health", "learning", "giving-up", "eager", "ahead",
-	"start-by", "patience", "fall-behind", "margin", "late-yield", "invitations",
+	"start-by", "patience", "margin", "late-yield", "invitations",
 }
 
 // Names of all mechanisms.
--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -87,7 +87,7 @@
 		cancel()
 		return err
 	}
-	reports := &http.Server{Handler: adapter.NewReportsHandler(recordedReports{a.r, a.records}), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	reports := &http.Server{Handler: adapter.NewReportsHandler(recordedReports{a.r, a.records}, a.logger), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- serveHTTP(reports, a.reports) }()
 	go a.r.Run()
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -37,8 +37,9 @@
 }
 
 const (
-	// lookSlack is how much longer than its wait a look may take.
-	lookSlack = 150 * time.Millisecond
+	// lookSlack is how much longer than its wait a look may take. A machine that is out of
+	// processor for most of a tenth of a second answers the second one.
+	lookSlack = 60 * time.Millisecond
 	// lookAgainAfter keeps failing looks from taking the whole processor.
 	lookAgainAfter = 20 * time.Millisecond
 	idlePoll       = 50 * time.Millisecond
@@ -204,7 +205,7 @@
 		case runner.LookAnswered:
 			r.core.Looked(now, l, seen)
 		case runner.LookFenced:
-			r.core.LookFenced(now, seen.Clock)
+			r.core.LookFenced(now, l, seen.Clock)
 		case runner.LookOtherLife:
 			r.core.LookFailed(now, l, true)
 		default:
--- a/node/workerrecord/workerrecord.go
+++ b/node/workerrecord/workerrecord.go
@@ -59,6 +59,7 @@
 // record is a worker's life in the store.
 type record struct {
 	Worker    string   `json:"worker"`
+	Born      int64    `json:"born,omitempty"`
 	Service   string   `json:"service"`
 	Labels    []string `json:"labels"`
 	CPUMillis int64    `json:"cpu_millis"`
@@ -68,7 +69,7 @@
 
 func (r record) worker() runner.Worker {
 	return runner.Worker{
-		ID: r.Worker, Service: r.Service, Labels: r.Labels,
+		Life: runner.Life{ID: r.Worker, Born: r.Born}, Service: r.Service, Labels: r.Labels,
 		Capacity: size.Size{CPUMillis: r.CPUMillis, MemoryMB: r.MemoryMB, GPUs: r.GPUs},
 	}
 }
@@ -113,7 +114,7 @@
 
 func (k *Keeper) set(w runner.Worker) {
 	k.mu.Lock()
-	same := k.worker.ID == w.ID
+	same := k.worker.Life == w.Life
 	k.worker = w
 	k.mu.Unlock()
 	if same {
@@ -165,11 +166,11 @@
 		}
 		w := k.current()
 		err := k.write(ctx, w)
-		if err == nil && k.current().ID == w.ID {
+		if err == nil && k.current().Life == w.Life {
 			return
 		}
 		if err != nil {
-			k.o.Logger.Warn("worker_record_not_written", "worker", w.ID, "err", err)
+			k.o.Logger.Warn("worker_record_not_written", "worker", w.Life.String(), "err", err)
 			k.pause(ctx, retryAfter)
 		}
 	}
@@ -203,7 +204,7 @@
 		return err
 	}
 	value, _ := json.Marshal(record{
-		Worker: w.ID, Service: w.Service, Labels: w.Labels,
+		Worker: w.ID, Born: w.Born, Service: w.Service, Labels: w.Labels,
 		CPUMillis: w.Capacity.CPUMillis, MemoryMB: w.Capacity.MemoryMB, GPUs: w.Capacity.GPUs,
 	})
 	_, err = k.o.Store.CompareAndSwap(ctx, k.key(), item.Revision, value, lease)
