Starts are sent again, and looks come closer, while calls to a worker get lost

Change: the same run is sent again after 20 ms, up to three times, since a worker takes a run once; refusals of a run sent twice are looked into, for an earlier call may have begun it. After three looks without an answer a worker is silent. While calls get lost looks are 20 ms apart.

--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -50,6 +50,17 @@
 	})
 }
 
+// A start whose answer was late was sent again and found that the run had been there; its
+// job was said not to have run. A worker shrank twice within the time in which its first
+// capacity counts.
+func TestSchedulesWithWorkersRebornThatBrokeAPromise(t *testing.T) {
+	for _, seed := range []uint64{92, 165, 5421} {
+		if r := Run(Options{Seed: seed, Entries: 4, Agents: 5, Links: int(seed % 3), Jobs: 120, Faults: 2 + int(seed%14), Reborn: true}); len(r.Broken) > 0 {
+			t.Errorf("seed %d: %v", seed, r.Broken)
+		}
+	}
+}
+
 func promisesHold(t *testing.T, options func(seed uint64) Options) {
 	t.Parallel()
 	var total Result
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -80,8 +80,8 @@
 // resize changes the capacity.
 func (s *simWorker) resize(to int64) {
 	s.w.trace("%s has a capacity of %d", s.id(), to)
-	if to < s.capacity {
-		s.before, s.shrunk = s.capacity, s.w.now.Add(capacityCounts)
+	if room := s.room(); to < room {
+		s.before, s.shrunk = room, s.w.now.Add(capacityCounts)
 	}
 	s.capacity = to
 }
@@ -348,7 +348,7 @@
 			})
 		})
 	}
-	a.after(l.Wait+150*time.Millisecond, func() {
+	a.after(l.Wait+l.Slack, func() {
 		if a.lookDone(&life) {
 			a.decide(func(now time.Time) { a.core.LookFailed(now, l, false) })
 			a.after(20*time.Millisecond, next)
--- a/dispatch/runner/life.go
+++ b/dispatch/runner/life.go
@@ -138,7 +138,7 @@
 func (r *Runner) meet(now time.Time, w Worker, how string) {
 	reborn := w.Born > 0 && w.ID == r.worker.ID
 	r.worker, r.known = w, true
-	r.looked, r.missed, r.silent, r.lastEnd, r.clock = false, false, false, 0, 0
+	r.looked, r.missed, r.silent, r.lastEnd, r.clock = false, 0, false, 0, 0
 	r.decided(now, Decision{Event: "worker_known", Reason: how + ": " + w.Life.String()})
 	if reborn {
 		r.fenceEarlierCalls()
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -36,6 +36,18 @@
 	// runs there: a renewal of the lease, and the progress of its tasks. A task
 	// that stands still is noticed after one such look.
 	lookWhileRunning = 50 * time.Millisecond
+	// lookSlack is how much longer than its wait a look may take. A machine that is out of
+	// processor for most of a tenth of a second answers the next one.
+	lookSlack = 60 * time.Millisecond
+	// lookWhileLossy and lossySlack take their places while calls get lost: an end is
+	// heard of with the first look that isn't. They cost three looks for one.
+	lookWhileLossy = 20 * time.Millisecond
+	lossySlack     = 20 * time.Millisecond
+	// lossyFor is how long after a call that was lost others are expected to be.
+	lossyFor = 2 * time.Second
+	// silentAfter is how many looks in a row that have no answer show that the worker is
+	// out of reach: of calls that are lost one time in ten, three are one time in 1,000.
+	silentAfter = 3
 	// looksPerLease bounds the time between two looks at an idle worker: an order
 	// that starts just after one look must have its lease renewed by the next.
 	looksPerLease = 2
@@ -161,8 +173,9 @@
 	Token uint64
 	// Seen is the number of the last end taken note of.
 	Seen uint64
-	// Wait is how long the worker may wait for an end before it answers.
-	Wait time.Duration
+	// Wait is how long the worker may wait for an end before it answers, and Slack how
+	// much longer the call may take.
+	Wait, Slack time.Duration
 	// number orders looks and starts.
 	number uint64
 	sent   time.Time
@@ -197,8 +210,8 @@
 	worker  Worker
 	known   bool
 	looked  bool // this life of the worker has answered a look
-	missed  bool // the last look had no answer
-	silent  bool // the last two looks had no answer
+	missed  int  // looks without an answer since the last answer
+	silent  bool // so many of them that nothing may start
 	leaving bool
 	token   uint64
 
@@ -208,8 +221,10 @@
 	lookedAt time.Time
 	// answeredLook is when the latest look that was answered was sent.
 	answeredLook time.Time
-	lastEnd      uint64
-	number       uint64 // of looks and starts, to tell which came first
+	// lossyUntil is how long calls to the worker are taken to get lost.
+	lossyUntil time.Time
+	lastEnd    uint64
+	number     uint64 // of looks and starts, to tell which came first
 
 	runs  map[string]*run // by task
 	order []*run          // the same, oldest first
@@ -279,6 +294,7 @@
 	late    bool      // its job was taken in though it ends later
 	sentAt  time.Time // start or stop, for repeats
 	sends   int       // of its start
+	failed  int       // sends that had no answer
 	began   time.Time
 	// total is how long the run lasts at its pace so far; zero: not known yet.
 	total time.Duration
@@ -463,11 +479,20 @@
 	}
 }
 
-// stopAgainAfter is when a stop without an answer is sent again.
-const stopAgainAfter = 2 * AnswerWithin
+const (
+	// startAgainAfter is when a start without an answer is sent again, while its answer may
+	// still come.
+	startAgainAfter = AnswerWithin / 2
+	// stopAgainAfter is the same for a stop.
+	stopAgainAfter = 2 * AnswerWithin
+)
 
 func (r *Runner) tickRun(now time.Time, x *run) {
 	switch x.phase {
+	case starting:
+		if !now.Before(x.sentAt.Add(startAgainAfter)) && r.maySendAgain(now, x) {
+			r.sendStart(now, x)
+		}
 	case stopping, fencing:
 		if !x.stopped && !now.Before(x.sentAt.Add(stopAgainAfter)) {
 			r.sendStop(now, x)
@@ -486,6 +511,10 @@
 		switch x.phase {
 		case queued:
 			next = link.Earlier(next, x.waitEnd)
+		case starting:
+			if r.maySendAgain(x.sentAt, x) {
+				next = link.Earlier(next, x.sentAt.Add(startAgainAfter))
+			}
 		case stopping, fencing:
 			if !x.stopped {
 				next = link.Earlier(next, x.sentAt.Add(stopAgainAfter))
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -278,6 +278,29 @@
 	}
 }
 
+// The answer to a start is late, so it was sent twice. The second finds that the run has
+// been there: it must not be taken for one that never began.
+func TestStartSentTwiceIsNotTakenForRefused(t *testing.T) {
+	for name, v := range map[string]StartVerdict{"old": OldRun, "refused": Refused, "nothing listens": Unsent} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, "e1")
+			s := b.order("e1", "t1", 1000).Starts[0]
+			b.wait(startAgainAfter)
+			if len(b.last.Starts) != 1 {
+				t.Fatal("the start was not sent again")
+			}
+			b.r.StartAnswered(b.now, s, v, b.clock(), "")
+			if !b.ready().Look {
+				t.Error("no look was asked for")
+			}
+			b.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED)
+			b.running["t1"] = 1
+			b.end("t1", EndedDone)
+			b.wantNews("e1", 1, pb.OrderState_ORDER_STATE_DONE, "")
+		})
+	}
+}
+
 // A start that nobody wants any more, or that may not start any more, is fenced and not sent
 // again.
 func TestUnansweredStartIsNotSentAgain(t *testing.T) {
@@ -314,6 +337,7 @@
 	b.look()
 	b.r.LookFailed(b.now, older, false)
 	b.begin("e1", "t2", 1000)
+	b.look()
 	b.silence()
 	b.order("e1", "t3", 1000)
 	b.wantNews("e1", 3, pb.OrderState_ORDER_STATE_REFUSED, ReasonHeld)
@@ -321,7 +345,7 @@
 
 // silence has looks fail until the worker counts as silent.
 func (b *bed) silence() {
-	for range 2 {
+	for range silentAfter {
 		l, _ := b.r.NextLook(b.now, false)
 		b.r.LookFailed(b.now, l, false)
 	}
--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/runs.go
@@ -53,6 +53,18 @@
 	if x == nil || x.run != s.Run || x.phase != starting && x.phase != doubtful {
 		return
 	}
+	if v == Unanswered || v == Unsent {
+		x.failed++
+	}
+	switch {
+	case v == Started, v == OtherLife, x.sends == 1:
+	case v == Unanswered && x.failed < x.sends:
+		return // another call is on its way
+	case v != Unanswered:
+		// An earlier call may have begun the run, and it may have ended since.
+		r.doubt(x)
+		return
+	}
 	switch v {
 	case Started:
 		r.begun(now, x)
@@ -68,19 +80,24 @@
 	case OtherLife:
 		r.succeeded(now, "another life of the worker answers")
 	case Unanswered:
+		r.lossyUntil = now.Add(lossyFor)
 		if r.maySendAgain(now, x) {
 			r.sendStart(now, x)
 			return
 		}
-		// It may have begun and its answer be lost, or it may be carried out later. A
-		// look tells the first; a stop that is answered rules out the second.
-		x.phase = doubtful
-		r.number++
-		x.number = r.number
-		r.ready.Look = true
+		r.doubt(x)
 	}
 }
 
+// doubt takes in that a start may have begun and its answer be lost, or may be carried out
+// later. A look tells the first; a stop that is answered rules out the second.
+func (r *Runner) doubt(x *run) {
+	x.phase = doubtful
+	r.number++
+	x.number = r.number
+	r.ready.Look = true
+}
+
 // maxSends bounds how often a start is sent: of calls that are lost one time in three, all
 // three are one time in thirty.
 const maxSends = 3
@@ -170,12 +187,19 @@
 		l.Until = r.until(now)
 		r.renewed = now
 	}
-	if !waiting || !r.looked || r.silent {
-		return l, true
+	l.Slack = lookSlack
+	lossy := now.Before(r.lossyUntil)
+	if lossy {
+		l.Slack = lossySlack
 	}
-	l.Wait = lookWhileRunning
-	if r.Running() == 0 {
+	switch {
+	case !waiting || !r.looked || r.silent:
+	case r.Running() == 0:
 		l.Wait = r.opts.Times.Lease / looksPerLease
+	case lossy:
+		l.Wait = lookWhileLossy
+	default:
+		l.Wait = lookWhileRunning
 	}
 	return l, true
 }
@@ -241,7 +265,7 @@
 	r.heardClock(now, s.Clock)
 	r.lookedAt = now
 	back := r.silent || !r.looked
-	r.silent, r.looked, r.missed = false, true, false
+	r.silent, r.looked, r.missed = false, true, 0
 	if l.sent.After(r.answeredLook) {
 		r.answeredLook = l.sent
 	}
@@ -379,13 +403,14 @@
 	if l.sent.Before(r.answeredLook) {
 		return // the worker has answered a later one
 	}
-	if !r.missed && r.looked {
-		// One call may be lost on its way; the worker is silent when the next is, too.
-		r.missed, r.ready.Look = true, true
+	r.missed++
+	r.lossyUntil = now.Add(lossyFor)
+	if r.missed < silentAfter && r.looked {
+		r.ready.Look = true
 		return
 	}
 	if !r.silent {
-		r.decided(now, Decision{Event: "worker_silent", Reason: "two looks had no answer"})
+		r.decided(now, Decision{Event: "worker_silent", Reason: "looks had no answer"})
 		r.silent = true
 		r.flushQueue(now)
 		r.changed()
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -37,9 +37,6 @@
 }
 
 const (
-	// lookSlack is how much longer than its wait a look may take. A machine that is out of
-	// processor for most of a tenth of a second answers the second one.
-	lookSlack = 60 * time.Millisecond
 	// lookAgainAfter keeps failing looks from taking the whole processor.
 	lookAgainAfter = 20 * time.Millisecond
 	idlePoll       = 50 * time.Millisecond
@@ -194,7 +191,7 @@
 		r.pause(idlePoll)
 		return true
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, l.Wait+lookSlack)
+	ctx, cancel := context.WithTimeout(r.ctx, l.Wait+l.Slack)
 	defer cancel()
 	seen, v := r.opts.Worker.Look(ctx, l)
 	if r.ctx.Err() != nil {
