Calls to the store at rest don't grow with the entries

Change: entries open their watches in turns, one each 0.1 s of the whole fleet, so that a change is heard of by one of them after 0.1 s though all watches have gone silent, and by the others from their partners; they list in turns of a second. Agents look for entries after half a second without one. A record's revision is remembered.

Small sites: the same watch up to seven entries.

--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -121,8 +121,14 @@
 	if e.ready, err = net.Listen("tcp", s.ReadyListen); err != nil {
 		return nil, ErrStart.Wrap(err, "port for readiness")
 	}
-	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{OnCall: e.metrics.storeCall})
-	e.roster = roster.New(roster.Options{Store: e.store, Name: s.Name, Address: s.Address(), Logger: e.logger})
+	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{
+		OnCall: e.metrics.storeCall, WatchWait: func() time.Duration { return watchWait(len(e.d.Entries())) },
+	})
+	e.roster = roster.New(roster.Options{
+		Store: e.store, Name: s.Name, Address: s.Address(), Logger: e.logger,
+		ListEvery: func() time.Duration { return listEvery(len(e.d.Entries())) },
+		Alone:     func() bool { return len(e.d.Entries()) < 2 },
+	})
 	e.logger.Info("process_started", "version", o.Version, "incarnation", incarnation, "silence_ms", times.Silence.Milliseconds(),
 		"lease_ms", times.Lease.Milliseconds(), "give_up_ms", times.GiveUp.Milliseconds())
 	return e, nil
--- a/node/roster/roster.go
+++ b/node/roster/roster.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -19,9 +20,8 @@
 	ttl = 12 * time.Second
 	// renewEvery leaves two renewals to be lost before the lease ends.
 	renewEvery = 4 * time.Second
-	// listEvery is how often an entry looks for others that its seeds don't lead to:
-	// two halves that know nothing of each other meet here.
-	listEvery = 10 * time.Second
+	// alone is how long an entry waits for others to answer before it looks for them.
+	alone = 500 * time.Millisecond
 	// retryAfter is the pause after a call that failed.
 	retryAfter = time.Second
 )
@@ -30,7 +30,11 @@
 type Options struct {
 	Store         store.Client
 	Name, Address string
-	Logger        *slog.Logger
+	// ListEvery is how often the entry looks for others that its seeds don't lead to.
+	ListEvery func() time.Duration
+	// Alone reports whether it knows no other; then it looks at once.
+	Alone  func() bool
+	Logger *slog.Logger
 }
 
 // Roster keeps one entry listed.
@@ -45,26 +49,38 @@
 
 // Run lists the entry and reports the others until the context ends.
 func (r *Roster) Run(ctx context.Context, found func(addresses []string)) {
-	var listed time.Time
+	// Those that begin together look at different times, but for one that finds no other.
+	listed := time.Now().Add(-rand.N(r.o.ListEvery()))
+	wait, begins := alone, true
 	for ctx.Err() == nil && !r.leaving.Load() {
-		wait := renewEvery
-		if err := r.renew(ctx); err != nil {
-			r.o.Logger.Warn("roster_not_renewed", "err", err)
+		renewed := r.renew(ctx)
+		if renewed != nil {
+			r.o.Logger.Warn("roster_not_renewed", "err", renewed)
+		}
+		r.pause(ctx, wait)
+		wait = renewEvery
+		if renewed != nil {
 			wait = retryAfter
 		}
-		if time.Since(listed) >= listEvery {
-			if addresses, err := Find(ctx, r.o.Store); err == nil {
-				listed = time.Now()
-				found(addresses)
-			}
+		due := time.Since(listed) >= r.o.ListEvery() || begins && r.o.Alone()
+		begins = false
+		if !due {
+			continue
 		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		if addresses, err := Find(ctx, r.o.Store); err == nil {
+			listed = time.Now()
+			found(addresses)
 		}
 	}
 }
 
+func (r *Roster) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // renew keeps the lease, or takes a new one and writes the entry's key under it.
 func (r *Roster) renew(ctx context.Context) error {
 	if id := store.LeaseID(r.lease.Load()); id != 0 {
--- a/node/roster/roster_test.go
+++ b/node/roster/roster_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/papayahoist/papayahoist/platform/adapter"
 	"github.com/papayahoist/papayahoist/platform/adapter/standin"
@@ -18,8 +19,13 @@
 	server := httptest.NewServer(standin.NewStore())
 	defer server.Close()
 	client := adapter.NewStore(strings.TrimPrefix(server.URL, "http://"), adapter.StoreOptions{})
-	first := New(Options{Store: client, Name: "entry-1", Address: "127.0.0.1:1", Logger: slog.New(slog.DiscardHandler)})
-	second := New(Options{Store: client, Name: "entry-2", Address: "127.0.0.1:2", Logger: slog.New(slog.DiscardHandler)})
+	options := func(name, address string) Options {
+		return Options{
+			Store: client, Name: name, Address: address, Logger: slog.New(slog.DiscardHandler),
+			ListEvery: func() time.Duration { return time.Minute }, Alone: func() bool { return true },
+		}
+	}
+	first, second := New(options("entry-1", "127.0.0.1:1")), New(options("entry-2", "127.0.0.1:2"))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	found := make(chan []string, 10)
--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -22,6 +22,9 @@
 	// forgetAfter is how long an address without an entry behind it is tried, when
 	// the other entries don't name it as living.
 	forgetAfter = 20 * time.Second
+	// findAfter leaves the entries known the time to answer before others are looked for:
+	// in a start of all machines each agent would read the list.
+	findAfter = 500 * time.Millisecond
 	// findEvery is how often entries are looked for elsewhere while none is linked.
 	findEvery = 2 * time.Second
 	// reviewEvery is how often the choice of entries is looked at besides its changes.
@@ -70,6 +73,7 @@
 // run keeps the links until the runner is closed.
 func (e *entries) run() {
 	e.learn(e.r.opts.Entries)
+	e.r.pause(findAfter)
 	for e.r.ctx.Err() == nil {
 		if e.r.opts.FindEntries != nil && !e.anyLinked() {
 			e.find()
--- a/node/workerrecord/workerrecord.go
+++ b/node/workerrecord/workerrecord.go
@@ -51,6 +51,10 @@
 
 	mu     sync.Mutex
 	worker runner.Worker // as last reported; no id: none is worth a record
+	// revision of the record as last read or written; zero: there is none. It counts while
+	// read, and spares a call for each change.
+	revision store.Revision
+	read     bool
 }
 
 // New returns a Keeper; Run writes.
@@ -79,11 +83,12 @@
 func (k *Keeper) Read(ctx context.Context) (runner.Worker, bool) {
 	ctx, cancel := context.WithTimeout(ctx, readWithin)
 	defer cancel()
-	item, err := k.o.Store.Get(ctx, k.key())
+	item, err := k.get(ctx)
 	if err != nil {
-		if !store.IsNotFound(err) {
-			k.o.Logger.Warn("worker_record_not_read", "err", err)
-		}
+		k.o.Logger.Warn("worker_record_not_read", "err", err)
+		return runner.Worker{}, false
+	}
+	if item.Revision == 0 {
 		return runner.Worker{}, false
 	}
 	var r record
@@ -95,6 +100,18 @@
 	return r.worker(), true
 }
 
+// get reads the record; its revision is zero if there is none.
+func (k *Keeper) get(ctx context.Context) (store.Item, error) {
+	item, err := k.o.Store.Get(ctx, k.key())
+	if store.IsNotFound(err) {
+		item, err = store.Item{}, nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision, k.read = item.Revision, err == nil
+	return item, err
+}
+
 func (k *Keeper) key() string { return prefix + k.o.Agent }
 
 // Reported takes in what the worker says of itself. One that leaves is worth no record.
@@ -189,24 +206,39 @@
 }
 
 func (k *Keeper) write(ctx context.Context, w runner.Worker) error {
-	item, err := k.o.Store.Get(ctx, k.key())
-	if err != nil && !store.IsNotFound(err) {
-		return err
+	k.mu.Lock()
+	revision, read := k.revision, k.read
+	k.mu.Unlock()
+	if !read {
+		item, err := k.get(ctx)
+		if err != nil {
+			return err
+		}
+		revision = item.Revision
 	}
+	revision, err := k.change(ctx, revision, w)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// After a failure the change may have been made.
+	k.revision, k.read = revision, err == nil
+	return err
+}
+
+// change writes or removes the record as of a revision, and returns the next one.
+func (k *Keeper) change(ctx context.Context, revision store.Revision, w runner.Worker) (store.Revision, error) {
 	if w.ID == "" {
-		if err != nil {
-			return nil // there is none
+		if revision == 0 {
+			return 0, nil
 		}
-		return k.o.Store.Delete(ctx, k.key(), item.Revision)
+		return 0, k.o.Store.Delete(ctx, k.key(), revision)
 	}
 	lease, err := k.o.Store.Grant(ctx, ttl)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	value, _ := json.Marshal(record{
 		Worker: w.ID, Born: w.Born, Service: w.Service, Labels: w.Labels,
 		CPUMillis: w.Capacity.CPUMillis, MemoryMB: w.Capacity.MemoryMB, GPUs: w.Capacity.GPUs,
 	})
-	_, err = k.o.Store.CompareAndSwap(ctx, k.key(), item.Revision, value, lease)
-	return err
+	return k.o.Store.CompareAndSwap(ctx, k.key(), revision, value, lease)
 }
--- a/node/workerrecord/workerrecord_test.go
+++ b/node/workerrecord/workerrecord_test.go
@@ -113,6 +113,32 @@
 	})
 }
 
+// At the start of a fleet each agent reads its record and writes one. Two more reads for each
+// made the store's calls a third more.
+func TestRecordCostsThreeCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{}
+		k := run(t, s)
+		k.Read(t.Context())
+		k.Reported(worker)
+		time.Sleep(writeWithin + time.Second)
+		if got := s.made(); got != 3 {
+			t.Errorf("%d calls, want a read, a lease and a write", got)
+		}
+		// Another writer changes it: what was read no longer counts.
+		s.mu.Lock()
+		s.item.Revision += 5
+		s.mu.Unlock()
+		next := worker
+		next.Born = 7
+		k.Reported(next)
+		time.Sleep(2 * writeWithin)
+		if got, ok := run(t, s).Read(t.Context()); !ok || got.Born != 7 {
+			t.Errorf("read %v (%v)", got, ok)
+		}
+	})
+}
+
 // A worker says that it leaves. A process that begins after that must not take it for one
 // that stays, also when the store was away at that moment.
 func TestWorkerThatLeavesIsOffTheRecord(t *testing.T) {
