--- a/dispatch/dispatcher/crash.go
+++ b/dispatch/dispatcher/crash.go
@@ -101,18 +101,34 @@
 	if !slices.ContainsFunc(c.lately, ofWorker) {
 		c.lately = append(c.lately, w)
 	}
-	if len(c.lately) >= sharedBy {
-		c.share(now)
-	}
+	c.share(now)
 	return true
 }
 
-// share takes the crashes of the last moment to have one cause.
+// share takes the crashes of the last moment to have one cause when there are several that
+// no task explains: one that several workers crashed under does.
 func (c *crashes) share(now time.Time) {
+	if len(c.lately) < sharedBy {
+		return
+	}
+	explained := map[string]bool{}
+	for _, r := range c.order {
+		for _, x := range r.crashes {
+			explained[x.worker] = explained[x.worker] || len(r.crashes) > 1
+		}
+	}
+	unexplained := 0
+	for _, x := range c.lately {
+		if !explained[x.worker] {
+			unexplained++
+		}
+	}
+	if unexplained < sharedBy {
+		return
+	}
 	for _, r := range c.order {
-		for i := range r.crashes {
-			x := &r.crashes[i]
-			x.shared = x.shared || now.Sub(x.at) <= sharedWithin
+		if x := &r.crashes[0]; len(r.crashes) == 1 && now.Sub(x.at) <= sharedWithin {
+			x.shared = true
 		}
 	}
 }
--- a/dispatch/dispatcher/crash_test.go
+++ b/dispatch/dispatcher/crash_test.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// A task crashes one worker after the other within a moment. That is no cause which workers
+// share.
+func TestTaskThatCrashesManyAtOnceIsTheCause(t *testing.T) {
+	var c crashes
+	now := time.Unix(1000, 0)
+	for i := range 4 {
+		now = now.Add(10 * time.Millisecond)
+		w := utoa(uint64(i))
+		c.take(now, &pb.TaskCrash{Task: "crashes", Worker: w, AtStart: true})
+		c.take(now, &pb.TaskCrash{Task: "beside " + w, Worker: w, AtStart: true})
+	}
+	if !c.byTask["crashes"].condemned() {
+		t.Errorf("not condemned: %+v", c.byTask["crashes"])
+	}
+	if c.byTask["beside 1"].condemned() {
+		t.Error("a bystander is condemned")
+	}
+}
+
 // Crashes are told again on each new link, and must not count twice.
 func TestCrashCountsOnce(t *testing.T) {
 	var c crashes
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -51,10 +51,10 @@
 }
 
 // A start whose answer was late was sent again and found that the run had been there; its
-// job was said not to have run. A worker shrank twice within the time in which its first
-// capacity counts.
+// job was said not to have run. A task that crashed one worker after the other was taken for
+// a bystander of a cause that they shared.
 func TestSchedulesWithWorkersRebornThatBrokeAPromise(t *testing.T) {
-	for _, seed := range []uint64{92, 165, 5421} {
+	for _, seed := range []uint64{92, 165, 507, 1104, 5421} {
 		if r := Run(Options{Seed: seed, Entries: 4, Agents: 5, Links: int(seed % 3), Jobs: 120, Faults: 2 + int(seed%14), Reborn: true}); len(r.Broken) > 0 {
 			t.Errorf("seed %d: %v", seed, r.Broken)
 		}
--- a/dispatch/runner/crash.go
+++ b/dispatch/runner/crash.go
@@ -15,7 +15,7 @@
 
 const (
 	// crashesWithin is how soon after its start a task that crashes its worker is taken to do
-	// so: two looks, by which a crash is noticed at the latest.
+	// so. It counts until the worker answered last: its crash may be noticed much later.
 	crashesWithin = 2 * lookWhileRunning
 	// tellCrashesFor is how long a crash is told on new links: callers send their jobs again
 	// within seconds.
@@ -39,14 +39,15 @@
 		switch {
 		case r.worker.Draining:
 			return how
-		case atStart(now, x):
+		case r.atStart(x):
 			return ReasonCrashed
 		}
 		return ReasonCrashedLater
 	})
 }
 
-func atStart(now time.Time, x *run) bool { return now.Sub(x.began) <= crashesWithin }
+// atStart reports whether the worker may have crashed soon after the run began.
+func (r *Runner) atStart(x *run) bool { return r.lookedAt.Sub(x.began) <= crashesWithin }
 
 // noteCrashes has all entries told under which tasks the worker crashes: whichever runs one
 // of them again must not take it for harmless.
@@ -54,7 +55,7 @@
 	var told []*pb.TaskCrash
 	for _, x := range r.order {
 		if x.phase != queued && x.phase != unfenced && !x.foreign {
-			told = append(told, &pb.TaskCrash{Task: x.task, Worker: r.worker.Life.String(), AtStart: atStart(now, x)})
+			told = append(told, &pb.TaskCrash{Task: x.task, Worker: r.worker.Life.String(), AtStart: r.atStart(x)})
 		}
 	}
 	for _, m := range told {
--- a/dispatch/runner/life_test.go
+++ b/dispatch/runner/life_test.go
@@ -86,8 +86,8 @@
 func TestAnswerOfAnotherLifeEndsTheKnownOne(t *testing.T) {
 	b := bornBed(t, "e1")
 	b.begin("e1", "t1", 1000)
-	b.look()
 	b.wait(2 * crashesWithin)
+	b.look()
 	b.born = born + 1000
 	b.running = map[string]uint32{}
 	b.look()
@@ -266,7 +266,9 @@
 	b := bornBed(t, "e1", "e2")
 	b.begin("e1", "long", 1000)
 	b.wait(2 * crashesWithin)
+	b.look()
 	b.begin("e1", "crashes", 1000)
+	b.wait(2 * crashesWithin) // until it is noticed
 	l, _ := b.r.NextLook(b.now, true)
 	b.r.LookFailed(b.now, l, true)
 	b.ready()
