Agent's decisions: a file for each job

runner.go and runs.go (900 lines) become runner, run, start, look, life, crash, messages and reasons.

--- a/dispatch/runner/runs.go
+++ b/dispatch/runner/look.go
@@ -7,166 +7,109 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 )
 
-// start sends the start of a run to the worker.
-func (r *Runner) start(now time.Time, x *run) {
-	x.phase, x.began = starting, now
-	r.used = r.used.Plus(x.size)
-	r.sendStart(now, x)
-}
-
-func (r *Runner) sendStart(now time.Time, x *run) {
-	x.sentAt, r.renewed = now, now
-	x.sends++
-	r.ready.Starts = append(r.ready.Starts, Start{
-		Worker: r.worker.Life, Task: x.task, Run: x.run, Payload: x.payload, Until: r.until(now), Token: r.token,
-	})
-}
+const (
+	// lookWhileRunning is the time between two looks at the worker while something
+	// runs there: a renewal of the lease, and the progress of its tasks. A task
+	// that stands still is noticed after one such look.
+	lookWhileRunning = 50 * time.Millisecond
+	// lookSlack is how much longer than its wait a look may take. A machine that is out of
+	// processor for most of a tenth of a second answers the next one.
+	lookSlack = 60 * time.Millisecond
+	// lookWhileLossy and lossySlack take their places while calls get lost: an end is
+	// heard of with the first look that isn't. They cost three looks for one.
+	lookWhileLossy = 20 * time.Millisecond
+	lossySlack     = 20 * time.Millisecond
+	// lossyFor is how long after a call that was lost others are expected to be.
+	lossyFor = 2 * time.Second
+	// silentAfter is how many looks in a row that have no answer show that the worker is
+	// out of reach: of calls that are lost one time in ten, three are one time in 1,000.
+	silentAfter = 3
+	// looksPerLease bounds the time between two looks at an idle worker: an order
+	// that starts just after one look must have its lease renewed by the next.
+	looksPerLease = 2
+	// AnswerWithin is when a call to the worker on the same machine, which takes a
+	// millisecond or two, is taken for lost. What is left unanswered is looked into,
+	// so a short bound costs little where a longer one delays a task.
+	AnswerWithin = 40 * time.Millisecond
+	// stallFactor is how many times longer than expected a run must take, at its
+	// pace so far, to be reported; estimates alone are off by half either way.
+	stallFactor = 2.5
+	// stallSlack keeps short runs, whose start takes a part of their time, from
+	// counting as stalled.
+	stallSlack = 30 * time.Millisecond
+	// judgeAfter is when a run's progress says something: before, a task that has
+	// only begun shows none.
+	judgeAfter = 40 * time.Millisecond
+	// surePercent is the progress at which rounding and delays change the time that
+	// a run is taken to last by a tenth at most, and sureAfter when a run with less
+	// has shown enough: it lasts three seconds or more.
+	surePercent = 10
+	sureAfter   = 300 * time.Millisecond
+	// progressLag is how old a progress is when it is taken in, at most, but for a
+	// processor that is held up.
+	progressLag = 20 * time.Millisecond
+)
 
-// StartVerdict is a worker's answer to a start.
-type StartVerdict uint8
+// LookVerdict is how a look ended.
+type LookVerdict uint8
 
-// Verdicts.
+// Verdicts on looks.
 const (
-	// Started, now or before.
-	Started StartVerdict = iota
-	// Refused: not started; the reason tells why.
-	Refused
-	// OldRun: a run with a higher number has been there.
-	OldRun
-	// Fenced: another process used a higher token.
-	Fenced
-	// OtherLife: another life of the worker answered.
-	OtherLife
-	// Unanswered: it may have been started, or be started later.
-	Unanswered
-	// Unsent: the call can't have reached the worker.
-	Unsent
+	LookAnswered LookVerdict = iota
+	LookUnanswered
+	// LookRefused: nothing listens at the worker's address.
+	LookRefused
+	LookFenced
+	LookOtherLife
 )
 
-// StartAnswered takes in the answer to a start.
-func (r *Runner) StartAnswered(now time.Time, s Start, v StartVerdict, clock time.Duration, why string) {
-	if !r.knows(s.Worker) {
-		return
-	}
-	r.heardClock(now, clock)
-	x := r.runs[s.Task]
-	if x == nil || x.run != s.Run || x.phase != starting && x.phase != doubtful {
-		return
-	}
-	if v == Unanswered || v == Unsent {
-		x.failed++
-	}
-	switch {
-	case v == Started, v == OtherLife, x.sends == 1:
-	case v == Unanswered && x.failed < x.sends:
-		return // another call is on its way
-	case v != Unanswered:
-		// An earlier call may have begun the run, and it may have ended since.
-		r.doubt(x)
-		return
-	}
-	switch v {
-	case Started:
-		r.begun(now, x)
-	case Refused:
-		r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonWorker+": "+why)
-	case OldRun:
-		r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonOldRun)
-	case Fenced:
-		r.raiseToken()
-		r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonWorker+": fence")
-	case Unsent:
-		r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonWorker+": not reached")
-	case OtherLife:
-		r.succeeded(now, "another life of the worker answers")
-	case Unanswered:
-		r.lossyUntil = now.Add(lossyFor)
-		if r.maySendAgain(now, x) {
-			r.sendStart(now, x)
-			return
-		}
-		r.doubt(x)
-	}
-}
-
-// doubt takes in that a start may have begun and its answer be lost, or may be carried out
-// later. A look tells the first; a stop that is answered rules out the second.
-func (r *Runner) doubt(x *run) {
-	x.phase = doubtful
-	r.number++
-	x.number = r.number
-	r.ready.Look = true
+// Row is one run as the worker lists it.
+type Row struct {
+	Task    string
+	Run     uint32
+	Percent int
 }
 
-// maxSends bounds how often a start is sent: of calls that are lost one time in three, all
-// three are one time in thirty.
-const maxSends = 3
-
-// maySendAgain reports whether a start that had no answer is sent again. A worker takes the
-// same run once, so the task begins a moment later, where fencing the run and ordering
-// another one elsewhere would take several calls, each of which may be lost too.
-func (r *Runner) maySendAgain(now time.Time, x *run) bool {
-	return x.phase == starting && x.wanted && x.sends < maxSends && r.held() == HeldNone && !r.mute(now, x.entry)
-}
+// Ending is how a run ended, in the worker's words.
+type Ending uint8
 
-// raiseToken takes a token above that of an earlier process. Its size is unknown;
-// doubling the step finds it in a few calls.
-func (r *Runner) raiseToken() { r.token += max(1, r.token) }
+// Endings.
+const (
+	EndedDone Ending = iota
+	EndedFailed
+	EndedStopped
+	// EndedLapsed: the lease ran out, or something else broke it off.
+	EndedLapsed
+)
 
-func (r *Runner) begun(now time.Time, x *run) {
-	r.number++
-	x.number = r.number
-	if !x.wanted {
-		x.phase = running
-		r.stopNow(now, x)
-		return
-	}
-	x.phase = running
-	x.entry.mention(now, &pb.OrderNews{Number: x.order, State: pb.OrderState_ORDER_STATE_STARTED})
-	r.decided(now, Decision{Event: "run_started", Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order})
+// End is one end as the worker lists it.
+type End struct {
+	Number uint64
+	Task   string
+	Run    uint32
+	How    Ending
 }
 
-// stop ends a run at its entry's request, or because nobody waits for it.
-func (r *Runner) stop(now time.Time, x *run) {
-	x.wanted = false
-	switch x.phase {
-	case queued:
-		r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonStopped)
-	case running:
-		r.stopNow(now, x)
-	case starting, doubtful:
-		// A stop that overtakes the start on its way makes the worker refuse it.
-		x.phase = fencing
-		r.sendStop(now, x)
-	}
+// Seen is the worker's answer to a look.
+type Seen struct {
+	// Born is when the life that answers was born; see Life.
+	Born    int64
+	Clock   time.Duration
+	Running []Row
+	Ended   []End
 }
 
-func (r *Runner) stopNow(now time.Time, x *run) {
-	x.phase = stopping
-	r.sendStop(now, x)
-}
+// workerNow is the worker's clock, never ahead of it by more than a call takes.
+func (r *Runner) workerNow(now time.Time) time.Duration { return r.clock + now.Sub(r.clockAt) }
 
-func (r *Runner) sendStop(now time.Time, x *run) {
-	x.sentAt = now
-	r.ready.Stops = append(r.ready.Stops, Stop{Worker: r.worker.Life, Task: x.task, Run: x.run, Token: r.token})
-}
+// until is the end of a lease that is asked for now.
+func (r *Runner) until(now time.Time) time.Duration { return r.workerNow(now) + r.opts.Times.Lease }
 
-// StopAnswered takes in that the worker has answered a stop: the run has ended or
-// is ending, and it does not begin any more. Looks that begin from now on show
-// which.
-func (r *Runner) StopAnswered(now time.Time, s Stop, clock time.Duration) {
-	if !r.knows(s.Worker) {
-		return
+// heardClock takes in the worker's clock from any answer.
+func (r *Runner) heardClock(now time.Time, clock time.Duration) {
+	if clock > 0 {
+		r.clock, r.clockAt = clock, now
 	}
-	r.heardClock(now, clock)
-	x := r.runs[s.Task]
-	if x == nil || x.run != s.Run || x.phase != stopping && x.phase != fencing {
-		return
-	}
-	r.number++
-	x.number = r.number
-	x.stopped = true
-	r.ready.Look = true
 }
 
 // NextLook returns the look to make now; false while no worker is known. Waiting
@@ -208,55 +151,6 @@
 	return slices.ContainsFunc(r.order, func(x *run) bool { return x.foreign })
 }
 
-// LookVerdict is how a look ended.
-type LookVerdict uint8
-
-// Verdicts on looks.
-const (
-	LookAnswered LookVerdict = iota
-	LookUnanswered
-	// LookRefused: nothing listens at the worker's address.
-	LookRefused
-	LookFenced
-	LookOtherLife
-)
-
-// Row is one run as the worker lists it.
-type Row struct {
-	Task    string
-	Run     uint32
-	Percent int
-}
-
-// Ending is how a run ended, in the worker's words.
-type Ending uint8
-
-// Endings.
-const (
-	EndedDone Ending = iota
-	EndedFailed
-	EndedStopped
-	// EndedLapsed: the lease ran out, or something else broke it off.
-	EndedLapsed
-)
-
-// End is one end as the worker lists it.
-type End struct {
-	Number uint64
-	Task   string
-	Run    uint32
-	How    Ending
-}
-
-// Seen is the worker's answer to a look.
-type Seen struct {
-	// Born is when the life that answers was born; see Life.
-	Born    int64
-	Clock   time.Duration
-	Running []Row
-	Ended   []End
-}
-
 // Looked takes in the answer to a look.
 func (r *Runner) Looked(now time.Time, l Look, s Seen) {
 	if !r.knows(l.Worker) || !r.answers(now, l, s.Born) {
--- /dev/null
+++ b/dispatch/runner/messages.go
@@ -0,0 +1,91 @@
+package runner
+
+import (
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/size"
+)
+
+// Decision is one decision for the log.
+type Decision struct {
+	Event  string
+	Task   string
+	Run    uint32
+	Entry  string
+	Order  uint64
+	Reason string
+	// Age of what the decision rests on: the last look at the worker.
+	Age time.Duration
+	// Elapsed is how long the run lasted.
+	Elapsed time.Duration
+	Free    size.Size
+}
+
+// Worker is what a worker reports about itself.
+type Worker struct {
+	Life
+	Service  string
+	Labels   []string
+	Capacity size.Size
+	Draining bool
+	Cold     time.Duration
+	Sequence uint64
+}
+
+// Start asks the driver to start a run.
+type Start struct {
+	Worker  Life
+	Task    string
+	Run     uint32
+	Payload string
+	// Until is on the worker's clock.
+	Until time.Duration
+	Token uint64
+}
+
+// Stop asks the driver to stop a run. Its answer must be reported.
+type Stop struct {
+	Worker Life
+	Task   string
+	Run    uint32
+	Token  uint64
+}
+
+// Look asks the driver to renew the lease and to read what runs and what ended.
+type Look struct {
+	Worker Life
+	// Until is on the worker's clock; zero renews nothing.
+	Until time.Duration
+	Token uint64
+	// Seen is the number of the last end taken note of.
+	Seen uint64
+	// Wait is how long the worker may wait for an end before it answers, and Slack how
+	// much longer the call may take.
+	Wait, Slack time.Duration
+	// number orders looks and starts.
+	number uint64
+	sent   time.Time
+}
+
+// Out is a frame for an entry.
+type Out struct {
+	Entry string // incarnation
+	Epoch uint64
+	Frame *pb.WorkerFrame
+}
+
+// Ready is what the driver must carry out.
+type Ready struct {
+	Starts []Start
+	Stops  []Stop
+	// Look asks for a look at once, beside the one that may be waiting.
+	Look   bool
+	Frames []Out
+	// Redial lists entries, by incarnation, whose link must be closed and opened
+	// anew.
+	Redial []string
+	// Closed lists entries, by incarnation, whose link isn't used any more and must be
+	// closed; see Retire.
+	Closed []string
+}
