--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -51,11 +51,8 @@
 // admit finds a worker for every task of a new job that starts it in time or, when
 // that can't be, so that the answer is still of use; otherwise it refuses the job.
 //
-// What goes wrong without the second: a burst or the loss of some workers makes each
-// job late that comes meanwhile, by a few hundred milliseconds, and all of them would
-// be refused, though there is room again before their answers are of no use. Such a
-// job goes behind all that can be in time, so these lose nothing by it but what has
-// begun already.
+// A short burst makes jobs late by some hundred milliseconds, and their answers are still of
+// use. Late jobs go behind all that can be in time.
 func (d *Dispatcher) admit(now time.Time, j *job) ([]placement, *Answer) {
 	for _, j.late = range []bool{false, true} {
 		if j.late && !d.takesLate(now) {
--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -260,9 +260,7 @@
 
 // reportEvery is how often an agent is to report its state without other news.
 //
-// What goes wrong when all report as often as the entry can take them in: each agent
-// sends its state to every entry at each change, in a fleet most of them idle; with 240
-// agents and 55 entries that was 12 reports for each order.
+// It follows the orders: in a large fleet most reports would otherwise be of idle workers.
 func (d *Dispatcher) reportEvery(now time.Time) time.Duration {
 	perSecond := min(d.opts.ReportsPerSecond, max(leastReports, reportsPerOrder*d.ordered.perSecond(now)))
 	every := time.Duration(float64(len(d.agents)) / perSecond * float64(time.Second))
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -33,10 +33,8 @@
 // eagerAfter is how long after a job was refused for want of room agents go on to tell of
 // room at once: the next jobs of the same burst come meanwhile.
 //
-// What goes wrong without it: under overload jobs are refused, so none waits, and room that
-// comes free is heard of a tenth of a second later. By then it is taken; orders go to
-// workers that are full, and jobs are refused beside workers that are not. One would see
-// "no room" for a third of the orders.
+// Under overload jobs are refused and none waits; room heard of only with the next regular
+// report has been taken by then.
 const eagerAfter = 300 * time.Millisecond
 
 // tellEager has some agents told that work of their service waits, or was refused a moment
--- a/dispatch/dispatcher/lag.go
+++ b/dispatch/dispatcher/lag.go
@@ -45,10 +45,8 @@
 // another agent said so a moment ago, it isn't the way to one of them: this process's
 // frames wait for its processor. Its timers may fire in time all the same.
 //
-// What goes wrong without it: a small entry under a burst takes in all that comes, its
-// frames leave a fifth of a second late, agents refuse the orders and take its links for
-// silent, and stop its runs. One would see "order too late" and "the link has gone
-// silent" for many agents at one entry, and callers get errors for work half done.
+// A small entry that takes in more than its processor can send has its orders refused as late
+// and its links taken for silent.
 func (d *Dispatcher) arrivedLate(now time.Time, at *agent) {
 	if d.lateAt != nil && d.lateAt != at && now.Sub(d.lateSince) < lateTogether {
 		d.lag.take(now, d.opts.Times.MaxLate)
--- a/dispatch/dispatcher/late.go
+++ b/dispatch/dispatcher/late.go
@@ -44,15 +44,9 @@
 
 // takesLate reports whether jobs are taken in that can't be in time.
 //
-// What goes wrong without the yield: with more work than workers can do for seconds,
-// there is no room behind what is in time. Late work is taken in all the same, waits to
-// the end of its use, and is given up, part of it half done. One would see "no worker
-// came free in time" for most of what was not in time, seconds after it came.
-//
-// And without looking at what is in time: late work takes the room that the next jobs need
-// to be in time, which become late work or late ends themselves, though of two such jobs
-// one could be served as its caller wants. So it is for moments without room, and ends
-// while tasks of any queue start later than foretold.
+// Only while late work gets done: behind a lasting overload it would be held to the end of its
+// use and given up half done. And only while work starts when it was foretold: otherwise it
+// takes the room that the next jobs need to be in time.
 func (d *Dispatcher) takesLate(now time.Time) bool {
 	if d.opts.Without.Has(without.LateWork) {
 		return false
--- a/dispatch/dispatcher/leave.go
+++ b/dispatch/dispatcher/leave.go
@@ -8,12 +8,9 @@
 	"github.com/papayahoist/papayahoist/dispatch/link"
 )
 
-// Leave takes in that the process ends at a time. What goes wrong without it: a job
-// that is still at work then loses its connection, which tells its caller nothing,
-// and its runs go on until their agents notice. One sees callers that send jobs again
-// after a planned stop, and runs abandoned because "the entry has ended". So a job
-// that is expected to last longer is refused while another entry can still serve it,
-// and one that does last longer is given up, answered and stopped.
+// Leave takes in that the process ends at a time. A job that is expected to last longer is
+// refused while another entry can still serve it, and one that does last longer is given up,
+// answered and stopped: a connection that breaks would tell its caller nothing.
 func (d *Dispatcher) Leave(now, end time.Time) {
 	d.endsAt = end
 	// In a set order: jobs that are due together are given up as they were put.
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -14,14 +14,10 @@
 // greeting is what asks for a link, until the agent's first frame shows that it has
 // taken the answer.
 //
-// What goes wrong without that frame: a network delivers an agent's greeting late,
-// when the agent's process has ended and another one is linked. It would count as the
-// newer of the two; its old numbers would make runs that go on seem never to have
-// arrived, and their tasks would start a second time. One would see "lost with its
-// link" for a run that had been reported as started. A process that answers was alive
-// when its greeting arrived, and one agent has one process at a time; so of two that
-// have answered, the one whose greeting arrived later is the later one, whatever came
-// when, and no clocks are compared.
+// A greeting may be delivered after its process has ended and another one is linked. A
+// process that answers was alive when its greeting arrived, and an agent has one process at a
+// time, so of two that have answered the one greeted later is the later one; no clocks are
+// compared.
 type greeting struct {
 	*pb.AgentGreeting
 	at      time.Time
--- a/dispatch/dispatcher/margin.go
+++ b/dispatch/dispatcher/margin.go
@@ -10,12 +10,9 @@
 // margin is how much longer than foretold the tasks of a queue waited lately, from their
 // first order to their start, wherever they started in the end.
 //
-// What goes wrong without it: at a load near the capacity waits are foretold from reports
-// that are a tenth of a second old, several entries place by the same ones, and more urgent
-// work passes. Jobs are taken in for starts that they don't get, and end late; too few are
-// refused while they could still go elsewhere or come back. With it a queue takes in as
-// much as it has shown to be able to start in time. At rest tasks don't wait, and there is
-// none.
+// Near the capacity waits are foretold from reports that are a tenth of a second old, several
+// entries place by the same ones, and more urgent work passes. With the margin a queue takes in
+// as much as it has shown to be able to start in time.
 //
 // It counts the whole wait, not that of one order: a task that is offered to one worker
 // after another waits a little longer than foretold at each, and far too long in all.
--- a/dispatch/dispatcher/meet.go
+++ b/dispatch/dispatcher/meet.go
@@ -19,11 +19,9 @@
 // meeting reports whether the entry has begun a moment ago and may not have met the
 // agents yet.
 //
-// What goes wrong without it: all machines lose power, and callers come back with the
-// first entry. For 80 to 180 ms it knows no worker, and few for as long again; every job
-// of that time would be refused, with eleven idle workers about to be met. One would see
-// "no workers known" right after "process_started". Jobs that find no worker are held
-// meanwhile, and decided on when the agents have been met.
+// After a loss of power callers come back with the first entry, a few hundred milliseconds
+// before all agents do. Jobs that find no worker are held meanwhile, and decided on when the
+// agents have been met.
 func (d *Dispatcher) meeting(now time.Time) bool {
 	return now.Before(d.metBy()) && !d.opts.Without.Has(without.HeldJobs)
 }
--- a/dispatch/dispatcher/mix.go
+++ b/dispatch/dispatcher/mix.go
@@ -56,9 +56,7 @@
 
 // passedBy is how many times longer than the work ahead of it a task waits, because
 // more urgent work goes on arriving and passes it: of the room that comes free, only
-// what the more urgent leave is for it and those like it. What goes wrong without it:
-// at a load near the capacity, jobs of a less urgent queue are taken on the sight of a
-// short queue, wait a few times as long, and end late one and all.
+// what the more urgent leave is for it and those like it.
 func (m *mix) passedBy(now time.Time, priority uint32) float64 {
 	m.advance(now)
 	var urgent, all float64
--- a/dispatch/evacuation/evacuation.go
+++ b/dispatch/evacuation/evacuation.go
@@ -1,12 +1,8 @@
 // Package evacuation keeps which failure domains operators have evacuated: nothing may
 // start on their workers until they are restored.
 //
-// What goes wrong without an order of news: an entry that was cut off comes back with
-// what it knew before, and a domain counts as restored, or as evacuated, because of the
-// older of two words. One would see starts in an evacuated domain, or a third of the
-// workers idle after it was restored. Each word is therefore the whole list as of a
-// revision of the platform's store, and of two the higher revision counts, whichever way
-// each has come.
+// An entry that was cut off comes back with old news. Each word is therefore the whole list as
+// of a revision of the platform's store, and of two the higher revision counts.
 package evacuation
 
 import (
--- a/dispatch/runner/lateness.go
+++ b/dispatch/runner/lateness.go
@@ -7,12 +7,9 @@
 // it, so its clock is ahead of the entry's by at least the difference of these two moments;
 // the greatest such difference of the last one or two periods counts.
 //
-// What goes wrong when the frames that arrive are compared with each other: on a link that
-// was held up from its beginning, all are late alike, and none seems to be. And when only
-// the opening of the link gives a bound: it may have taken a fifth of a second, and for as
-// long as it counts frames seem late by that time. One would see "order too late" of orders
-// that took milliseconds, at several agents for which links were opened slowly, and entries
-// that take themselves for behind.
+// Frames can't be compared with each other: on a link that was held up from its beginning all
+// are late alike. And the opening of the link alone is too coarse a bound: it may have taken a
+// fifth of a second.
 type lateness struct {
 	ahead, before time.Duration // of the current period, and of the one before
 	known, hasOld bool
--- a/dispatch/runner/queue.go
+++ b/dispatch/runner/queue.go
@@ -101,9 +101,7 @@
 // less urgent run that must start earlier, while all that is more urgent and waits here
 // is still expected to start in time.
 //
-// What goes wrong without it: urgent work of short tasks waits with time to spare, and
-// less urgent work whose start is due waits behind it all the same. One would see the
-// least urgent queue end late at a load that leaves the others' time unused.
+// Urgent work of short tasks often has time to spare while the start of a longer task is due.
 func (r *Runner) nextQueued(now time.Time) *run {
 	head, next := r.queue[0], r.queue[0]
 	for _, x := range r.queue {
--- a/dispatch/runner/retire.go
+++ b/dispatch/runner/retire.go
@@ -7,11 +7,9 @@
 // closes the link when the entry has acknowledged the first, nothing of it runs here,
 // and all that it was told is acknowledged.
 //
-// What goes wrong otherwise: an order is on its way when the link is closed. The entry
-// can't know whether it arrived and holds the task back for as long as runs may outlive
-// a lost link, over a second; one would see "agent_lost" with orders waiting, and jobs
-// that end late for no fault at all. Frames of a link arrive in order, so an entry that
-// has acknowledged the first frame sends no order behind it, and all before have come.
+// An order may be on its way when the link is closed; its entry would have to hold the task back
+// for as long as runs may outlive a lost link. Frames of a link arrive in order, so an entry
+// that has acknowledged the first frame sends no order behind it, and all before have come.
 
 // Retire begins to close the link to an entry.
 func (r *Runner) Retire(now time.Time, incarnation string) {
--- a/dispatch/subset/subset.go
+++ b/dispatch/subset/subset.go
@@ -65,9 +65,8 @@
 // Choose returns those of the ranked addresses that a process keeps or tries links
 // with: the first ones, until n of them are not known to be out of reach.
 //
-// What goes wrong without the last: entries of a whole failure domain are lost, and an
-// agent whose links all led there gets no work, idle, while others are overloaded. Those
-// out of reach are tried on, since they rank higher and take their place again.
+// An agent whose links all led to a lost failure domain would be idle. Those out of reach are
+// tried on, since they rank higher and take their place again.
 func Choose(ranked []string, n int, down func(address string) bool) []string {
 	for i, a := range ranked {
 		if !down(a) {
--- a/node/workerrecord/workerrecord.go
+++ b/node/workerrecord/workerrecord.go
@@ -1,12 +1,9 @@
 // Package workerrecord keeps in the platform's store what an agent knows of its worker's
 // life, for the agent's next process.
 //
-// What goes wrong without it: agents are killed and begin anew beside workers that go on.
-// Nothing but the worker's next report says what it is, and until then, for up to the
-// interval of reports, a sound and idle worker gets no work. When all processes are killed,
-// that is the whole site; one would see "no worker known" for a second after
-// "process_started", and callers refused meanwhile. What is read counts only if the worker
-// answers as the life that is on record, which has the capacity and labels that it had.
+// Without it a worker whose agent was restarted gets no work until its next report. What is
+// read counts only if the worker answers as the life that is on record, which has the capacity
+// and labels that it had.
 package workerrecord
 
 import (
