--- a/dispatch/subset/subset.go
+++ b/dispatch/subset/subset.go
@@ -27,19 +27,40 @@
 // Rank orders the addresses for a process, those to link to first. The order of those
 // that stay doesn't change when others come or go.
 func Rank(name string, addresses []string) []string {
-	type ranked struct {
-		address string
-		score   uint64
+	return first(name, addresses, len(addresses))
+}
+
+// First returns the first of Rank, at most n. An entry makes it for each of its agents at
+// each change of the entries, so it sorts no more than these.
+func First(name string, addresses []string, n int) []string {
+	if len(addresses) <= n {
+		return addresses
 	}
-	all := make([]ranked, 0, len(addresses))
+	return first(name, addresses, n)
+}
+
+type ranked struct {
+	address string
+	score   uint64
+}
+
+func (r ranked) compare(o ranked) int {
+	return cmp.Or(cmp.Compare(o.score, r.score), cmp.Compare(r.address, o.address))
+}
+
+func first(name string, addresses []string, n int) []string {
+	top := make([]ranked, 0, n+1)
 	for _, a := range addresses {
-		all = append(all, ranked{a, score(name, a)})
+		r := ranked{a, score(name, a)}
+		if len(top) == n && (n == 0 || r.compare(top[n-1]) > 0) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(top, r, ranked.compare)
+		top = slices.Insert(top, at, r)
+		top = top[:min(len(top), n)]
 	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
-	})
-	out := make([]string, len(all))
-	for i, r := range all {
+	out := make([]string, len(top))
+	for i, r := range top {
 		out[i] = r.address
 	}
 	return out
@@ -54,14 +75,6 @@
 	return d.Sum64()
 }
 
-// First returns the first of Rank, at most n.
-func First(name string, addresses []string, n int) []string {
-	if len(addresses) <= n {
-		return addresses
-	}
-	return Rank(name, addresses)[:n]
-}
-
 // Choose returns those of the ranked addresses that a process keeps or tries links
 // with: the first ones, until n of them are not known to be out of reach.
 //
--- a/dispatch/subset/subset_test.go
+++ b/dispatch/subset/subset_test.go
@@ -90,3 +90,32 @@
 		t.Errorf("tries %d entries of %d with all of them out of reach", len(got), len(ranked))
 	}
 }
+
+// The list of entries changes often at a start of all machines, and an entry makes the choice
+// of each of its agents anew each time.
+func TestFirstIsTheBeginOfRank(t *testing.T) {
+	for _, n := range []int{1, 5, 24, 25, 183, 2500} {
+		entries := names("10.0.0", n)
+		want := Rank("agent-7", entries)
+		got := First("agent-7", entries, Told)
+		if n > Told {
+			want = want[:Told]
+		} else {
+			got = Rank("agent-7", got)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%d entries: %s", n, diff)
+		}
+	}
+}
+
+func BenchmarkFirst(b *testing.B) {
+	for _, n := range []int{55, 183, 2500} {
+		entries := names("10.0.0", n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				First("agent-7", entries, Told)
+			}
+		})
+	}
+}
