Entries open their watches at different times; agents try one seed first

A change came while none heard, and no entry asked for 7 s.

Seeds: all 800 agents linked to each of three seeds at the start, 957 descriptors and 92 MB there. An agent that has met no entry tries one, and another each quarter of a second; each entry names the others.

--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -122,7 +122,7 @@
 		return nil, ErrStart.Wrap(err, "port for readiness")
 	}
 	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{
-		OnCall: e.metrics.storeCall, WatchWait: func() time.Duration { return watchWait(len(e.d.Entries())) },
+		OnCall: e.metrics.storeCall, WatchWait: func() time.Duration { return watchWait(len(e.d.Entries()), rand.Float64()) },
 	})
 	e.roster = roster.New(roster.Options{
 		Store: e.store, Name: s.Name, Address: s.Address(), Logger: e.logger,
--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -22,6 +22,10 @@
 	// forgetAfter is how long an address without an entry behind it is tried, when
 	// the other entries don't name it as living.
 	forgetAfter = 20 * time.Second
+	// tryNextAfter is when an agent that has met no entry yet tries the next one beside those
+	// that it tries. Each entry tells it of others, so one is enough; a fleet that begins
+	// would otherwise link to each of a few seeds as a whole.
+	tryNextAfter = 250 * time.Millisecond
 	// findAfter leaves the entries known the time to answer before others are looked for:
 	// in a start of all machines each agent would read the list.
 	findAfter = 500 * time.Millisecond
@@ -48,6 +52,8 @@
 	mu    sync.Mutex
 	known map[string]*target // by address
 	epoch uint64
+	begun time.Time
+	met   bool // an entry has been linked once
 }
 
 // target is an address where an entry is, or was.
@@ -72,8 +78,14 @@
 
 // run keeps the links until the runner is closed.
 func (e *entries) run() {
+	e.mu.Lock()
+	e.begun = clock.Now()
+	e.mu.Unlock()
 	e.learn(e.r.opts.Entries)
-	e.r.pause(findAfter)
+	for clock.Now().Sub(e.begun) < findAfter {
+		e.r.pause(tryNextAfter)
+		e.review()
+	}
 	for e.r.ctx.Err() == nil {
 		if e.r.opts.FindEntries != nil && !e.anyLinked() {
 			e.find()
@@ -159,7 +171,7 @@
 	}
 	ranked := subset.Rank(e.r.opts.Core.Agent, addresses)
 	var out []*target
-	for _, a := range subset.Choose(ranked, subset.Links, func(a string) bool { return e.known[a].down }) {
+	for _, a := range subset.Choose(ranked, e.wantedLinks(), func(a string) bool { return e.known[a].down }) {
 		out = append(out, e.known[a])
 	}
 	for _, a := range ranked[len(out):] {
@@ -170,6 +182,14 @@
 	return out
 }
 
+// wantedLinks is how many entries to keep links with. The lock is held.
+func (e *entries) wantedLinks() int {
+	if e.met {
+		return subset.Links
+	}
+	return min(1+int(clock.Now().Sub(e.begun)/tryNextAfter), subset.Links)
+}
+
 // invited takes in that entries ask for a link.
 func (e *entries) invited(addresses []string) {
 	e.mu.Lock()
@@ -279,7 +299,7 @@
 	t.linked = linked
 	t.named = clock.Now()
 	if linked {
-		t.incarnation, t.down = incarnation, false
+		t.incarnation, t.down, e.met = incarnation, false, true
 	}
 	e.mu.Unlock()
 	if linked {
