Agents ask an idle entry to answer at once, and know how late its orders are

Cause, seen in the logs of the whole fleet's first seconds (6 of 134 first orders "order too late", 5 of the jobs then refused because "the entry itself is behind"): an agent knows by acknowledgements how its clock and its entry's differ. On an idle link these ride on heartbeats, up to a second later; the bound of the link's opening is forgotten after twenty seconds, and the first orders after a longer pause seemed late by up to a second. Small sites begin their traffic sooner, so it never showed there; any pause of twenty seconds would do.

Change: every fifteen seconds one frame asks for an answer at once; bounds count for 30 to 60 s. 4 frames a minute and link. Ruled out: forgetting by a drift instead of by periods, which the test of drifting clocks refuses.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -189,11 +189,12 @@
 	if a == nil || !a.session.IsUp() || a.session.Epoch() != epoch {
 		return
 	}
-	content := len(f.News) > 0 || f.State.GetHeld() == runner.HeldRetiring
+	content := len(f.News) > 0 || f.State.GetHeld() == runner.HeldRetiring || f.AnswerAtOnce
 	if !a.session.Received(now, f.Seq, f.Ack, content) {
 		return
 	}
 	d.touch(a)
+	a.dirty = a.dirty || f.AnswerAtOnce
 	d.opts.Events.Observe(f.Clock, now)
 	if f.State != nil {
 		d.takeState(now, a, f.State)
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -120,7 +120,7 @@
 	}
 	e.session.Up(now, epoch, r.opts.Link)
 	e.retiring = false
-	e.late = lateness{}
+	e.late = lateness{asked: now}
 	e.late.bound(now, asked, sentNs)
 	e.heard = asked
 	e.stale, e.reportedAt = true, time.Time{}
@@ -335,9 +335,10 @@
 		f.State = r.state(now, e)
 		e.stale, e.reportedAt = false, now
 	}
+	f.AnswerAtOnce = e.late.ask(now)
 	// That it is left has to be acknowledged before the link is closed.
 	retiring := f.State != nil && e.retiring
-	f.Seq, f.Ack = e.session.Send(now, len(f.News) > 0 || retiring)
+	f.Seq, f.Ack = e.session.Send(now, len(f.News) > 0 || retiring || f.AnswerAtOnce)
 	e.late.sent(now, f.Seq)
 	if retiring && e.retireSeq == 0 {
 		e.retireSeq = f.Seq
--- a/dispatch/runner/lateness.go
+++ b/dispatch/runner/lateness.go
@@ -14,6 +14,7 @@
 	ahead, before time.Duration // of the current period, and of the one before
 	known, hasOld bool
 	since         time.Time
+	asked         time.Time // when an answer at once was asked for last
 
 	frames [recentFrames]sentFrame // by number
 }
@@ -28,8 +29,24 @@
 // to give a bound: a tenth of a second of the busiest link.
 const recentFrames = 32
 
-// latenessPeriod bounds how long a difference counts: clocks drift.
-const latenessPeriod = 10 * time.Second
+const (
+	// latenessPeriod bounds how long a difference counts: clocks drift.
+	latenessPeriod = 30 * time.Second
+	// askEvery is how often the entry is asked to answer at once. On an idle link frames are
+	// acknowledged with the next heartbeat, up to a second later, which says next to nothing;
+	// when the better bounds of earlier are forgotten, the first orders after a pause would
+	// seem late.
+	askEvery = latenessPeriod / 2
+)
+
+// ask reports whether the next frame is to ask for an answer at once.
+func (l *lateness) ask(now time.Time) bool {
+	if now.Sub(l.asked) < askEvery {
+		return false
+	}
+	l.asked = now
+	return true
+}
 
 // sent takes in that a frame goes to the entry.
 func (l *lateness) sent(now time.Time, seq uint64) {
--- a/dispatch/runner/lateness_test.go
+++ b/dispatch/runner/lateness_test.go
@@ -68,3 +68,35 @@
 		t.Errorf("late by %v, want what the bounds of late say", got)
 	}
 }
+
+// A link is idle for minutes, with a heartbeat a second each way, the entry's half a second
+// after the agent's. The first order after that must not seem late by it.
+func TestIdleLinkMakesNoOrderLate(t *testing.T) {
+	for _, phase := range []time.Duration{50, 300, 500, 900} {
+		phase *= time.Millisecond
+		b := newBed(t, "e1")
+		asked := 0
+		for range 4 * int(latenessPeriod/time.Second) {
+			b.now = b.now.Add(time.Second)
+			b.r.tellAtOnce() // a frame, as the heartbeat is
+			for _, f := range b.ready().Frames {
+				if f.Frame.AnswerAtOnce {
+					asked++
+					b.frame("e1", &pb.OrderFrame{})
+				}
+			}
+			b.now = b.now.Add(phase)
+			b.frame("e1", &pb.OrderFrame{})
+			b.now = b.now.Add(-phase)
+		}
+		b.now = b.now.Add(phase + 5*time.Millisecond)
+		b.order("e1", "t1", 100)
+		b.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED)
+		if got := b.started(); len(got) != 1 {
+			t.Errorf("phase %v: started %v", phase, got)
+		}
+		if most := 4 * int(latenessPeriod/askEvery); asked == 0 || asked > most {
+			t.Errorf("asked %d times, want %d at most", asked, most)
+		}
+	}
+}
