--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -57,6 +57,7 @@
 	r := e.core.Ready(e.w.now)
 	for _, o := range r.Frames {
 		if c := e.links[o.Agent]; c != nil && c.epoch == o.Epoch {
+			e.w.frames.toAgents++
 			c.toAgent(func() {
 				c.a.invited(o.Frame.InvitedBy)
 				c.a.decide(func(now time.Time) {
@@ -222,6 +223,7 @@
 	for _, o := range r.Frames {
 		for i, c := range a.linked {
 			if c != nil && a.met[i] == o.Entry && c.epoch == o.Epoch {
+				a.w.frames.toEntries++
 				c.toEntry(func() {
 					c.e.decide(func(now time.Time) { c.e.core.Step(now, a.incarnationOf(c.aLife), c.epoch, o.Frame) })
 				})
@@ -267,6 +269,7 @@
 
 // look makes a look; waiting ones follow each other.
 func (a *agentNode) look(waiting bool) {
+	a.w.frames.looks++
 	l, ok := a.core.NextLook(a.w.now, waiting)
 	if !ok {
 		if waiting {
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -62,6 +62,7 @@
 	checker   checker
 	operators operators
 	load      *loadPlay // nil: none is played
+	frames    frameCounts
 }
 
 const (
