--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -22,10 +22,10 @@
 	// forgetAfter is how long an address without an entry behind it is tried, when
 	// the other entries don't name it as living.
 	forgetAfter = 20 * time.Second
-	// tryNextAfter is when an agent that has met no entry yet tries the next one beside those
-	// that it tries. Each entry tells it of others, so one is enough; a fleet that begins
-	// would otherwise link to each of a few seeds as a whole.
-	tryNextAfter = 250 * time.Millisecond
+	// tryNextAfter is when an agent that has met no entry yet tries one more beside those that
+	// it tries; one that fails is replaced at once. Each entry tells it of others, so one is
+	// enough; a fleet that begins would otherwise link to each of a few seeds as a whole.
+	tryNextAfter = time.Second
 	// findAfter leaves the entries known the time to answer before others are looked for:
 	// in a start of all machines each agent would read the list.
 	findAfter = 500 * time.Millisecond
@@ -82,10 +82,7 @@
 	e.begun = clock.Now()
 	e.mu.Unlock()
 	e.learn(e.r.opts.Entries)
-	for clock.Now().Sub(e.begun) < findAfter {
-		e.r.pause(tryNextAfter)
-		e.review()
-	}
+	e.r.pause(findAfter)
 	for e.r.ctx.Err() == nil {
 		if e.r.opts.FindEntries != nil && !e.anyLinked() {
 			e.find()
