Soak: workers reborn, crashing payloads, capacities that halve; evidence of starts on their way

The soak found that jobs were given up under which no worker had crashed: a start that was on its way counted as if it had arrived. It counts now only if nothing else there had just begun; and a task that always began beside others is tried once more (three crashes). Its check follows the users' rule: two workers have crashed under a task, or a run has failed.

--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -25,6 +25,7 @@
 	clients        = 8
 	hostName       = "desk"
 	droppableEvery = 5 // one job of so many is for the queue that versions drop
+	crashingEvery  = 97
 	maxTries       = 4
 )
 
@@ -91,6 +92,9 @@
 		k.queue = droppable
 	}
 	spec := specification{Job: k.id, CPU: 200 + r.Int64N(workerCPU/4), Millis: int(length.Milliseconds()), Fails: r.IntN(40) == 0}
+	if n%crashingEvery == 0 {
+		spec.Crashes, k.tasks = true, 1
+	}
 	k.patience = leastPatience + 3*length + time.Duration(r.Int64N(int64(longRun)))
 	k.client = x.clients[r.IntN(clients)]
 	k.body, _ = json.Marshal(map[string]any{
--- a/cmd/internal/soak/inject.go
+++ b/cmd/internal/soak/inject.go
@@ -29,7 +29,7 @@
 	switch a.Kind {
 	case StopProcess, KillProcess, PauseProcess, KillAll:
 		return i.processes(a)
-	case CrashWorker, DrainWorker, FailRuns, StallRuns, LoseCalls:
+	case CrashWorker, DrainWorker, FailRuns, StallRuns, LoseCalls, ResizeWorker:
 		return i.worker(a, i.c.hosts[a.Worker])
 	case HoldLink, ResetLink, SlowLink:
 		return i.link(a)
@@ -99,6 +99,8 @@
 		time.Sleep(restartPause(a))
 		h.start()
 		return done
+	case ResizeWorker:
+		return h.resize(a.For, a.Calm)
 	case FailRuns:
 		h.fails.Add(1)
 		defer h.fails.Add(-1)
--- a/cmd/internal/soak/ledger.go
+++ b/cmd/internal/soak/ledger.go
@@ -20,6 +20,7 @@
 	promiseDone      = "no start after a job was said to be completed"
 	promiseNotRun    = "not run is true"
 	promiseRoom      = "nothing over a worker's capacity"
+	promiseCrashes   = "a task that crashes its workers is started five times at most"
 	promiseWhole     = "a completed job ran whole, a failed one had a cause"
 	promiseOwn       = "a task is what its caller sent"
 	promiseDrain     = "no start on a leaving worker"
@@ -58,6 +59,7 @@
 	begun     int
 	done      map[string]bool
 	failed    map[string]int // failed runs by task
+	crashed   map[string]int // workers that crashed, by the task that ran there
 	attempts  int            // requests that were made
 	asked     time.Duration  // the last of them
 	refused   int            // of them, refused
@@ -126,7 +128,7 @@
 	defer l.mu.Unlock()
 	j := l.jobs[id]
 	if j == nil {
-		j = &job{id: id, queue: queue, tasks: tasks, done: map[string]bool{}, failed: map[string]int{}}
+		j = &job{id: id, queue: queue, tasks: tasks, done: map[string]bool{}, failed: map[string]int{}, crashed: map[string]int{}}
 		l.jobs[id] = j
 	}
 	j.attempts++
@@ -152,12 +154,22 @@
 	switch {
 	case completed && len(j.done) < j.tasks:
 		l.broken(at, promiseWhole, "job %s was said to be completed, and %d of its %d tasks had ended well", id, len(j.done), j.tasks)
-	case !completed && len(j.failed) == 0:
+	case !completed && len(j.failed) == 0 && !j.mayBeGivenUp():
 		l.broken(at, promiseWhole, "job %s was said to have failed, and no run of its tasks had", id)
 	}
 	j.completed = j.completed || completed
 }
 
+// mayBeGivenUp reports whether two workers have crashed under one of its tasks.
+func (j *job) mayBeGivenUp() bool {
+	for _, n := range j.crashed {
+		if n >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
 // Began notes that a worker began a run.
 func (l *Ledger) Began(at time.Duration, w *life, task string, run uint32, spec specification) {
 	l.mu.Lock()
@@ -173,6 +185,9 @@
 		return
 	}
 	j.begun++
+	if spec.Crashes {
+		l.beganCrashing(at, j, task)
+	}
 	l.beganJob(at, w, j, task)
 	l.beganOnce(at, w, task, run)
 	w.running[task] = taskRun{run, spec.CPU}
@@ -180,6 +195,23 @@
 	l.beganDomain(at, w, task)
 }
 
+// crashStarts is how often a task that crashes its workers may be started: until three have
+// crashed, and twice more.
+const crashStarts = 5
+
+func (l *Ledger) beganCrashing(at time.Duration, j *job, task string) {
+	if j.crashed[task] >= crashStarts {
+		l.broken(at, promiseCrashes, "task %s begins after %d workers have crashed under it", task, j.crashed[task])
+	}
+}
+
+// Resized notes the capacity that a worker has from now on.
+func (l *Ledger) Resized(w *life, cpu int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.capacity = cpu
+}
+
 func (l *Ledger) beganJob(at time.Duration, w *life, j *job, task string) {
 	if j.completed {
 		l.broken(at, promiseDone, "task %s begins on %s", task, w.name)
@@ -278,6 +310,8 @@
 	defer l.mu.Unlock()
 	w.over = true
 	for task := range w.running {
+		name, _, _ := strings.Cut(task, ".")
+		l.jobs[name].crashed[task]++
 		l.release(w, task)
 	}
 }
--- a/cmd/internal/soak/ledger_test.go
+++ b/cmd/internal/soak/ledger_test.go
@@ -24,6 +24,36 @@
 			l.Ended(two, task, "done")
 			l.Answered(3, "0a", true)
 		}, nil},
+		{"a task crashes five workers", func(l *Ledger, one, _ *life) {
+			for run := range uint32(crashStarts) {
+				l.Began(1, one, task, run, specification{Job: "0a", CPU: 600, Crashes: true})
+				l.LifeOver(one)
+				one.over, one.running = false, map[string]taskRun{}
+			}
+		}, nil},
+		{"a task crashes six workers", func(l *Ledger, one, _ *life) {
+			for run := range uint32(crashStarts + 1) {
+				l.Began(1, one, task, run, specification{Job: "0a", CPU: 600, Crashes: true})
+				l.LifeOver(one)
+				one.over, one.running = false, map[string]taskRun{}
+			}
+		}, []string{promiseCrashes}},
+		{"a job is given up after one worker has crashed", func(l *Ledger, one, _ *life) {
+			l.Began(1, one, task, 1, spec)
+			l.LifeOver(one)
+			l.Answered(2, "0a", false)
+		}, []string{promiseWhole}},
+		{"a job is given up after two workers have crashed", func(l *Ledger, one, two *life) {
+			l.Began(1, one, task, 1, spec)
+			l.LifeOver(one)
+			l.Began(2, two, task, 2, spec)
+			l.LifeOver(two)
+			l.Answered(3, "0a", false)
+		}, nil},
+		{"a task begins beyond a capacity that has shrunk", func(l *Ledger, one, _ *life) {
+			l.Resized(one, 500)
+			l.Began(1, one, task, 1, spec)
+		}, []string{promiseRoom}},
 		{"a task runs twice at a time", func(l *Ledger, one, two *life) {
 			l.Began(1, one, task, 1, spec)
 			l.Began(2, two, task, 2, spec)
--- a/cmd/internal/soak/schedule.go
+++ b/cmd/internal/soak/schedule.go
@@ -50,6 +50,8 @@
 	StallRuns   Kind = "stall_runs"   // runs begin and don't end
 	LoseCalls   Kind = "lose_calls"   // calls to the worker, or their answers, are lost
 
+	ResizeWorker Kind = "resize_worker" // its capacity halves, and comes back
+
 	StoreFails   Kind = "store_fails" // in the way that Arg names
 	ForgetChange Kind = "store_forgets_changes"
 
@@ -145,7 +147,7 @@
 	if least := warmUp + stormLength/2 + calmLength; duration < least {
 		return Schedule{}, ErrOptions.New("duration %v; the least is %v", duration, least)
 	}
-	p := planner{rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), size, Schedule{Seed: seed, Duration: duration, Size: size.Name}}
+	p := planner{rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3)), size, Schedule{Seed: seed, Duration: duration, Size: size.Name}}
 	at := warmUp
 	for at+stormLength/2+calmLength <= duration {
 		storm := stormLength/2 + p.upTo(stormLength/2)
@@ -166,8 +168,10 @@
 	rand *rand.Rand
 	// evacuations are drawn apart, so that a seed's other actions don't hang on them.
 	evacuations *rand.Rand
-	size        Size
-	s           Schedule
+	// resizes likewise.
+	resizes *rand.Rand
+	size    Size
+	s       Schedule
 }
 
 func (p *planner) upTo(d time.Duration) time.Duration {
@@ -189,6 +193,9 @@
 	if p.rand.IntN(4) == 0 {
 		p.add(Action{At: to - time.Millisecond, Kind: KillAll})
 	}
+	if p.resizes.IntN(2) == 0 {
+		p.resize(from+time.Duration(p.resizes.Int64N(int64(to-from-2*time.Second))), false)
+	}
 	if p.evacuations.IntN(2) == 0 {
 		at := from + time.Duration(p.evacuations.Int64N(int64(to-from)))
 		p.evacuate(at, to-at, false)
@@ -199,6 +206,11 @@
 	p.add(Action{At: at, For: lasts, Kind: EvacuateDomain, Worker: p.evacuations.IntN(p.size.Workers), Calm: calm})
 }
 
+// resize halves a worker's capacity for a moment.
+func (p *planner) resize(at time.Duration, calm bool) {
+	p.add(Action{At: at, For: time.Second, Kind: ResizeWorker, Worker: p.resizes.IntN(p.size.Workers), Calm: calm})
+}
+
 // series is one fault, or the same some times over on the same target or others.
 func (p *planner) series(at, to time.Duration) {
 	a := p.fault()
@@ -286,6 +298,9 @@
 	if p.evacuations.IntN(2) == 0 {
 		p.evacuate(from+recovery, evacuation, true)
 	}
+	if p.resizes.IntN(2) == 0 {
+		p.resize(from+recovery, true)
+	}
 }
 
 // calmAt reports whether nothing has been wrong for a while.
--- a/cmd/internal/soak/workers.go
+++ b/cmd/internal/soak/workers.go
@@ -30,6 +30,8 @@
 	Millis int    `json:"ms"`
 	// Fails: each run of it does.
 	Fails bool `json:"fails,omitempty"`
+	// Crashes: it crashes each worker that starts it.
+	Crashes bool `json:"crashes,omitempty"`
 }
 
 func (s specification) text() string {
@@ -80,9 +82,15 @@
 	h.lives++
 	l := &life{name: fmt.Sprintf("w%d.%d", h.index, h.lives), domain: domainName(h.index), capacity: workerCPU, running: map[string]taskRun{}}
 	ledger, since := h.c.ledger, h.c.since
+	id, born := l.name, int64(0)
+	if h.index%2 == 1 {
+		// Every other worker keeps its identifier.
+		id, born = fmt.Sprintf("w%d", h.index), time.Now().UnixMilli()
+	}
 	w := standin.NewWorker(standin.WorkerOptions{
-		ID: l.name, Service: service, CPU: workerCPU, Memory: workerMemory, Agent: h.agent, Every: reportEvery, Rate: h.rate,
+		ID: id, Born: born, Service: service, CPU: workerCPU, Memory: workerMemory, Agent: h.agent, Every: reportEvery, Rate: h.rate,
 		MaxLease: maxLease, Length: h.length, Fails: h.runFails, Lose: h.loses,
+		Crashes: func(text string) bool { return parseSpecification(text).Crashes }, Crash: h.crashByTask,
 		Began: func(task string, run uint32, text string) {
 			ledger.Began(since(), l, task, run, parseSpecification(text))
 		},
@@ -106,12 +114,45 @@
 	if h.life == nil {
 		return false
 	}
-	h.c.ledger.LifeOver(h.life)
-	h.current.Swap(nil).Close()
+	l := h.life
+	h.current.Swap(nil).Close(func() { h.c.ledger.LifeOver(l) })
 	h.life = nil
 	return true
 }
 
+// crashByTask ends the life that goes on, and begins another one after a while.
+func (h *host) crashByTask() {
+	if h.crash() {
+		time.AfterFunc(rebirth, h.start)
+	}
+}
+
+// rebirth is how long a worker is away that a task has crashed.
+const rebirth = 700 * time.Millisecond
+
+// resize halves the capacity for a while. In calm time nothing may start beyond it once it has
+// been told.
+func (h *host) resize(lasts time.Duration, calm bool) bool {
+	h.mu.Lock()
+	w, l := h.current.Load(), h.life
+	h.mu.Unlock()
+	if w == nil {
+		return false
+	}
+	w.SetCPU(workerCPU / 2)
+	time.Sleep(capacityBound)
+	if calm {
+		h.c.ledger.Resized(l, workerCPU/2)
+	}
+	time.Sleep(lasts)
+	h.c.ledger.Resized(l, workerCPU)
+	w.SetCPU(workerCPU)
+	return true
+}
+
+// capacityBound is when a capacity that has shrunk counts: three reports.
+const capacityBound = 3 * reportEvery
+
 // drain has the worker say that it leaves.
 func (h *host) drain() bool {
 	w := h.current.Load()
--- a/dispatch/dispatcher/crash.go
+++ b/dispatch/dispatcher/crash.go
@@ -11,10 +11,12 @@
 // A task may crash every worker that starts it. A crash at its start makes a task suspected:
 // its next run goes to a worker with little else on it, and this entry sends nothing more
 // there until the run has outlasted the moment at which it would crash the worker. Runs that
-// had gone on for a while when their worker crashed are more likely bystanders.
+// had gone on for a while when their worker crashed are more likely bystanders, and so are
+// those that have always begun beside others.
 const (
-	// startCrashes is how many workers that crash at the start of a task condemn it: after
-	// the first crash its runs are kept apart, so the next one is hardly a coincidence.
+	// startCrashes is how many workers that crash at the start of a task condemn it, if it was
+	// the only one to begin at one of them: after the first crash its runs are kept apart, so
+	// the next one is hardly a coincidence.
 	startCrashes = 2
 	// anyCrashes is the same for crashes at any time.
 	anyCrashes = 3
@@ -45,15 +47,16 @@
 	worker  string // the life that ended
 	at      time.Time
 	atStart bool
+	alone   bool
 	// shared: other workers crashed with it, so the task is not the likely cause.
 	shared bool
 }
 
-// count is how many crashes are evidence against the task, and how many of them were at its
-// start.
-func (r *crashRecord) count() (all, atStart int) {
+// count is how many crashes are evidence against the task, how many of them were at its
+// start, and at how many of these no other task began.
+func (r *crashRecord) count() (all, atStart, alone int) {
 	if r == nil {
-		return 0, 0
+		return 0, 0, 0
 	}
 	for _, c := range r.crashes {
 		if c.shared {
@@ -63,13 +66,16 @@
 		if c.atStart {
 			atStart++
 		}
+		if c.alone {
+			alone++
+		}
 	}
-	return all, atStart
+	return all, atStart, alone
 }
 
 func (r *crashRecord) condemned() bool {
-	all, atStart := r.count()
-	return atStart >= startCrashes || all >= anyCrashes
+	all, atStart, alone := r.count()
+	return atStart >= startCrashes && alone > 0 || all >= anyCrashes
 }
 
 // crashes remembers the tasks under which workers have crashed, oldest first.
@@ -95,7 +101,7 @@
 	if slices.ContainsFunc(r.crashes, ofWorker) {
 		return false
 	}
-	w := workerCrash{worker: m.Worker, at: now, atStart: m.AtStart}
+	w := workerCrash{worker: m.Worker, at: now, atStart: m.AtStart, alone: m.Alone}
 	r.crashes = append(r.crashes, w)
 	c.lately = slices.DeleteFunc(c.lately, func(x workerCrash) bool { return now.Sub(x.at) > sharedWithin })
 	if !slices.ContainsFunc(c.lately, ofWorker) {
@@ -149,7 +155,7 @@
 
 // suspected reports whether a worker crashed at the start of the task.
 func (d *Dispatcher) suspected(t *task) bool {
-	_, atStart := d.crashes.of(t).count()
+	_, atStart, _ := d.crashes.of(t).count()
 	return atStart > 0
 }
 
--- a/dispatch/runner/crash.go
+++ b/dispatch/runner/crash.go
@@ -52,12 +52,7 @@
 // noteCrashes has all entries told under which tasks the worker crashes: whichever runs one
 // of them again must not take it for harmless.
 func (r *Runner) noteCrashes(now time.Time) {
-	var told []*pb.TaskCrash
-	for _, x := range r.order {
-		if x.phase != queued && x.phase != unfenced && !x.foreign {
-			told = append(told, &pb.TaskCrash{Task: x.task, Worker: r.worker.Life.String(), AtStart: r.atStart(x)})
-		}
-	}
+	told := r.crashedUnder()
 	for _, m := range told {
 		r.crashes = append(r.crashes, crash{now, m})
 	}
@@ -68,6 +63,33 @@
 	r.tellAtOnce()
 }
 
+// crashedUnder lists the tasks under which the worker has crashed. A start without an answer
+// may never have arrived, so its task is listed only if nothing else there had just begun.
+func (r *Runner) crashedUnder() []*pb.TaskCrash {
+	var told, begun, unsure []*pb.TaskCrash
+	for _, x := range r.order {
+		if x.phase == queued || x.phase == unfenced || x.foreign {
+			continue
+		}
+		m := &pb.TaskCrash{Task: x.task, Worker: r.worker.Life.String(), AtStart: r.atStart(x)}
+		switch {
+		case unanswered(x):
+			unsure = append(unsure, m)
+			continue
+		case m.AtStart:
+			begun = append(begun, m)
+		}
+		told = append(told, m)
+	}
+	if len(begun) == 0 && len(unsure) == 1 {
+		begun, told = unsure, append(told, unsure[0])
+	}
+	if len(begun) == 1 {
+		begun[0].Alone = true
+	}
+	return told
+}
+
 // recentCrashes is what a new link is told.
 func (r *Runner) recentCrashes(now time.Time) []*pb.TaskCrash {
 	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now.Sub(c.at) > tellCrashesFor })
