A worker that states no birth outlives another writer's report that names one

A false report with a birth would have had its own reports ignored for good, since they carry none. Its answer to a look says what is there.

--- a/dispatch/runner/life.go
+++ b/dispatch/runner/life.go
@@ -43,9 +43,6 @@
 	switch {
 	case l == k:
 		return same
-	case l.Born == 0 && k.Born > 0:
-		// This worker states when it was born, so the message isn't its own.
-		return earlier
 	case k.Born == 0 && l.ID != k.ID, l.Born == k.Born:
 		return unrelated
 	case l.Born < k.Born:
@@ -61,6 +58,7 @@
 // is not the one that answers, or one that was heard of before.
 func (r *Runner) Reported(now time.Time, w Worker) bool {
 	if w.Born == 0 && r.worker.Born > 0 {
+		// This worker states when it was born, so the report isn't its own.
 		return false
 	}
 	if r.known {
@@ -166,13 +164,9 @@
 
 // answers reports whether the known life has answered a look. If another one has, that is
 // the worker now: the call found it alive when the known one was thought to be.
-func (r *Runner) answers(now time.Time, l Look, born int64) bool {
-	switch {
-	case born == r.worker.Born:
+func (r *Runner) answers(now time.Time, born int64) bool {
+	if born == r.worker.Born {
 		return true
-	case born == 0:
-		r.LookFailed(now, l, false)
-		return false
 	}
 	r.succeeded(now, "another life of the worker answers")
 	r.worker.Born = born
--- a/dispatch/runner/life_test.go
+++ b/dispatch/runner/life_test.go
@@ -331,3 +331,16 @@
 		}
 	}
 }
+
+// Another writer's report names a birth for a worker that states none. The worker's own answer
+// must not leave it unused for ever.
+func TestWorkerWithoutBirthOutlivesAFalseReport(t *testing.T) {
+	b := newBed(t, "e1")
+	b.r.Reported(b.now, worker(born))
+	b.look()
+	if !b.r.Reported(b.now, worker(0)) {
+		t.Fatal("its own report is not taken in")
+	}
+	b.look()
+	b.begin("e1", "t1", 1000)
+}
--- a/dispatch/runner/look.go
+++ b/dispatch/runner/look.go
@@ -153,7 +153,7 @@
 
 // Looked takes in the answer to a look.
 func (r *Runner) Looked(now time.Time, l Look, s Seen) {
-	if !r.knows(l.Worker) || !r.answers(now, l, s.Born) {
+	if !r.knows(l.Worker) || !r.answers(now, s.Born) {
 		return
 	}
 	r.heardClock(now, s.Clock)
