entry: drop a job whose caller has ended its connection before it was read

What callers saw: the tasks of one job run twice at a time. Two entries order run 1 of the same task within 10 to 50 ms, one of them stops its runs 20 to 45 ms later.

At 12.888 s the caller's connection is reset while its request lies unread in a socket of frontend-osr-a-1. The caller sends the job to frontend-osr-a-2, which orders it at 12.902. frontend-osr-a-1 gets the processor, reads the request at 12.904, orders the tasks, and logs caller_gone 0.1 ms later: the kernel delivers what a socket holds before it reports the end, and net/http notices the end only with its next read, after the handler has begun.

Ruled out: one entry that orders the run anew after its link was reset. A new order has a higher number, both runs had number 1, and they came from two entries.

Now an entry asks the kernel for the state of the caller's connection as it submits a job (one poll), and drops the job of one that has ended.

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
 	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
+	"github.com/papayahoist/papayahoist/node/callerconn"
 	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
@@ -162,12 +163,21 @@
 	}
 	var number uint64
 	var refused *dispatcher.Answer
+	var gone bool
 	c := make(chan dispatcher.Answer, 1)
 	d.decide(func(now time.Time) {
+		// The caller of a request that was read late may have sent it to another entry.
+		if gone = callerconn.Ended(ctx); gone {
+			return
+		}
 		if number, refused = d.core.Submit(now, j); refused == nil {
 			d.callers[number] = append(d.callers[number], c)
 		}
 	})
+	if gone {
+		d.opts.Logger.Info("caller_gone_before_submit", "job", j.ID, "queue", j.Queue.GetName())
+		return dispatcher.Answer{}, false
+	}
 	if refused != nil {
 		return *refused, true
 	}
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -16,6 +16,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/disabled"
 	coredispatcher "github.com/papayahoist/papayahoist/dispatch/dispatcher"
 	"github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/node/callerconn"
 	"github.com/papayahoist/papayahoist/node/decisionlog"
 	"github.com/papayahoist/papayahoist/node/dispatcher"
 	"github.com/papayahoist/papayahoist/node/entry"
@@ -178,7 +179,7 @@
 	}()
 	jobsServer := &http.Server{
 		Handler: adapter.NewJobsHandler(e.dispatcher), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
+		ConnContext: callerconn.WithConn, ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
 	e.metrics.registerGauge("papayahoist_links", "Linked agents.", func() float64 { return float64(e.dispatcher.Links()) })
 	e.metrics.registerGauge("papayahoist_open_jobs", "Admitted jobs that have not been answered yet.", func() float64 { return float64(e.dispatcher.OpenJobs()) })
