leasedcheck: processes that get no CPU while their clocks run

The schedules froze processes in a way that the clocks show. The double start after a reset came from an entry that waited for CPU, which no clock shows, so the model could not find it.

Options.Stalls makes half of the freezes stalls, lets callers resend at once what the entry has not read, and keeps the state of each connection as the kernel knows it. The simulated entry asks for it as the real one does. Existing options draw the same schedules as before.

--- a/dispatch/leasedcheck/check.go
+++ b/dispatch/leasedcheck/check.go
@@ -110,6 +110,8 @@
 	incarnation  int
 	number       uint64
 	finished     bool
+	read         bool // the entry has read the request
+	closed       bool // the connection, as the kernel of the entry's machine knows
 	disconnected bool // the entry has noticed that the connection is closed
 }
 
@@ -192,6 +194,7 @@
 }
 
 func (t *attempt) submit() {
+	t.read = true
 	if hold := t.e.suspension.Hold(t.e.w.now, t.e.steadyClock()); hold > 0 {
 		t.e.after(hold, t.admit)
 		return
@@ -200,7 +203,7 @@
 }
 
 func (t *attempt) admit() {
-	if t.disconnected {
+	if t.closed {
 		return
 	}
 	if !t.e.configured() {
@@ -260,13 +263,18 @@
 	}
 }
 
-// connectionLost ends the attempt without an answer; the caller resends the job.
+// connectionLost ends the attempt without an answer; the caller resends the job. With stalls,
+// it does so at once if the request was not read: it knows then that nothing has run.
 func (t *attempt) connectionLost() {
 	if t.finished || t.c.finished {
 		return
 	}
 	t.finished = true
-	t.c.w.schedule(resendDelay+t.c.w.jitter(200*time.Millisecond), t.c.send)
+	delay := resendDelay + t.c.w.jitter(200*time.Millisecond)
+	if t.c.w.o.Stalls && !t.read {
+		t.closed, delay = true, t.c.w.jitter(20*time.Millisecond)
+	}
+	t.c.w.schedule(delay, t.c.send)
 }
 
 // disconnect breaks the connection at the caller's side; the entry notices it.
@@ -292,6 +300,7 @@
 }
 
 func (t *attempt) notifyEntry() {
+	t.e.w.schedule(time.Millisecond, func() { t.closed = true })
 	t.e.after(time.Millisecond, func() {
 		if t.e.incarnation != t.incarnation {
 			return
--- a/dispatch/leasedcheck/faults.go
+++ b/dispatch/leasedcheck/faults.go
@@ -83,13 +83,16 @@
 	if !p.up {
 		return
 	}
-	w.trace("%s freezes", p.name)
+	stalls := w.o.Stalls && w.chance(0.5)
+	w.trace("%s freezes, clocks run: %v", p.name, stalls)
 	from := w.now
 	if p.frozenUntil.After(from) {
 		from = p.frozenUntil
 	}
 	p.frozenUntil = w.now.Add(100*time.Millisecond + w.jitter(3*time.Second))
-	p.frozenTotal += max(0, p.frozenUntil.Sub(from))
+	if !stalls {
+		p.frozenTotal += max(0, p.frozenUntil.Sub(from))
+	}
 }
 
 func (w *World) partition(a *agentNode, e *entryNode) {
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -21,6 +21,17 @@
 // for a job that has run.
 func TestPromisesHoldUnderFaults(t *testing.T) { promisesHold(t, options) }
 
+// Processes get no CPU for a while, which their clocks don't show. A job that waited in a
+// socket meanwhile must not start if its caller has sent it elsewhere, and what a process
+// believes of others must not be taken for recent.
+func TestPromisesHoldWithStalls(t *testing.T) {
+	promisesHold(t, func(seed uint64) Options {
+		o := options(seed)
+		o.Stalls = true
+		return o
+	})
+}
+
 // In a fleet an agent is linked to a subset of the entries, and replaces one of them while
 // jobs run and faults occur. An order in flight on a link that is closed must neither run
 // without its entry's knowledge nor be reported as not run.
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -25,6 +25,9 @@
 	// Evacuations is how many times operators evacuate or restore a failure domain while
 	// jobs arrive. The store drops its history as often.
 	Evacuations int
+	// Stalls makes half of the freezes stalls: the process gets no CPU while its clocks
+	// run, so that it can't notice. Callers resend at once what was not read.
+	Stalls bool
 	// WorkerRestarts makes workers keep their identifier across restarts, and adds tasks
 	// that crash their worker and changes of capacity.
 	WorkerRestarts bool
