dispatcher: one failing job does not suspend a worker

What callers saw: for 1.3 s an entry refused every job with "more urgent work takes all workers", while its only worker had free capacity.

Cause: each failed run counted against the worker, compared with results of the other workers from before; three failures in a row suspend. The tasks and the attempts of one job fail for one reason, so they are one piece of evidence. All failures of a job at a worker count once now; a worker that fails several jobs is suspended as before (its test passes before and after).

TestOneFailingJobDoesNotSuspendTheWorker failed before: suspended, and the next job refused.

--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -39,6 +39,7 @@
 	entries           []string // last received
 	invitedBy         []string
 	expedite          bool
+	held              string          // why it takes no orders; empty: it takes them
 	domain            string          // empty: that of the entry
 	evacuations       *pb.Evacuations // last received
 }
@@ -90,7 +91,7 @@
 // currentState returns the state that the agent reports.
 func (a *fakeAgent) currentState() *pb.WorkerState {
 	s := &pb.WorkerState{
-		Worker: "w-" + a.incarnation, Service: "s", Accepting: true, Clean: a.clean, SeenOrder: a.seen, Labels: a.labels,
+		Worker: "w-" + a.incarnation, Service: "s", Accepting: a.held == "", Held: a.held, Clean: a.clean, SeenOrder: a.seen, Labels: a.labels,
 		Capacity: &pb.Size{CpuMillis: uint32(a.capacity), MemoryMb: 1000},
 		Room:     &pb.Room{CpuMillis: int32(a.capacity - a.used), MemoryMb: 1000},
 	}
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -81,6 +81,7 @@
 	openTasks int // tasks not ended
 	waiting   []*task
 	orders    []*order // not ended
+	failedAt  []*agent // at which a run of it has failed
 	ordered   bool     // some order has left this process and was not refused
 	started   bool     // some task has started
 	ended     bool
--- a/dispatch/dispatcher/orders.go
+++ b/dispatch/dispatcher/orders.go
@@ -155,7 +155,7 @@
 		d.removeOrder(o)
 		t.job.started = true
 		d.logRunEnd(now, o, "failed", time.Duration(n.RunMs)*time.Millisecond)
-		d.reportHealth(now, a, t.job, health.Result{Failed: true})
+		d.recordFailure(now, a, t.job)
 		d.taskFailed(now, t, a)
 	case pb.OrderState_ORDER_STATE_STOPPED, pb.OrderState_ORDER_STATE_LOST:
 		d.removeOrder(o)
@@ -191,6 +191,16 @@
 	}
 }
 
+// recordFailure counts a failed run against its worker. All failures of a job at a worker count
+// once, since the job may be their cause.
+func (d *Dispatcher) recordFailure(now time.Time, a *agent, j *job) {
+	if slices.Contains(j.failedAt, a) {
+		return
+	}
+	j.failedAt = append(j.failedAt, a)
+	d.reportHealth(now, a, j, health.Result{Failed: true})
+}
+
 func (d *Dispatcher) reportHealth(now time.Time, a *agent, j *job, r health.Result) {
 	if d.opts.Disabled.Has(disabled.Health) {
 		return
