dispatcher: spread the return of refused callers in whole seconds

What callers saw: nearly all refusals said "Retry-After: 2". Those refused together returned together and were refused again.

Cause: the wait is at least a second plus a random part of up to as much, from 1.0 to 2.0 s, and the header, which holds whole seconds, rounded it up.

The random part is drawn in whole seconds now: one or two seconds for a wait of up to one, three to six for one of three.

TestRefusedCallersReturnAtDifferentTimes failed before at every wait.

--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -97,9 +98,12 @@
 )
 
 // retryAfter returns when a refused caller should come back: after the expected wait,
-// plus a random part of up to the same length, so that callers refused together don't
-// return together and get refused again.
+// plus a random part of up to about the same length, so that callers refused together
+// don't return together and get refused again. Callers are told whole seconds; rounding
+// the result would undo the spread.
 func (d *Dispatcher) retryAfter(wait time.Duration) time.Duration {
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
-	return wait + time.Duration(d.opts.Random()*float64(wait))
+	seconds := math.Ceil(wait.Seconds())
+	spread := math.Floor(d.opts.Random() * (seconds + 1))
+	return time.Duration(seconds+spread) * time.Second
 }
