dispatcher: callers return soon after a short outage

What callers saw: "Retry-After: 60" from an entry whose only worker was back a second later.

Cause: the predicted wait divides the work ahead by the rate at which work was placed in the last half second. Without any, it was taken for the longest wait, 30 s, and doubled at random.

Nothing is known then of when work will be placed again, so the outage is expected to last as long as it has lasted, up to 30 s. Refusals for evacuated domains keep their 30 s: operators take longer.

TestCallersReturnSoonAfterAShortOutage failed before (45 s after 0.7 s).

--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -15,7 +15,8 @@
 // two jobs, the longer one has less time to spare.
 type waitlist struct {
 	jobs          []*job
-	placementRate rate // of work placed
+	placementRate rate      // of work placed
+	placedAt      time.Time // when work was last placed
 	mix           urgencyMix
 	expedite      bool // agents were asked for immediate reports because work waits
 	// refusedAt is when a job was last refused for lack of free capacity.
@@ -144,6 +145,7 @@
 	for _, p := range chosen {
 		w := d.waitlist(p.task.job.queue.Service)
 		w.placementRate.add(now, work(p.step.Size, p.step.expected))
+		w.placedAt = now
 		d.orderRate.add(now, 1)
 		w.mix.add(now, p.task.job.urgency(), p.step.Size, p.step.expected)
 		d.sendOrder(now, p.agent, p.task, p.step, p.wait)
@@ -293,6 +295,16 @@
 	return score + float64(collisionCost)*used*used
 }
 
+// outageEnd predicts how long it takes until work of a service is placed again: as long as
+// none has been placed so far.
+func (d *Dispatcher) outageEnd(now time.Time, w *waitlist) time.Duration {
+	since := w.placedAt
+	if since.IsZero() {
+		since = d.startedAt
+	}
+	return min(now.Sub(since), maxRetryAfter)
+}
+
 // predictWait returns how long a job would wait until the work that precedes it is placed,
 // at the rate of the last half second.
 func (d *Dispatcher) predictWait(now time.Time, j *job) time.Duration {
@@ -312,7 +324,7 @@
 	}
 	rate := w.placementRate.perSecond(now)
 	if rate == 0 {
-		return maxRetryAfter
+		return d.outageEnd(now, w)
 	}
 	return min(time.Duration(ahead/rate*float64(time.Second)), maxRetryAfter)
 }
--- a/dispatch/dispatcher/retry_test.go
+++ b/dispatch/dispatcher/retry_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/runner"
 )
 
 // Callers refused together return together if they are all told the same number of seconds.
@@ -31,3 +34,17 @@
 		}
 	}
 }
+
+// The only worker has taken no orders for half a second. Callers that are told to return much
+// later miss its return.
+func TestCallersReturnSoonAfterAShortOutage(t *testing.T) {
+	b := newFixture(t, "a")
+	b.mustSubmit(tasks(1, 1000, 500*time.Millisecond))
+	b.agents["a-1"].held = runner.HeldUnresponsive
+	b.reportOrder(b.orders()[0], pb.OrderState_ORDER_STATE_LOST, "", 0)
+	b.advance(700 * time.Millisecond)
+	_, refused := b.submit(tasks(1, 1000, 500*time.Millisecond))
+	if refused == nil || refused.Reason != ReasonOverload || refused.RetryAfter > 2*time.Second {
+		t.Errorf("answer %+v, want a refusal with a RetryAfter of two seconds at most", refused)
+	}
+}
