dispatcher: queued work that starts later is not ahead of a task

What callers saw: near and above the capacity short jobs were refused while long ones were taken in.

Cause: an agent's queue holds the orders of one priority by the time by which they must start, so a short job goes before long ones that may wait for seconds. Entries counted all queued work of the priority as ahead of it, and refused it for a wait that it would not have had.

Agents report their queued work by bounds of the time to start (50 ms to 1.6 s, seven groups of a priority at most), and entries count what must start in the same bound or before. Work of an agent that does not report it counts as before.

TestQueuedWorkThatStartsLaterDelaysNobody: its two cases with later work were refused before.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -96,10 +96,12 @@
 
 // expectedWait returns how long a task is expected to wait for free capacity behind the
 // queued work that precedes it and the orders sent since the last report.
-func (a *agent) expectedWait(s size.Size, priority uint32, late bool) time.Duration {
+func (a *agent) expectedWait(now time.Time, t *task) time.Duration {
+	s := t.job.steps[t.step].Size
 	needed := s.CPUMillis - a.free.CPUMillis
+	startWithin := forecast.StartBound(t.startBy().Sub(now))
 	for _, q := range a.state.GetQueued() {
-		if q.Late == late && q.Priority <= priority || late && !q.Late {
+		if precedes(q, t.job, startWithin) {
 			needed += int64(q.CpuMillis)
 		}
 	}
@@ -112,6 +114,18 @@
 	return a.releases.Wait(needed)
 }
 
+// precedes reports whether queued work comes before a task of a job that must start within the
+// given time, as in the agent's queue.
+func precedes(q *pb.QueuedWork, j *job, startWithin time.Duration) bool {
+	switch {
+	case q.Late != j.late:
+		return j.late
+	case q.Priority != j.queue.Priority:
+		return q.Priority < j.queue.Priority
+	}
+	return j.late || time.Duration(q.StartWithinMs)*time.Millisecond <= startWithin
+}
+
 func (d *Dispatcher) agent(incarnation string) *agent { return d.byIncarnation[incarnation] }
 
 func (a *agent) findOrder(n uint64) *order {
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -146,6 +146,14 @@
 	return Job{Queue: queue(), Steps: []Step{{Count: n, Size: size.Size{CPUMillis: cpu, MemoryMB: 1}, Estimated: estimated}}}
 }
 
+// newTask returns the only task of a small job that has not been submitted.
+func (b *fixture) newTask(late bool) *task {
+	in := tasks(1, 1000, time.Second)
+	j := &job{Job: in, queue: in.Queue, late: late, objective: b.now.Add(time.Minute)}
+	b.d.plan(j)
+	return &task{job: j}
+}
+
 func (b *fixture) submit(j Job) (uint64, *Answer) {
 	b.jobs++
 	j.ID = fmt.Sprintf("%016x", b.jobs)
--- a/dispatch/dispatcher/late_test.go
+++ b/dispatch/dispatcher/late_test.go
@@ -79,11 +79,10 @@
 	}
 	a.state.Queued = []*pb.QueuedWork{{CpuMillis: 20_000, Late: true}}
 	a.recomputeFree()
-	small := tasks(1, 1000, time.Second).Steps[0].Size
-	if got := a.expectedWait(small, 0, false); got != forecast.Horizons[0] {
+	if got := a.expectedWait(b.now, b.newTask(false)); got != forecast.Horizons[0] {
 		t.Errorf("wait %v of a task on time, want %v", got, forecast.Horizons[0])
 	}
-	if got := a.expectedWait(small, 0, true); got <= forecast.Horizons[0] {
+	if got := a.expectedWait(b.now, b.newTask(true)); got <= forecast.Horizons[0] {
 		t.Errorf("wait %v of a late task, want it behind those queued", got)
 	}
 }
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -190,7 +190,7 @@
 		if !d.mayRun(now, a, t, s) {
 			continue
 		}
-		wait := a.expectedWait(s.Size, t.job.queue.Priority, t.job.late)
+		wait := a.expectedWait(now, t)
 		if time.Duration(factor*float64(wait)) > limit {
 			continue
 		}
@@ -238,7 +238,7 @@
 	limit := t.latestStart().Sub(now)
 	factor := d.overtakeFactor(now, t.job)
 	return slices.ContainsFunc(d.agents, func(a *agent) bool {
-		wait := a.expectedWait(s.Size, t.job.queue.Priority, t.job.late)
+		wait := a.expectedWait(now, t)
 		return time.Duration(factor*float64(wait)) <= limit && d.mayRun(now, a, t, s)
 	})
 }
--- a/dispatch/dispatcher/wait_test.go
+++ b/dispatch/dispatcher/wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,11 +66,40 @@
 	}
 	a.state.Room, a.state.SeenOrder = &pb.Room{}, b.d.lastOrder
 	a.recomputeFree()
-	small := size.Size{CPUMillis: 1000}
+	small := b.newTask(false)
 	for range 3 {
-		if got := a.expectedWait(small, 0, false); got != 100*time.Millisecond {
+		if got := a.expectedWait(b.now, small); got != 100*time.Millisecond {
 			t.Errorf("wait %v with a report of %v, want 100 ms", got, b.now.Sub(a.stateAt))
 		}
 		b.now = b.now.Add(40 * time.Millisecond)
 	}
 }
+
+// Orders of long jobs wait at a worker for seconds before they must start. A job of the same
+// priority that must start earlier is ahead of them in the agent's queue; if they counted as
+// ahead of it, nearly all short jobs would be refused while long ones wait.
+func TestQueuedWorkThatStartsLaterDelaysNobody(t *testing.T) {
+	for name, c := range map[string]struct {
+		startWithin time.Duration // of the queued work
+		admitted    bool
+	}{
+		"must start earlier":              {50 * time.Millisecond, false},
+		"must start about the same time":  {forecast.StartBound(110 * time.Millisecond), false},
+		"must start later":                {400 * time.Millisecond, true},
+		"must start much later":           {forecast.Never, true},
+		"an agent that doesn't report it": {0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, "a")
+			a := b.d.agent("a-1")
+			a.state.Room = &pb.Room{}
+			a.state.Frees = slices.Repeat([]uint32{1000}, len(forecast.Horizons))
+			a.state.Queued = []*pb.QueuedWork{{CpuMillis: 200_000, StartWithinMs: uint32(c.startWithin.Milliseconds())}}
+			a.recomputeFree()
+			// Its objective is 60 ms + 1.6 x 100 ms.
+			if _, refused := b.submit(tasks(1, 1000, 100*time.Millisecond)); (refused == nil) != c.admitted {
+				t.Errorf("answer %+v, want admitted %v", refused, c.admitted)
+			}
+		})
+	}
+}
--- a/dispatch/forecast/forecast.go
+++ b/dispatch/forecast/forecast.go
@@ -15,6 +15,24 @@
 // Never is the predicted wait if nothing is expected to be released.
 const Never = time.Minute
 
+// StartBounds are the bounds to which the times in which queued orders must start are rounded
+// up, so that an agent reports few groups of them. Beyond the last one the times are not told
+// apart.
+var StartBounds = [...]time.Duration{
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond,
+	1600 * time.Millisecond, Never,
+}
+
+// StartBound returns the bound for a task that must start within the given time.
+func StartBound(within time.Duration) time.Duration {
+	for _, b := range StartBounds {
+		if within <= b {
+			return b
+		}
+	}
+	return Never
+}
+
 // Releases is how much CPU, in thousandths of a core, will have been released within each of
 // Horizons.
 type Releases [len(Horizons)]int64
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -372,7 +372,7 @@
 		s.Worker, s.Service, s.Labels = r.worker.ID, r.worker.Service, r.worker.Labels
 		s.Capacity, s.Room = r.worker.Capacity.Message(), r.freeCapacity().RoomMessage()
 		s.ColdMs = uint32(r.worker.ColdStart.Milliseconds())
-		s.Queued = r.queuedWork()
+		s.Queued = r.queuedWork(now)
 		for _, cpu := range r.releaseForecast(now) {
 			s.Frees = append(s.Frees, uint32(cpu))
 		}
--- a/dispatch/runner/queue.go
+++ b/dispatch/runner/queue.go
@@ -132,12 +132,13 @@
 // four.
 const overtakeMargin = 15 * time.Millisecond
 
-// queuedWork returns the queued work per priority, in the order of the queue.
-func (r *Runner) queuedWork() []*pb.QueuedWork {
+// queuedWork returns the queued work per priority and time to start, in the order of the queue.
+func (r *Runner) queuedWork(now time.Time) []*pb.QueuedWork {
 	var out []*pb.QueuedWork
 	for _, x := range r.queue {
-		if n := len(out); n == 0 || out[n-1].Priority != x.priority || out[n-1].Late != x.late {
-			out = append(out, &pb.QueuedWork{Priority: x.priority, Late: x.late})
+		within := uint32(forecast.StartBound(x.startBy.Sub(now)).Milliseconds())
+		if n := len(out); n == 0 || out[n-1].Priority != x.priority || out[n-1].Late != x.late || out[n-1].StartWithinMs != within {
+			out = append(out, &pb.QueuedWork{Priority: x.priority, Late: x.late, StartWithinMs: within})
 		}
 		out[len(out)-1].CpuMillis += uint32(x.size.CPUMillis)
 	}
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -677,3 +678,22 @@
 		})
 	}
 }
+
+// Entries must be able to tell the queued work that precedes a short job from that which
+// doesn't.
+func TestQueuedWorkIsReportedByTimeToStart(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t0", 4000, expected(50))
+	for i, ms := range []int32{3000, 40, 30, 300} {
+		h.order("e1", fmt.Sprint("t", i+1), 1000, waits(5000), func(o *pb.Order) { o.StartByMs = ms })
+	}
+	h.wait(time.Second)
+	var got []string
+	for _, q := range h.states["e1"].Queued {
+		got = append(got, fmt.Sprint(q.CpuMillis, " within ", q.StartWithinMs))
+	}
+	want := []string{"2000 within 50", "1000 within 400", "1000 within 60000"}
+	if !slices.Equal(got, want) {
+		t.Errorf("queued %v, want %v", got, want)
+	}
+}
