runner: reports name the worker's incarnation

What callers saw: a worker that was restarted under its identifier could go on being avoided, as slow or failing, for what its earlier incarnation had done, until trials had cleared it.

Cause: WorkerState.worker carried the identifier alone, while entries drop their statistics when the name changes and docs/design/worker-lives.md says identifier@start. An agent that lost the worker in between reports "no worker", which hides the fault; one that learns of the restart from the worker's own report goes from one incarnation to the next at once.

The name is that of the incarnation now, as in logs and crash reports. An older entry compares names only, so it takes it as well.

TestStateNamesTheIncarnation failed before: "w1" both times.

--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -369,7 +369,7 @@
 	s.Accepting = s.Held == HeldNone
 	s.Clean = r.known && r.polled && !r.hasOrphaned()
 	if r.known {
-		s.Worker, s.Service, s.Labels = r.worker.ID, r.worker.Service, r.worker.Labels
+		s.Worker, s.Service, s.Labels = r.worker.Incarnation.String(), r.worker.Service, r.worker.Labels
 		s.Capacity, s.Room = r.worker.Capacity.Message(), r.freeCapacity().RoomMessage()
 		s.ColdMs = uint32(r.worker.ColdStart.Milliseconds())
 		s.Queued = r.queuedWork(now)
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -346,3 +346,18 @@
 	h.poll()
 	h.begin("e1", "t1", 1000)
 }
+
+// A worker restarts under its identifier and reports itself before its end was noticed.
+// Entries must be able to tell the two incarnations apart, or they go on treating the new
+// one as slow or failing.
+func TestStateNamesTheIncarnation(t *testing.T) {
+	h := newIncarnationHarness(t, "e1")
+	h.wait(time.Second)
+	before := h.states["e1"].Worker
+	h.restartWorker(startMs + 5000)
+	h.poll()
+	h.wait(time.Second)
+	if after := h.states["e1"].Worker; before == "" || after == "" || after == before {
+		t.Errorf("worker %q after the restart, %q before, want two names", after, before)
+	}
+}
