dispatcher: only what must start much later is overtaken

What must start a little later misses its start when it is overtaken.

Queued work counts as ahead now unless it must start four times later than the task.

The test has the new case of a little later; much later is admitted as before.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -114,8 +114,13 @@
 	return a.releases.Wait(needed)
 }
 
-// precedes reports whether queued work comes before a task of a job that must start within the
-// given time, as in the agent's queue.
+// muchLater is how many times later than a task queued work must start to count as overtaken:
+// it still starts in time then. What must start a little later than the task would miss its
+// start, so no more is admitted than if it came first.
+const muchLater = 4
+
+// precedes reports whether queued work counts as ahead of a task of a job that must start
+// within the given time.
 func precedes(q *pb.QueuedWork, j *job, startWithin time.Duration) bool {
 	switch {
 	case q.Late != j.late:
@@ -123,7 +128,7 @@
 	case q.Priority != j.queue.Priority:
 		return q.Priority < j.queue.Priority
 	}
-	return j.late || time.Duration(q.StartWithinMs)*time.Millisecond <= startWithin
+	return j.late || time.Duration(q.StartWithinMs)*time.Millisecond < muchLater*startWithin
 }
 
 func (d *Dispatcher) agent(incarnation string) *agent { return d.byIncarnation[incarnation] }
--- a/dispatch/dispatcher/wait_test.go
+++ b/dispatch/dispatcher/wait_test.go
@@ -76,17 +76,18 @@
 }
 
 // Orders of long jobs wait at a worker for seconds before they must start. A job of the same
-// priority that must start earlier is ahead of them in the agent's queue; if they counted as
-// ahead of it, nearly all short jobs would be refused while long ones wait.
-func TestQueuedWorkThatStartsLaterDelaysNobody(t *testing.T) {
+// priority that must start much earlier goes first there; if they counted as ahead of it,
+// nearly all short jobs would be refused while long ones wait.
+func TestQueuedWorkThatStartsMuchLaterDelaysNobody(t *testing.T) {
 	for name, c := range map[string]struct {
 		startWithin time.Duration // of the queued work
 		admitted    bool
 	}{
 		"must start earlier":              {50 * time.Millisecond, false},
 		"must start about the same time":  {forecast.StartBound(110 * time.Millisecond), false},
-		"must start later":                {400 * time.Millisecond, true},
-		"must start much later":           {forecast.Never, true},
+		"must start a little later":       {400 * time.Millisecond, false},
+		"must start much later":           {800 * time.Millisecond, true},
+		"may wait for minutes":            {forecast.Never, true},
 		"an agent that doesn't report it": {0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
