--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -114,9 +114,9 @@
 	return a.releases.Wait(needed)
 }
 
-// muchLater is how many times later than a task queued work must start to count as overtaken:
-// it still starts in time then. What must start a little later than the task would miss its
-// start, so no more is admitted than if it came first.
+// muchLater is how many times later than a task queued work must start for the task to overtake
+// it: the queued work still starts in time then. Closer together, one of the two would miss its
+// start, so the queued work counts as ahead.
 const muchLater = 4
 
 // precedes reports whether queued work counts as ahead of a task of a job that must start
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -154,9 +154,10 @@
 	d.timer.Set(now, d.core.Next())
 }
 
-// Submit submits a job and waits for its answer. It returns false if ctx ends first. A job
-// that is already present, resent over another connection, gets the same answer; it
-// continues until none of its callers waits.
+// Submit submits a job and waits for its answer. It returns false if ctx ends first, or the
+// caller's connection in it has ended (package callerconn). A job that is already present,
+// resent over another connection, gets the same answer; it continues until none of its
+// callers waits.
 func (d *Dispatcher) Submit(ctx context.Context, j dispatcher.Job) (dispatcher.Answer, bool) {
 	if !d.holdAfterSuspension(ctx) {
 		return dispatcher.Answer{}, false
