dispatcher: what a task needs of workers is worked out once

The time by which a task must start was rounded anew for each worker that is compared. It is part of demand now, which is made once for each choice.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -96,39 +96,53 @@
 
 // expectedWait returns how long a task is expected to wait for free capacity behind the
 // queued work that precedes it and the orders sent since the last report.
-func (a *agent) expectedWait(now time.Time, t *task) time.Duration {
-	s := t.job.steps[t.step].Size
-	needed := s.CPUMillis - a.free.CPUMillis
-	startWithin := forecast.StartBound(t.startBy().Sub(now))
+func (a *agent) expectedWait(m demand) time.Duration {
+	needed := m.size.CPUMillis - a.free.CPUMillis
 	for _, q := range a.state.GetQueued() {
-		if precedes(q, t.job, startWithin) {
+		if m.waitsBehind(q) {
 			needed += int64(q.CpuMillis)
 		}
 	}
-	if needed <= 0 && !s.FitsIn(a.free) {
+	if needed <= 0 && !m.size.FitsIn(a.free) {
 		// Memory or accelerators are short; they are released along with CPU.
-		needed = s.CPUMillis
+		needed = m.size.CPUMillis
 	}
 	// The prediction isn't advanced by the age of the report: what was released
 	// since then, other entries have taken as well. See forecast.Releases.
 	return a.releases.Wait(needed)
 }
 
+// demand is what a task needs of a worker, and what decides its place in an agent's queue.
+type demand struct {
+	size     size.Size
+	priority uint32
+	late     bool
+	// startWithin is the time in which the task must start, rounded up to a bound of
+	// forecast.StartBounds.
+	startWithin time.Duration
+}
+
+func (t *task) demand(now time.Time) demand {
+	return demand{
+		size: t.job.steps[t.step].Size, priority: t.job.queue.Priority, late: t.job.late,
+		startWithin: forecast.StartBound(t.startBy().Sub(now)),
+	}
+}
+
 // muchLater is how many times later than a task queued work must start for the task to overtake
 // it: the queued work still starts in time then. Closer together, one of the two would miss its
 // start, so the queued work counts as ahead.
 const muchLater = 4
 
-// precedes reports whether queued work counts as ahead of a task of a job that must start
-// within the given time.
-func precedes(q *pb.QueuedWork, j *job, startWithin time.Duration) bool {
+// waitsBehind reports whether queued work counts as ahead of the task.
+func (m demand) waitsBehind(q *pb.QueuedWork) bool {
 	switch {
-	case q.Late != j.late:
-		return j.late
-	case q.Priority != j.queue.Priority:
-		return q.Priority < j.queue.Priority
+	case q.Late != m.late:
+		return m.late
+	case q.Priority != m.priority:
+		return q.Priority < m.priority
 	}
-	return j.late || time.Duration(q.StartWithinMs)*time.Millisecond < muchLater*startWithin
+	return m.late || time.Duration(q.StartWithinMs)*time.Millisecond < muchLater*m.startWithin
 }
 
 func (d *Dispatcher) agent(incarnation string) *agent { return d.byIncarnation[incarnation] }
--- a/dispatch/dispatcher/late_test.go
+++ b/dispatch/dispatcher/late_test.go
@@ -79,10 +79,10 @@
 	}
 	a.state.Queued = []*pb.QueuedWork{{CpuMillis: 20_000, Late: true}}
 	a.recomputeFree()
-	if got := a.expectedWait(b.now, b.newTask(false)); got != forecast.Horizons[0] {
+	if got := a.expectedWait(b.newTask(false).demand(b.now)); got != forecast.Horizons[0] {
 		t.Errorf("wait %v of a task on time, want %v", got, forecast.Horizons[0])
 	}
-	if got := a.expectedWait(b.now, b.newTask(true)); got <= forecast.Horizons[0] {
+	if got := a.expectedWait(b.newTask(true).demand(b.now)); got <= forecast.Horizons[0] {
 		t.Errorf("wait %v of a late task, want it behind those queued", got)
 	}
 }
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -176,6 +176,7 @@
 	}
 	limit := max(0, d.maxWait(now, t)-d.marginFor(now, t.job))
 	factor := d.overtakeFactor(now, t.job)
+	needs := t.demand(now)
 	remaining := max(minCandidates, n/d.sharingEntries())
 	suspected := d.suspected(t)
 	if suspected {
@@ -190,7 +191,7 @@
 		if !d.mayRun(now, a, t, s) {
 			continue
 		}
-		wait := a.expectedWait(now, t)
+		wait := a.expectedWait(needs)
 		if time.Duration(factor*float64(wait)) > limit {
 			continue
 		}
@@ -237,8 +238,9 @@
 	s := &t.job.steps[t.step]
 	limit := t.latestStart().Sub(now)
 	factor := d.overtakeFactor(now, t.job)
+	needs := t.demand(now)
 	return slices.ContainsFunc(d.agents, func(a *agent) bool {
-		wait := a.expectedWait(now, t)
+		wait := a.expectedWait(needs)
 		return time.Duration(factor*float64(wait)) <= limit && d.mayRun(now, a, t, s)
 	})
 }
--- a/dispatch/dispatcher/wait_test.go
+++ b/dispatch/dispatcher/wait_test.go
@@ -66,9 +66,9 @@
 	}
 	a.state.Room, a.state.SeenOrder = &pb.Room{}, b.d.lastOrder
 	a.recomputeFree()
-	small := b.newTask(false)
+	small := b.newTask(false).demand(b.now)
 	for range 3 {
-		if got := a.expectedWait(b.now, small); got != 100*time.Millisecond {
+		if got := a.expectedWait(small); got != 100*time.Millisecond {
 			t.Errorf("wait %v with a report of %v, want 100 ms", got, b.now.Sub(a.stateAt))
 		}
 		b.now = b.now.Add(40 * time.Millisecond)
