dispatcher: at most 16 agents report immediately at a time

Cause: when work waits or was refused, an entry asks agents for immediate reports. 16 are asked at once, but each agent that got an order was asked too, so within a moment all of 60 reported every change of their state. Reports that wait for CPU make predictions old, orders late and margins long, so that more jobs are refused, which keeps the immediate reports going.

TestOrdersDoNotExpediteAllAgents fails before (32 agents, 16 wanted).

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -39,7 +39,7 @@
 
 	pending     pb.OrderFrame // content of the next frame
 	dirty       bool
-	expedite    bool     // last value sent: work waits
+	expedite    bool     // last value sent: report immediately; see recordExpedite
 	entries     []string // addresses sent to it
 	invitedBy   []string // entries that request a link, not sent yet
 	sendEntries bool
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -177,6 +177,7 @@
 	handshakes    map[string]handshake   // handshakes that the agents haven't completed, by incarnation
 	entries       []string               // addresses of live entries, sent to agents
 	orderRate     rate                   // of orders sent
+	expedited     int                    // agents that have been asked for immediate reports
 	cursor        int
 
 	lastJob     uint64 // number of the last job
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -26,9 +26,10 @@
 	}
 }
 
-// expediteAgents is how many agents are asked at once for immediate reports while work
-// waits, beside those that get a frame anyway. Work waits for the first free capacity, not
-// for reports of all agents.
+// expediteAgents is how many agents may be asked for immediate reports at a time. Work waits for
+// the first free capacity, not for reports of all agents. An agent near capacity reports up to a
+// hundred and fifty changes a second, and those of sixty agents took most of a small entry's CPU
+// during a burst, so that it refused jobs that others had capacity for.
 const expediteAgents = 16
 
 // expediteAfterRefusal is how long after a job was refused for lack of free capacity agents
@@ -50,17 +51,31 @@
 }
 
 func (d *Dispatcher) setExpedite(service string, expedite bool) {
-	remaining := expediteAgents
+	remaining := expediteAgents - d.expedited
 	for i := range d.agents {
+		if expedite && remaining <= 0 {
+			return
+		}
 		a := d.agents[(d.cursor+i)%len(d.agents)]
 		if a.state.GetService() != service || !a.session.IsUp() || a.expedite == expedite {
 			continue
 		}
 		a.dirty = true
 		d.touch(a)
-		if remaining--; expedite && remaining == 0 {
-			return
-		}
+		remaining--
+	}
+}
+
+// recordExpedite records whether an agent has been asked for immediate reports.
+func (d *Dispatcher) recordExpedite(a *agent, expedite bool) {
+	if a.expedite == expedite {
+		return
+	}
+	a.expedite = expedite
+	if expedite {
+		d.expedited++
+	} else {
+		d.expedited--
 	}
 }
 
@@ -112,7 +127,7 @@
 	if !a.session.IsUp() {
 		return
 	}
-	expedite := d.waitlist(a.state.GetService()).expedite
+	expedite := d.waitlist(a.state.GetService()).expedite && (a.expedite || d.expedited < expediteAgents)
 	renew := len(a.live) > 0 && !now.Before(a.lastSent.Add(d.renewInterval()))
 	if !a.dirty && !renew && !a.session.Due(now) && !a.sendEntries && !a.sendEvacuations && !d.terminated {
 		return
@@ -130,6 +145,7 @@
 	f.Seq, f.Ack = a.session.Send(now, len(f.Orders) > 0 || len(f.Stops) > 0)
 	f.InvitedBy, a.invitedBy = a.invitedBy, nil
 	a.pending = pb.OrderFrame{}
-	a.dirty, a.sendEntries, a.sendEvacuations, a.expedite, a.lastSent = false, false, false, expedite, now
+	a.dirty, a.sendEntries, a.sendEvacuations, a.lastSent = false, false, false, now
+	d.recordExpedite(a, expedite)
 	d.ready.Frames = append(d.ready.Frames, OutgoingFrame{Agent: a.incarnation, Epoch: a.session.Epoch(), Frame: f})
 }
--- a/dispatch/dispatcher/frames_test.go
+++ b/dispatch/dispatcher/frames_test.go
@@ -35,6 +35,52 @@
 	}
 }
 
+// During a burst every agent gets orders. If each of them then reported every change of its
+// state at once, a small entry would spend its CPU on reports.
+func TestOrdersDoNotExpediteAllAgents(t *testing.T) {
+	b := newFixture(t)
+	for i := range 2 * expediteAgents {
+		b.attach(fmt.Sprintf("a%d", i), fmt.Sprintf("a%d-1", i))
+	}
+	b.advance(100 * time.Millisecond)
+	b.d.waitlist("s").refusedAt = b.now
+	for range 2 * expediteAgents {
+		if _, refused := b.submit(tasks(4, 1000, 100*time.Millisecond)); refused != nil {
+			t.Fatalf("refused: %+v", refused)
+		}
+	}
+	expedited, ordered := 0, 0
+	for _, a := range b.agents {
+		if a.expedite {
+			expedited++
+		}
+		if len(a.orders) > 0 {
+			ordered++
+		}
+	}
+	if ordered <= expediteAgents {
+		t.Fatalf("%d agents have orders, want more than %d", ordered, expediteAgents)
+	}
+	if expedited != expediteAgents {
+		t.Errorf("%d agents report immediately, want %d", expedited, expediteAgents)
+	}
+}
+
+// An agent that is lost while it reports immediately must not count against the limit.
+func TestLostAgentIsNotCountedAsExpedited(t *testing.T) {
+	b := newFixture(t, "a", "b")
+	b.d.waitlist("s").refusedAt = b.now
+	b.submit(tasks(4, 1000, 100*time.Millisecond))
+	if b.d.expedited != 2 {
+		t.Fatalf("%d agents report immediately, want 2", b.d.expedited)
+	}
+	a := b.agents["a-1"]
+	b.d.LinkDown(b.now, a.incarnation, a.epoch)
+	if b.d.expedited != 1 {
+		t.Errorf("%d agents count as reporting immediately, want 1", b.d.expedited)
+	}
+}
+
 // An agent that no input touched must still time out.
 func TestUntouchedAgentTimesOut(t *testing.T) {
 	b := newFixture(t, "a", "b")
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -75,7 +75,8 @@
 	a.session.Up(now, g.Epoch, d.opts.Link)
 	a.lastSent, a.abandoned, a.handshakeAt, a.hasPredecessor = now, false, g.at, hasPredecessor
 	a.pending = pb.OrderFrame{}
-	a.entries, a.sendEntries, a.dirty, a.expedite = g.entries, false, true, false
+	a.entries, a.sendEntries, a.dirty = g.entries, false, true
+	d.recordExpedite(a, false)
 	a.sendEvacuations = g.evacuations != d.evacuations.Message()
 	d.updateEntries(a)
 	d.touch(a)
@@ -170,6 +171,7 @@
 func (d *Dispatcher) linkLost(now time.Time, a *agent, reason string) {
 	a.session.Down()
 	a.downAt = now
+	d.recordExpedite(a, false)
 	d.touch(a)
 	d.opts.OnDecision(Decision{Event: "agent_lost", Agent: a.name, Reason: reason, Waiting: len(a.live), Age: now.Sub(a.stateAt)})
 	// Orders that aren't in a frame yet have not left this process.
