dispatcher: expect tasks to take as long as the speed of the worker says

Cause: a worker of speed 0.6 was given tasks that end late there, and a fast one was not preferred.

Change: orders, limits on waits, the score, the run time model and the comparison of the runs of a step use the speed of the worker. Tasks that are overdue everywhere are still offered to slow workers while their answers are of use.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -28,6 +28,8 @@
 	releases    forecast.Releases
 	healthState place.HealthState
 	slowness    float64 // relative to other workers, as last judged
+	speed       float64 // 1 is usual; see package speed
+	loggedSpeed float64
 
 	live      []*order // not ended, oldest first
 	lastSent  time.Time
@@ -196,7 +198,7 @@
 	free := a.lastSent.Add(d.opts.Timeouts.RunsEndedAfter)
 	for _, o := range slices.Clone(a.live) {
 		j := o.task.job
-		if !j.ended && free.Add(o.expected).After(j.deadline) {
+		if !j.ended && free.Add(o.nominal).After(j.deadline) {
 			d.abandon(now, j, ReasonAgentLost)
 		}
 	}
@@ -249,6 +251,8 @@
 		d.health.Remove(a.incarnation)
 		d.health.Add(a.incarnation)
 		a.slowness = 1
+		d.speeds.Remove(a.incarnation)
+		d.setSpeed(a, 1)
 	}
 	a.state, a.stateAt, a.capacity = s, now, size.FromMessage(s.Capacity)
 	a.recomputeFree()
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/internal/indexheap"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/dispatch/speed"
 	"github.com/papayahoist/papayahoist/dispatch/subset"
 )
 
@@ -98,6 +99,8 @@
 	Longest time.Duration
 	// Limit is the job's time limit, and Objective its latency objective.
 	Limit, Objective time.Duration
+	// Speed of a worker; zero: not stated.
+	Speed float64
 }
 
 // Outcome of a job.
@@ -169,6 +172,7 @@
 type Dispatcher struct {
 	opts   Options
 	health *health.Tracker
+	speeds *speed.Tracker
 
 	agents        []*agent // in order of arrival
 	byIncarnation map[string]*agent
@@ -225,7 +229,7 @@
 		o.OnDecision = func(Decision) {}
 	}
 	return &Dispatcher{
-		opts: o, health: health.New(o.Health),
+		opts: o, health: health.New(o.Health), speeds: speed.New(speed.Options{}),
 		jobs: make(map[uint64]*job), byID: make(map[string]*job), ending: make(map[string]*job),
 		waitlists: make(map[string]*waitlist), runTimes: make(map[string]*runTimeModel), requests: make(map[string]*requestBackoff), waitMargins: make(map[string]*waitMargin), byIncarnation: make(map[string]*agent), handshakes: make(map[string]handshake),
 	}
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -106,7 +106,8 @@
 	blocked   int // number of unfinished steps it depends on
 	expected  time.Duration
 	chainTime time.Duration // expected time of the longest chain that begins with it
-	// shortestRun is the shortest run of a task of the step; zero: none has ended.
+	// shortestRun is the shortest run of a task of the step, as if at speed 1; zero: none has
+	// ended.
 	shortestRun time.Duration
 }
 
--- a/dispatch/dispatcher/learn.go
+++ b/dispatch/dispatcher/learn.go
@@ -94,7 +94,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// expectedRun returns the predicted run time of a task on a healthy worker.
+// expectedRun returns the predicted run time of a task on a healthy worker of speed 1.
 func (d *Dispatcher) expectedRun(queue string, estimated time.Duration) time.Duration {
 	return d.runTimes[queue].expected(estimated)
 }
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -67,7 +67,7 @@
 	}
 	a := d.agent(g.Incarnation)
 	if a == nil {
-		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1, wakePos: indexheap.Absent}
+		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1, speed: 1, loggedSpeed: 1, wakePos: indexheap.Absent}
 		d.agents = append(d.agents, a)
 		d.byIncarnation[a.incarnation] = a
 		d.health.Add(a.incarnation)
@@ -149,6 +149,7 @@
 
 func (d *Dispatcher) remove(a *agent) {
 	d.health.Remove(a.incarnation)
+	d.speeds.Remove(a.incarnation)
 	d.agents = slices.DeleteFunc(d.agents, func(x *agent) bool { return x == a })
 	delete(d.byIncarnation, a.incarnation)
 	if a.wakePos != indexheap.Absent {
--- a/dispatch/dispatcher/move.go
+++ b/dispatch/dispatcher/move.go
@@ -44,7 +44,7 @@
 		// seem shorter than they are.
 		j := o.task.job
 		if o.agent.healthState == place.Healthy {
-			d.learn(j.queue.Name, j.steps[o.task.step].Estimated, o.progress.ran+o.progress.remaining)
+			d.learn(j.queue.Name, j.steps[o.task.step].Estimated, o.nominalRun(o.progress.ran+o.progress.remaining))
 		}
 		d.abandon(now, j, ReasonInfeasible)
 	}
@@ -56,11 +56,12 @@
 	return time.Duration(float64(ran) / float64(expected) * float64(time.Second))
 }
 
-// siblingDone records how long a task took, which predicts the run times of the others of
+// siblingDone records how long a task took, as if at speed 1, which predicts the run times of the others of
 // its step better than the estimate.
 func (d *Dispatcher) siblingDone(now time.Time, done *order, ran time.Duration) {
 	j := done.task.job
 	s := &j.steps[done.task.step]
+	ran = done.nominalRun(ran)
 	if s.shortestRun == 0 || ran < s.shortestRun {
 		s.shortestRun = max(ran, minExpected)
 	}
@@ -81,7 +82,7 @@
 	}
 	s := &j.steps[o.task.step]
 	total := o.progress.ran + o.progress.remaining
-	reference, factor, evidence := o.expected, float64(estimateFactor), "estimate"
+	reference, factor, evidence := o.nominal, float64(estimateFactor), "estimate"
 	switch {
 	case s.shortestRun > 0:
 		reference, factor, evidence = s.shortestRun, siblingFactor, "task of the same step"
@@ -90,7 +91,7 @@
 	}
 	rerunTime := moveCost + d.opts.Timeouts.StopTime + reference
 	remaining := o.progress.remaining - now.Sub(o.progress.reportedAt)
-	if float64(total) < factor*float64(reference) || remaining < rerunTime || now.Add(rerunTime).After(j.deadline) {
+	if float64(total) < factor*float64(o.expectedFrom(reference)) || remaining < rerunTime || now.Add(rerunTime).After(j.deadline) {
 		return
 	}
 	o.task.avoid = append(o.task.avoid, o.agent)
--- a/dispatch/dispatcher/orders.go
+++ b/dispatch/dispatcher/orders.go
@@ -20,10 +20,11 @@
 	agent  *agent
 	size   size.Size
 	sentAt time.Time
-	// expected is the predicted run time on a healthy worker.
-	expected time.Duration
-	started  bool
-	stopped  bool // a stop was requested
+	// nominal is the predicted run time on a healthy worker of speed 1, and expected the one
+	// at the order's worker.
+	nominal, expected time.Duration
+	started           bool
+	stopped           bool // a stop was requested
 	// progress is the last reported progress if the run is slower than expected.
 	progress runProgress
 }
@@ -56,7 +57,8 @@
 	t.lastRun++
 	t.job.highestRun = max(t.job.highestRun, t.lastRun)
 	o := &order{
-		number: d.lastOrder, task: t, run: t.lastRun, agent: a, size: s.Size, sentAt: now, expected: s.expected,
+		number: d.lastOrder, task: t, run: t.lastRun, agent: a, size: s.Size, sentAt: now,
+		nominal: s.expected, expected: a.expectedRun(s.expected),
 	}
 	if d.suspected(t) {
 		a.trialUntil = now.Add(trialPeriod)
@@ -67,9 +69,9 @@
 	t.job.ordered = true
 	a.pending.Orders = append(a.pending.Orders, &pb.Order{
 		Number: o.number, Task: t.name(), Run: o.run, Payload: t.job.Payload, Size: s.Size.Message(),
-		Priority: t.job.queue.Priority, WaitMs: uint32(d.maxOrderWait(now, t, wait).Milliseconds()),
-		ExpectedMs: uint32(s.expected.Milliseconds()), LimitMs: uint32(max(0, t.job.deadline.Sub(now).Milliseconds())),
-		StartByMs: startByMs(now, t),
+		Priority: t.job.queue.Priority, WaitMs: uint32(d.maxOrderWait(now, t, a, wait).Milliseconds()),
+		ExpectedMs: uint32(o.expected.Milliseconds()), LimitMs: uint32(max(0, t.job.deadline.Sub(now).Milliseconds())),
+		StartByMs: startByMs(now, t, a),
 	})
 	a.dirty = true
 	d.touch(a)
@@ -187,8 +189,9 @@
 	j := o.task.job
 	d.reportHealth(now, o.agent, j, health.Result{Run: relativeRun(ran, o.expected)})
 	if o.agent.healthState == place.Healthy {
-		d.learn(j.queue.Name, j.steps[o.task.step].Estimated, ran)
+		d.learn(j.queue.Name, j.steps[o.task.step].Estimated, o.nominalRun(ran))
 	}
+	d.reportSpeed(now, o, ran)
 }
 
 // recordFailure counts a failed run against its worker. All failures of a job at a worker count
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -174,7 +174,7 @@
 	if n == 0 {
 		return nil, 0
 	}
-	limit := max(0, d.maxWait(now, t)-d.marginFor(now, t.job))
+	limits := d.waitLimit(now, t)
 	factor := d.overtakeFactor(now, t.job)
 	needs := t.demand(now)
 	remaining := max(minCandidates, n/d.sharingEntries())
@@ -191,8 +191,9 @@
 		if !d.mayRun(now, a, t, s) {
 			continue
 		}
+		limit, ok := limits.at(a.timeGained(s.expected))
 		wait := a.expectedWait(needs)
-		if time.Duration(factor*float64(wait)) > limit {
+		if !ok || time.Duration(factor*float64(wait)) > limit {
 			continue
 		}
 		score := float64(wait) + d.score(a, t, s)
@@ -241,7 +242,7 @@
 	needs := t.demand(now)
 	return slices.ContainsFunc(d.agents, func(a *agent) bool {
 		wait := a.expectedWait(needs)
-		return time.Duration(factor*float64(wait)) <= limit && d.mayRun(now, a, t, s)
+		return time.Duration(factor*float64(wait)) <= limit+a.timeGained(s.expected) && d.mayRun(now, a, t, s)
 	})
 }
 
@@ -280,10 +281,10 @@
 }
 
 // score returns the expected delay of a task at a worker compared with an idle, healthy
-// and near one, in nanoseconds.
+// and near one of speed 1, in nanoseconds.
 func (d *Dispatcher) score(a *agent, t *task, s *step) float64 {
-	run := float64(s.expected)
-	score := run * max(0, a.slowness-1)
+	run := float64(a.expectedRun(s.expected))
+	score := run*max(0, a.slowness-1) - timeGainedWeight*float64(a.timeGained(s.expected))
 	if a.domain != d.opts.FailureDomain {
 		score += float64(d.opts.DomainRoundTrip)
 	}
--- a/dispatch/dispatcher/wait.go
+++ b/dispatch/dispatcher/wait.go
@@ -21,20 +21,22 @@
 
 // maxOrderWait returns how long an order may wait at a worker that is expected to start it after
 // the given time. Beyond it the prediction has proved wrong, and the task is offered elsewhere.
-func (d *Dispatcher) maxOrderWait(now time.Time, t *task, expected time.Duration) time.Duration {
-	useful := max(0, t.latestStart().Sub(now))
+func (d *Dispatcher) maxOrderWait(now time.Time, t *task, a *agent, expected time.Duration) time.Duration {
+	useful := max(0, t.latestStart().Sub(now)+a.timeGained(t.job.steps[t.step].expected))
 	if d.opts.Disabled.Has(disabled.OrderWaitLimit) {
 		return useful
 	}
 	return min(useful, max(t.job.minOrderWait, orderWaitFactor*expected))
 }
 
-// startByMs returns the time in which a task must start, in milliseconds, as sent to agents.
-func startByMs(now time.Time, t *task) int32 {
+// startByMs returns the time in which a task must start at a worker, in milliseconds, as sent to
+// its agent.
+func startByMs(now time.Time, t *task, a *agent) int32 {
 	if t.job.late {
 		return lateStart
 	}
-	return int32(max(0, t.startBy().Sub(now).Milliseconds()))
+	slack := t.startBy().Sub(now) + a.timeGained(t.job.steps[t.step].expected)
+	return int32(max(0, slack.Milliseconds()))
 }
 
 // lateStart marks orders of jobs that were admitted late.
