leasedcheck: loads with workers of different speeds and stragglers

Cause: loads had uniform workers only.

Change: Load has the speeds of the workers and a share of stragglers, LoadResult the number of changes of speed. Two tests: an uneven fleet earns more with speeds than without, a uniform one is decided the same.

--- a/dispatch/leasedcheck/load.go
+++ b/dispatch/leasedcheck/load.go
@@ -42,6 +42,11 @@
 	// Skew is the share of the jobs that all go to the first entry; the rest is
 	// distributed evenly.
 	Skew float64
+	// Speeds are those of the workers, in turn; a task's run time is divided by its worker's
+	// speed. Empty means 1.
+	Speeds []float64
+	// Stragglers is the share of the runs that take stragglerFactor times as long.
+	Stragglers float64
 }
 
 // JobCounts counts the jobs of a kind by outcome.
@@ -55,6 +60,8 @@
 	Value float64
 	// Orders were sent by entries; Refused were refused by agents.
 	Orders, Refused int
+	// SpeedChanges counts how often an entry changed its estimate of a worker's speed.
+	SpeedChanges int
 }
 
 const (
@@ -65,6 +72,8 @@
 	loadStretch = 1.6
 	lateValue   = 0.2
 	lateFactor  = 3
+	// stragglerFactor is how many times longer a straggler runs.
+	stragglerFactor = 7
 	// warmUp is the time for agents to open their links before jobs arrive.
 	warmUp = 500 * time.Millisecond
 )
@@ -103,6 +112,22 @@
 	result     LoadResult
 }
 
+// speed returns the speed of a worker.
+func (l Load) speed(worker int) float64 {
+	if len(l.Speeds) == 0 {
+		return 1
+	}
+	return l.Speeds[worker%len(l.Speeds)]
+}
+
+// runTime returns how long a run takes at a worker.
+func (p *loadRun) runTime(worker int, usual time.Duration) time.Duration {
+	if p.l.Stragglers > 0 && p.w.chance(p.l.Stragglers) {
+		usual *= stragglerFactor
+	}
+	return time.Duration(float64(usual) / p.l.speed(worker))
+}
+
 // inMiddleHalf reports whether t lies in the middle half of the load.
 func (p *loadRun) inMiddleHalf(t time.Time) bool {
 	at := t.Sub(p.startedAt)
@@ -115,7 +140,11 @@
 	for _, k := range p.l.Kinds {
 		work += k.Share * float64(k.Tasks) * k.RunTime.Seconds() * meanTaskCPU
 	}
-	rate := p.l.Utilization * float64(len(p.w.agents)) * defaultCapacity / work * p.totalShare()
+	speeds := 0.0
+	for i := range p.w.agents {
+		speeds += p.l.speed(i)
+	}
+	rate := p.l.Utilization * speeds * defaultCapacity / work * p.totalShare()
 	if p.l.Burst > 0 && p.inMiddleHalf(p.w.now) {
 		rate *= p.l.Burst
 	}
@@ -214,6 +243,8 @@
 		p.result.Orders++
 	case "order_refused":
 		p.result.Refused++
+	case "worker_speed":
+		p.result.SpeedChanges++
 	}
 }
 
--- a/dispatch/leasedcheck/load_test.go
+++ b/dispatch/leasedcheck/load_test.go
@@ -1,6 +1,7 @@
 package leasedcheck
 
 import (
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -41,6 +42,7 @@
 		all.Value += r.Value / seeds
 		all.Orders += r.Orders
 		all.Refused += r.Refused
+		all.SpeedChanges += r.SpeedChanges
 		all.ByKind = append(all.ByKind, r.ByKind...)
 	}
 	return all
@@ -141,3 +143,28 @@
 		t.Errorf("%.3f earned, %.3f late; with all links %.3f and %.3f", subsets.Value, subsets.share(late), mesh.Value, mesh.share(late))
 	}
 }
+
+// Machines differ by a factor of 2.7, and a few tasks take much longer than the others. If each
+// worker is expected to be as fast as the others, tasks end late at the slow ones.
+func TestSpeedsImproveAnUnevenFleet(t *testing.T) {
+	t.Parallel()
+	load := Load{Kinds: mixedKinds, Utilization: 0.75, Duration: 12 * time.Second, Speeds: []float64{0.6, 1, 1.6}, Stragglers: 0.03}
+	with := runSeeds(Options{Entries: 3, Agents: 31}, load)
+	without := runSeeds(Options{Entries: 3, Agents: 31, Disabled: disabled.Speeds}, load)
+	t.Logf("%.4f earned, %.4f without speeds", with.Value, without.Value)
+	if with.Value <= without.Value {
+		t.Errorf("%.4f earned, %.4f without speeds", with.Value, without.Value)
+	}
+}
+
+// The same in a fleet of uniform workers, whose estimates are off by a factor: speeds must stay 1,
+// and every decision must be the same as without the feature.
+func TestSpeedsLeaveAUniformFleetAlone(t *testing.T) {
+	t.Parallel()
+	load := Load{Kinds: mixedKinds, Utilization: 0.6, Duration: 12 * time.Second}
+	with := runSeeds(Options{Entries: 3, Agents: 12}, load)
+	without := runSeeds(Options{Entries: 3, Agents: 12, Disabled: disabled.Speeds}, load)
+	if with.SpeedChanges != 0 || !reflect.DeepEqual(with, without) {
+		t.Errorf("%+v, without speeds %+v", with, without)
+	}
+}
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -266,6 +266,9 @@
 		return runner.OldRun
 	}
 	r := &simRun{task: c.Task, run: c.Run, cpu: payloadCPU(c.Payload), startedAt: s.w.now, runTime: payloadRunTime(c.Payload)}
+	if s.w.load != nil {
+		r.runTime = s.w.load.runTime(s.a.index, r.runTime)
+	}
 	s.runs[c.Task] = r
 	s.w.checker.runStarted(s, r)
 	if crashesWorker(c.Payload) {
