--- a/cmd/internal/soak/schedule.go
+++ b/cmd/internal/soak/schedule.go
@@ -14,16 +14,26 @@
 	Name             string
 	Entries, Workers int
 	JobsPerSecond    float64
+	// Speeds are those of the workers, in turn; empty means 1.
+	Speeds []float64
+}
+
+// speed returns the speed of a worker.
+func (s Size) speed(worker int) float64 {
+	if len(s.Speeds) == 0 {
+		return 1
+	}
+	return s.Speeds[worker%len(s.Speeds)]
 }
 
 // sizes lists the sizes by name. In a fleet, agents are linked to a subset of the
 // entries only. Large has a few hundred processes and relays, on addresses of one
 // network of 254.
 var sizes = []Size{
-	{"small", 2, 3, 15},
-	{"usual", 3, 8, 40},
-	{"fleet", 20, 30, 60},
-	{"large", 12, 150, 250},
+	{"small", 2, 3, 15, nil},
+	{"usual", 3, 8, 40, []float64{1, 0.6, 1.6}},
+	{"fleet", 20, 30, 60, nil},
+	{"large", 12, 150, 250, nil},
 }
 
 // SizeByName returns the size with the given name.
--- a/cmd/internal/soak/workers.go
+++ b/cmd/internal/soak/workers.go
@@ -174,7 +174,8 @@
 	if h.stalls.Load() > 0 {
 		return stalledRunLength
 	}
-	return time.Duration(parseSpecification(text).Millis) * time.Millisecond
+	usual := time.Duration(parseSpecification(text).Millis) * time.Millisecond
+	return time.Duration(float64(usual) / h.c.size.speed(h.index))
 }
 
 func (h *host) runFails(text string, _ uint32) bool {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -257,6 +257,13 @@
 	return d.core.Links()
 }
 
+// UnevenWorkers returns the number of linked agents whose worker's speed isn't 1.
+func (d *Dispatcher) UnevenWorkers() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.UnevenWorkers()
+}
+
 // SetConfiguration applies a configuration if it is newer than the one in force, and
 // forwards it to the other entries then. It reports whether it was newer.
 func (d *Dispatcher) SetConfiguration(c *pb.Configuration) bool {
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -183,6 +183,7 @@
 	}
 	e.metrics.registerGauge("papayahoist_links", "Linked agents.", func() float64 { return float64(e.dispatcher.Links()) })
 	e.metrics.registerGauge("papayahoist_open_jobs", "Admitted jobs that have not been answered yet.", func() float64 { return float64(e.dispatcher.OpenJobs()) })
+	e.metrics.registerGauge("papayahoist_uneven_workers", "Linked workers whose speed isn't 1.", func() float64 { return float64(e.dispatcher.UnevenWorkers()) })
 	e.metrics.registerGauge("papayahoist_configuration_version", "Version of the configuration in force.", func() float64 { return float64(e.dispatcher.Configuration().GetVersion()) })
 	e.metrics.registerGauge("papayahoist_evacuated_domains", "Number of evacuated failure domains.", func() float64 { return float64(len(e.dispatcher.Evacuations().GetDomains())) })
 	metricsServer, err := e.metrics.serve(e.opts.Settings.MetricsListen)
--- a/node/process/leased_log.go
+++ b/node/process/leased_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
@@ -32,6 +33,13 @@
 	}
 }
 
+// ratio adds r, rounded to a hundredth.
+func (a *attrs) ratio(key string, r float64) {
+	if r != 0 {
+		*a = append(*a, slog.Float64(key, math.Round(100*r)/100))
+	}
+}
+
 func (a *attrs) freeCapacity(s size.Size) {
 	if s != (size.Size{}) {
 		*a = append(*a, slog.Int64("free_cpu", s.CPUMillis))
@@ -72,6 +80,7 @@
 		a.millis("longest_ms", d.Longest)
 		a.millis("objective_ms", d.Objective)
 		a.millis("limit_ms", d.Limit)
+		a.ratio("speed", d.Speed)
 		l.Add(decisionlog.Line{At: time.Now(), Event: d.Event, Attrs: a}, routineEvents[d.Event])
 	}
 }
