speed: drop the statistics of workers without runs

A worker that was slow for a while is given no task that must end in time, so no run would show that it has recovered. Without a run for 5 s its speed is 1 again. TestWorkerWithoutRunsIsUsualAgain fails before (speed 0.29).

--- a/dispatch/speed/speed.go
+++ b/dispatch/speed/speed.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -43,6 +44,9 @@
 	// maxSpeed limits speeds either way, and the ratio that is taken from one run: a straggler
 	// may run many times longer on a worker of any speed.
 	maxSpeed = 4
+	// retention is how long a worker's statistics are kept without a run. A worker that was slow
+	// for a while may get no tasks that would show that it has recovered.
+	retention = 5 * time.Second
 )
 
 // worker holds the statistics of one worker.
@@ -53,6 +57,7 @@
 	meanVariance float64
 	runs         int // at most minRuns are counted
 	speed        float64
+	reportedAt   time.Time
 }
 
 // Tracker estimates the speeds of workers from their runs. Use [New].
@@ -83,6 +88,7 @@
 		w = &worker{speed: 1}
 		t.workers[name] = w
 	}
+	w.reportedAt = now
 	w.runs = min(w.runs+1, minRuns)
 	ratio := min(max(float64(ran)/float64(nominal), 1./maxSpeed), maxSpeed)
 	weight, deviation := max(gain, 1/float64(w.runs)), math.Log(ratio)-w.meanLog
@@ -96,6 +102,7 @@
 		return false
 	}
 	t.refreshedAt = now
+	maps.DeleteFunc(t.workers, func(_ string, w *worker) bool { return now.Sub(w.reportedAt) > retention })
 	t.refresh()
 	return true
 }
--- a/dispatch/speed/speed_test.go
+++ b/dispatch/speed/speed_test.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// A worker that was slow for a while gets no more tasks, so that no run shows that it has
+// recovered. It must not be left out for good.
+func TestWorkerWithoutRunsIsUsualAgain(t *testing.T) {
+	tr := New(Options{})
+	report(tr, 1, 100, 0.25, 1, 1, 1)
+	if got := tr.Speed("0"); got > 0.5 {
+		t.Fatalf("speed %.2f of a slow worker", got)
+	}
+	tr.Report("1", nominal, nominal, tr.refreshedAt.Add(retention+time.Second))
+	if got := tr.Speed("0"); got != 1 {
+		t.Errorf("speed %.2f after %v without a run, want 1", got, retention)
+	}
+}
+
 // Reports come at 560,000 a second at the largest sites: a pass over all workers at each, or an
 // allocation, would cost more than the entry may use.
 func TestReportsBetweenRefreshes(t *testing.T) {
