--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -229,9 +229,18 @@
 		o.OnDecision = func(Decision) {}
 	}
 	return &Dispatcher{
-		opts: o, health: health.New(o.Health), speeds: speed.New(speed.Options{}),
-		jobs: make(map[uint64]*job), byID: make(map[string]*job), ending: make(map[string]*job),
-		waitlists: make(map[string]*waitlist), runTimes: make(map[string]*runTimeModel), requests: make(map[string]*requestBackoff), waitMargins: make(map[string]*waitMargin), byIncarnation: make(map[string]*agent), handshakes: make(map[string]handshake),
+		opts:          o,
+		health:        health.New(o.Health),
+		speeds:        speed.New(speed.Options{}),
+		byIncarnation: make(map[string]*agent),
+		handshakes:    make(map[string]handshake),
+		jobs:          make(map[uint64]*job),
+		byID:          make(map[string]*job),
+		ending:        make(map[string]*job),
+		waitlists:     make(map[string]*waitlist),
+		runTimes:      make(map[string]*runTimeModel),
+		requests:      make(map[string]*requestBackoff),
+		waitMargins:   make(map[string]*waitMargin),
 	}
 }
 
--- a/dispatch/dispatcher/frames.go
+++ b/dispatch/dispatcher/frames.go
@@ -27,9 +27,9 @@
 }
 
 // expediteAgents is how many agents may be asked for immediate reports at a time. Work waits for
-// the first free capacity, not for reports of all agents. An agent near capacity reports up to a
-// hundred and fifty changes a second, and those of sixty agents took most of a small entry's CPU
-// during a burst, so that it refused jobs that others had capacity for.
+// the first free capacity, not for reports of all agents. An agent near capacity reports more than
+// a hundred changes a second; those of sixty agents leave a small entry too little CPU to place
+// work, and it refuses jobs for which workers have free capacity.
 const expediteAgents = 16
 
 // expediteAfterRefusal is how long after a job was refused for lack of free capacity agents
--- a/dispatch/dispatcher/move.go
+++ b/dispatch/dispatcher/move.go
@@ -56,8 +56,8 @@
 	return time.Duration(float64(ran) / float64(expected) * float64(time.Second))
 }
 
-// siblingDone records how long a task took, as if at speed 1, which predicts the run times of the others of
-// its step better than the estimate.
+// siblingDone records how long a task took, as if at speed 1, which predicts the run times of
+// the others of its step better than the estimate.
 func (d *Dispatcher) siblingDone(now time.Time, done *order, ran time.Duration) {
 	j := done.task.job
 	s := &j.steps[done.task.step]
