dispatcher: test that a run isn't moved for its worker's speed

Cause: reading the diff, the conversion of run times within a step to speed 1 (siblingDone, considerMove) was found to have no test: with it removed, all tests of the package passed.

Change: TestRunOnASlowWorkerIsNotMovedForItsSpeed. It fails without either of the two conversions and passes with both. No other code changed.

--- a/dispatch/dispatcher/speeds_test.go
+++ b/dispatch/dispatcher/speeds_test.go
@@ -90,3 +90,28 @@
 		t.Errorf("orders %v, want one at the fast worker", o)
 	}
 }
+
+// Two tasks of a step run on workers of different speed. The one on the slow worker must not be
+// moved because the other took less than half as long.
+func TestRunOnASlowWorkerIsNotMovedForItsSpeed(t *testing.T) {
+	b := newFixture(t, "slow", "fast")
+	b.d.setSpeed(b.d.agent("slow-1"), 0.6)
+	b.d.setSpeed(b.d.agent("fast-1"), 1.6)
+	job := tasks(2, 3000, time.Second) // one fits each worker
+	job.Queue.Stretch, job.TimeLimit = 4, time.Minute
+	b.mustSubmit(job)
+	for _, o := range b.orders() {
+		if b.holder(o).name == "fast" {
+			b.reportOrder(o, pb.OrderState_ORDER_STATE_DONE, "", 625*time.Millisecond)
+		}
+	}
+	slow := b.agents["slow-1"]
+	if len(slow.orders) != 1 {
+		t.Fatalf("%d orders at the slow worker, want 1", len(slow.orders))
+	}
+	// It takes one and a half times as long as expected there, four times as long as the other.
+	b.report(slow, &pb.OrderNews{Number: slow.orders[0].Number, State: pb.OrderState_ORDER_STATE_STALLED, RunMs: 700, RemainingMs: 1800})
+	if len(slow.stops) > 0 {
+		t.Error("the run was moved")
+	}
+}
