entry: check the connection again if its job waited for admission

What callers saw: possibly two runs of a task at a time on a busy entry. A caller's connection is checked before the lock; one that ended between the check and the admission was submitted all the same.

Cause: since the check and the admission are two steps, and a job may wait in between for the lock or for CPU. How long the wait lasts bounds how long ago the caller may have sent its job elsewhere, and nothing bounded it.

Now a job that has waited for more than a millisecond is checked a second time, under the lock, so that nothing lies between that check and the admission. Below a millisecond the caller's second sending is still a resend time away.

The model check has scheduling delays now (each step of a request may wait for CPU).

The code around Submit moves to callers.go.

--- a/dispatch/leasedcheck/check.go
+++ b/dispatch/leasedcheck/check.go
@@ -110,9 +110,10 @@
 	incarnation  int
 	number       uint64
 	finished     bool
-	read         bool // the entry has read the request
-	closed       bool // the connection, as the kernel of the entry's machine knows
-	disconnected bool // the entry has noticed that the connection is closed
+	read         bool      // the entry has read the request
+	checkedAt    time.Time // when the entry found the connection open; zero: it has not
+	closed       bool      // the connection, as the kernel of the entry's machine knows
+	disconnected bool      // the entry has noticed that the connection is closed
 }
 
 // payload encodes the CPU demand in millicores and the run time of a task for simWorker.
@@ -137,6 +138,8 @@
 	return time.Duration(n) * time.Millisecond
 }
 
+func jobName(n int) string { return fmt.Sprintf("%016x", n+1) }
+
 func (w *World) newCaller() {
 	cpu := int64(300 + w.rand.IntN(1200))
 	runTime := time.Duration(30+w.rand.IntN(300)) * time.Millisecond
@@ -148,7 +151,7 @@
 		runTime += time.Duration(w.rand.IntN(4000)) * time.Millisecond
 	}
 	estimated := time.Duration(float64(runTime) * (0.5 + w.rand.Float64()))
-	x := &caller{w: w, id: fmt.Sprintf("%016x", len(w.callers)+1)}
+	x := &caller{w: w, id: jobName(len(w.callers))}
 	limit := 3*runTime + 500*time.Millisecond + w.jitter(2*time.Second)
 	x.job = dispatcher.Job{
 		ID: x.id, Queue: &pb.Queue{Name: "q", Service: "s", Priority: uint32(w.rand.IntN(3)), Attempts: 3, Stretch: 1.6, TargetMs: 60},
@@ -181,9 +184,7 @@
 		x.w.schedule(resendDelay, x.send)
 		return
 	}
-	t := &attempt{c: x, e: e, incarnation: e.incarnation}
-	x.w.schedule(time.Millisecond, func() { e.run(t.incarnation, t.submit) })
-	x.w.schedule(max(0, x.deadline.Sub(x.w.now)), t.expire)
+	t := x.request(e)
 	if x.w.chance(0.03) {
 		// The caller's own connection breaks, and it resends the job.
 		x.w.schedule(x.w.jitter(300*time.Millisecond), func() { t.disconnect() })
@@ -193,24 +194,41 @@
 	}
 }
 
+// request sends the job to an entry.
+func (x *caller) request(e *entryNode) *attempt {
+	t := &attempt{c: x, e: e, incarnation: e.incarnation}
+	x.w.schedule(time.Millisecond, func() { e.run(t.incarnation, t.submit) })
+	x.w.schedule(max(0, x.deadline.Sub(x.w.now)), t.expire)
+	return t
+}
+
 func (t *attempt) submit() {
 	t.read = true
 	if hold := t.e.suspension.Hold(t.e.w.now, t.e.steadyClock()); hold > 0 {
-		t.e.after(hold, t.admit)
+		t.e.after(hold, t.check)
 		return
 	}
-	t.admit()
+	t.e.yield(t.check)
 }
 
-func (t *attempt) admit() {
+// check drops a request whose connection has ended.
+func (t *attempt) check() {
 	if t.closed {
 		return
 	}
+	t.checkedAt = t.e.w.now
+	t.e.yield(t.admit)
+}
+
+func (t *attempt) admit() {
 	if !t.e.configured() {
 		t.answer(dispatcher.Answer{Outcome: dispatcher.NotRun, Reason: "no configuration yet"})
 		return
 	}
 	t.e.decide(func(now time.Time) {
+		if t.closed && now.Sub(t.checkedAt) > maxCheckAge {
+			return
+		}
 		j := t.c.job
 		j.TimeLimit = t.c.deadline.Sub(now)
 		if j.TimeLimit <= 0 {
@@ -224,8 +242,14 @@
 		t.number = n
 		t.e.waiting[n] = append(t.e.waiting[n], t)
 	})
+	if t.disconnected && t.number != 0 {
+		t.leave()
+	}
 }
 
+// maxCheckAge is how old the check of a connection may be when its job is admitted.
+const maxCheckAge = time.Millisecond
+
 // answer delivers the entry's answer to the caller.
 func (t *attempt) answer(a dispatcher.Answer) {
 	if t.finished || t.c.finished {
@@ -301,21 +325,23 @@
 
 func (t *attempt) notifyEntry() {
 	t.e.w.schedule(time.Millisecond, func() { t.closed = true })
-	t.e.after(time.Millisecond, func() {
-		if t.e.incarnation != t.incarnation {
-			return
-		}
-		t.disconnected = true
-		if t.number == 0 {
-			return
-		}
-		remaining := slices.DeleteFunc(t.e.waiting[t.number], func(x *attempt) bool { return x == t })
-		t.e.waiting[t.number] = remaining
-		if len(remaining) == 0 {
-			delete(t.e.waiting, t.number)
-			t.e.decide(func(now time.Time) { t.e.core.CallerDisconnected(now, t.number) })
-		}
-	})
+	t.e.after(time.Millisecond, func() { t.e.yield(t.notice) })
+}
+
+// notice handles the end of the connection at the entry.
+func (t *attempt) notice() {
+	if t.e.incarnation != t.incarnation {
+		return
+	}
+	t.disconnected = true
+	if t.number != 0 {
+		t.leave()
+	}
+}
+
+// leave ends the job unless other attempts wait for its answer.
+func (t *attempt) leave() {
+	t.e.decide(func(time.Time) { t.e.drop(t.number, func(x *attempt) bool { return x == t }) })
 }
 
 func (x *caller) finish(counter *int) {
--- a/dispatch/leasedcheck/links.go
+++ b/dispatch/leasedcheck/links.go
@@ -19,6 +19,8 @@
 	// Whether the connection is open, as each side sees it.
 	agentOpen, entryOpen       bool
 	agentArrival, entryArrival time.Time // arrival of the last message sent in each direction
+	// unsent holds messages of the entry that have not been passed to the connection.
+	unsent []func()
 }
 
 // partitionEnd returns the end of the last partition between an agent and an entry.
@@ -58,6 +60,17 @@
 	})
 }
 
+// queueToAgent sends a message to the agent from the goroutine of the link.
+func (c *conn) queueToAgent(f func()) {
+	c.unsent = append(c.unsent, f)
+	c.e.yield(func() {
+		for _, f := range c.unsent {
+			c.sendToAgent(f)
+		}
+		c.unsent = nil
+	})
+}
+
 // closeByAgent closes the agent's side at once, and the entry's when the close arrives
 // there.
 func (c *conn) closeByAgent() {
@@ -139,7 +152,7 @@
 	e.decide(func(now time.Time) {
 		first = e.core.LinkUp(now, g)
 		// The handshake response precedes the frames that this input causes.
-		c.sendToAgent(func() { c.a.linkEstablished(c, first, dialedAt) })
+		c.queueToAgent(func() { c.a.linkEstablished(c, first, dialedAt) })
 	})
 }
 
--- a/dispatch/leasedcheck/load.go
+++ b/dispatch/leasedcheck/load.go
@@ -1,7 +1,6 @@
 package leasedcheck
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -88,12 +87,7 @@
 		w.schedule(warmUp+l.Duration/4, p.crashWorkers)
 	}
 	p.startedAt = w.now.Add(warmUp)
-	end := p.startedAt.Add(l.Duration + settleTime)
-	for len(w.events) > 0 && w.events[0].at.Before(end) {
-		e := heap.Pop(&w.events).(*event)
-		w.now = e.at
-		e.f()
-	}
+	w.runFor(warmUp + l.Duration + settleTime)
 	p.result.Value = p.earned / max(p.attainable, 1e-9)
 	return p.result
 }
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -58,7 +58,7 @@
 	for _, o := range r.Frames {
 		if c := e.links[o.Agent]; c != nil && c.epoch == o.Epoch {
 			e.w.frames.toAgents++
-			c.sendToAgent(func() {
+			c.queueToAgent(func() {
 				c.a.handleInvitations(o.Frame.InvitedBy)
 				c.a.decide(func(now time.Time) {
 					c.a.core.Step(now, fmt.Sprintf("%s.%d", e.name, c.entryIncarnation), c.epoch, o.Frame)
@@ -83,6 +83,18 @@
 	e.setTimer(e.core.Next(), func() { e.decide(e.core.Tick) })
 }
 
+// drop removes the attempts at a job for which gone returns true, and ends the job if none is
+// left.
+func (e *entryNode) drop(number uint64, gone func(*attempt) bool) {
+	remaining := slices.DeleteFunc(e.waiting[number], gone)
+	if len(remaining) > 0 {
+		e.waiting[number] = remaining
+		return
+	}
+	delete(e.waiting, number)
+	e.core.CallerDisconnected(e.w.now, number)
+}
+
 // requestInvitations asks up to two other entries to invite agents of theirs.
 func (e *entryNode) requestInvitations(request dispatcher.AgentRequest) {
 	for range 2 {
--- /dev/null
+++ b/dispatch/leasedcheck/stall_test.go
@@ -0,0 +1,88 @@
+package leasedcheck
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
+	"github.com/papayahoist/papayahoist/dispatch/size"
+)
+
+// submit sends a job to an entry whose second step follows its first one.
+func (w *World) submit(e *entryNode, runTime time.Duration) *attempt {
+	const (
+		limit = 10 * time.Second
+		cpu   = defaultCapacity * 6 / 10
+	)
+	x := &caller{w: w, id: jobName(len(w.callers)), deadline: w.now.Add(limit), attempts: 1}
+	x.job = dispatcher.Job{
+		ID: x.id, Queue: &pb.Queue{Name: "q", Service: "s", Attempts: 3, Stretch: 1, TargetMs: uint32(limit.Milliseconds())},
+		Payload: payload(cpu, runTime), TimeLimit: limit,
+		Steps: []dispatcher.Step{
+			{Count: 1, Size: size.Size{CPUMillis: cpu}, Estimated: runTime},
+			{Count: 1, Size: size.Size{CPUMillis: cpu}, Estimated: runTime, After: []int{0}},
+		},
+	}
+	w.callers = append(w.callers, x)
+	return x.request(e)
+}
+
+// An entry gets no CPU from some moment of a job on, the caller's connection ends right
+// then, and the caller sends the job to another entry as soon as it may. The first entry
+// handles what has arrived meanwhile in any order. Guards against two runs at a time.
+func TestPromisesHoldWhenAnEntryStalls(t *testing.T) {
+	t.Parallel()
+	const long = 1500 * time.Millisecond
+	for name, c := range map[string]struct {
+		runTime     time.Duration
+		reached     func(w *World, t *attempt) bool
+		resendAfter time.Duration
+	}{
+		"before the request is read": {long, func(*World, *attempt) bool { return true }, time.Millisecond},
+		"before admission":           {long, func(_ *World, t *attempt) bool { return !t.checkedAt.IsZero() }, resendDelay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, stall := range []time.Duration{50, 150, 200, 300, 400, 600, 1000, 1250, 1310, 1400, 1700, 2400} {
+				for seed := range uint64(25) {
+					runStall(t, Options{Seed: seed, Entries: 2, Agents: 2, Stalls: true, SchedulingDelays: true}, stall*time.Millisecond, c.runTime, c.reached, c.resendAfter)
+				}
+			}
+		})
+	}
+}
+
+// runStall stalls an entry once a job of it has reached some state.
+func runStall(t *testing.T, o Options, stall, runTime time.Duration, reached func(*World, *attempt) bool, resendAfter time.Duration) {
+	t.Helper()
+	var events []string
+	o.Trace = func(s string) { events = append(events, s) }
+	w := newWorld(o)
+	w.runFor(2 * time.Second)
+	a := w.submit(w.entries[0], runTime)
+	for !reached(w, a) {
+		if w.step(); a.finished {
+			t.Fatalf("seed %d: the job ended before its entry stalled\n%s", o.Seed, lastEvents(events))
+		}
+	}
+	w.trace("%s stalls for %v and %s ends its connection", a.e.name, stall, a.c.id)
+	a.e.frozenUntil = w.now.Add(stall)
+	a.finished = true
+	a.notifyEntry()
+	w.schedule(resendAfter, func() { a.c.request(w.entries[1]) })
+	w.runFor(8 * time.Second)
+	if v := w.checker.r.Violations; len(v) > 0 {
+		t.Errorf("stall of %v, seed %d: %v\n%s", stall, o.Seed, v, lastEvents(events))
+	}
+	if !w.checker.started[a.c.id] {
+		t.Errorf("stall of %v, seed %d: the job has not run\n%s", stall, o.Seed, lastEvents(events))
+	}
+}
+
+func lastEvents(events []string) (text string) {
+	for _, e := range events[max(0, len(events)-60):] {
+		text += fmt.Sprintln(e)
+	}
+	return text
+}
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -28,6 +28,10 @@
 	// Stalls makes half of the freezes stalls: the process gets no CPU while its clocks
 	// run, so that it can't notice. Callers resend at once what was not read.
 	Stalls bool
+	// SchedulingDelays makes an entry take each step of a request (check of the connection,
+	// admission, frames to the connections of agents, notice that a caller has disconnected)
+	// in a goroutine that may wait for CPU, so that other inputs may overtake it.
+	SchedulingDelays bool
 	// WorkerRestarts makes workers keep their identifier across restarts, and adds tasks
 	// that crash their worker and changes of capacity.
 	WorkerRestarts bool
@@ -116,15 +120,24 @@
 			w.schedule(w.jitter(arrivalTime), w.operators.dropHistory)
 		}
 	})
-	end := w.now.Add(arrivalTime + settleTime)
-	for len(w.events) > 0 && w.events[0].at.Before(end) {
-		e := heap.Pop(&w.events).(*event)
-		w.now = e.at
-		e.f()
-	}
+	w.runFor(arrivalTime + settleTime)
 	return w.checker.result()
 }
 
+// runFor simulates the events of the next d.
+func (w *World) runFor(d time.Duration) {
+	for end := w.now.Add(d); len(w.events) > 0 && w.events[0].at.Before(end); {
+		w.step()
+	}
+}
+
+// step simulates the next event.
+func (w *World) step() {
+	e := heap.Pop(&w.events).(*event)
+	w.now = e.at
+	e.f()
+}
+
 func (w *World) trace(format string, args ...any) {
 	if w.o.Trace != nil {
 		w.o.Trace(fmt.Sprintf("%8.1f ", float64(w.now.Sub(time.Unix(1_000_000, 0)).Microseconds())/1000) + fmt.Sprintf(format, args...))
@@ -233,6 +246,23 @@
 	p.frozenUntil = time.Time{}
 }
 
+// yield calls f in the process when the goroutine that does so gets CPU: immediately, unless
+// scheduling is simulated.
+func (p *process) yield(f func()) {
+	if !p.w.o.SchedulingDelays {
+		f()
+		return
+	}
+	d := p.w.jitter(100 * time.Microsecond)
+	if p.w.chance(0.05) {
+		d += p.w.jitter(maxSchedulingDelay)
+	}
+	p.after(d, f)
+}
+
+// maxSchedulingDelay is how long a goroutine of a process that has CPU may wait for it.
+const maxSchedulingDelay = 150 * time.Millisecond
+
 // latency draws the latency of a message between processes: one to two milliseconds, and
 // occasionally up to 120 ms more.
 func (w *World) latency() time.Duration {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +18,6 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
 	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
-	"github.com/papayahoist/papayahoist/node/callerconn"
 	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
@@ -63,7 +61,7 @@
 	mu      sync.Mutex // guards the fields below and serializes calls of core
 	core    *dispatcher.Dispatcher
 	links   map[string]*link // by agent incarnation
-	callers map[uint64][]chan dispatcher.Answer
+	callers map[uint64][]caller
 	timer   *rpc.Timer
 }
 
@@ -84,7 +82,7 @@
 	}
 	d := &Dispatcher{
 		opts: o, nodes: l, core: dispatcher.New(o.Core),
-		links: make(map[string]*link), callers: make(map[uint64][]chan dispatcher.Answer),
+		links: make(map[string]*link), callers: make(map[uint64][]caller),
 	}
 	d.routes.Store(&routes{})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -154,64 +152,6 @@
 	d.timer.Set(now, d.core.Next())
 }
 
-// Submit submits a job and waits for its answer. It returns false if ctx ends first, or the
-// caller's connection in it has ended (package callerconn). A job that is already present,
-// resent over another connection, gets the same answer; it continues until none of its
-// callers waits.
-func (d *Dispatcher) Submit(ctx context.Context, j dispatcher.Job) (dispatcher.Answer, bool) {
-	if !d.holdAfterSuspension(ctx) {
-		return dispatcher.Answer{}, false
-	}
-	// The caller of a request that was read late may have sent it to another entry. A
-	// connection that had ended by then shows it from the read on, so the lock isn't needed.
-	if callerconn.Ended(ctx) {
-		d.opts.Logger.Info("caller_gone_before_submit", "job", j.ID, "queue", j.Queue.GetName())
-		return dispatcher.Answer{}, false
-	}
-	var number uint64
-	var refused *dispatcher.Answer
-	c := make(chan dispatcher.Answer, 1)
-	d.decide(func(now time.Time) {
-		if number, refused = d.core.Submit(now, j); refused == nil {
-			d.callers[number] = append(d.callers[number], c)
-		}
-	})
-	if refused != nil {
-		return *refused, true
-	}
-	select {
-	case a := <-c:
-		return a, true
-	case <-ctx.Done():
-	}
-	d.decide(func(now time.Time) {
-		remaining := slices.DeleteFunc(d.callers[number], func(x chan dispatcher.Answer) bool { return x == c })
-		if len(remaining) > 0 {
-			d.callers[number] = remaining
-			return
-		}
-		delete(d.callers, number)
-		d.core.CallerDisconnected(now, number)
-	})
-	return dispatcher.Answer{}, false
-}
-
-// holdAfterSuspension delays a request if the process was suspended just before. It
-// returns false if the caller disconnects meanwhile.
-func (d *Dispatcher) holdAfterSuspension(ctx context.Context) bool {
-	hold := d.suspension.Hold(clock.Now(), clock.Monotonic())
-	if hold == 0 {
-		return true
-	}
-	select {
-	case <-time.After(hold):
-		return true
-	case <-ctx.Done():
-		d.opts.Logger.Info("caller_gone_before_wake")
-		return false
-	}
-}
-
 // OpenJobs returns the number of jobs without an answer.
 func (d *Dispatcher) OpenJobs() int {
 	d.mu.Lock()
