entry: check callers' connections after a stall, before the next input

What callers saw: possibly two runs of a task at a time, after an entry got no CPU for longer than the time after which a caller sends its job again (1.3 s).

Cause: an entry that runs again handles what has arrived meanwhile in any order. If a frame of an agent (its link, an end of a run, free capacity) comes before the end of a caller's connection, the entry orders tasks of a job whose caller has long sent it elsewhere: an order that was lost with its link is ordered anew, a task of the next step is placed. The suspension detector holds new jobs only, and by clocks that show no lack of CPU.

Why this is enough: package bounds derives MaxStall, how long ago a caller may have disconnected for an order to be safe whatever fails after it (the stop, or the entry's silence, or the lease ends the run before the job is sent again). An entry that has handled nothing for longer checks each waiting caller's connection under the lock first, as the kernel knows the ends at once. Orders that leave late are bounded by their time of decision (MaxOrderDelay at the agent).

--- a/dispatch/bounds/bounds.go
+++ b/dispatch/bounds/bounds.go
@@ -20,6 +20,12 @@
 // and, for a caller that disconnects by itself while entry or agent fails,
 //
 //	max(EntryTimeout + StopTime, Lease*(1+ClockError)) + Slack <= ResendAfter.
+//
+// An entry that gets no CPU for a while learns late that callers have disconnected, and what
+// it orders until then is for nobody. An order is safe if the caller can have disconnected at
+// most MaxStall before, whatever fails after it:
+//
+//	MaxStall + max(EntryTimeout + StopTime, Lease*(1+ClockError)) + Slack <= ResendAfter.
 package bounds
 
 import (
@@ -62,6 +68,9 @@
 	// RunsEndedAfter is how long after an entry's last frame to an unreachable agent all
 	// runs that the entry ordered there have ended.
 	RunsEndedAfter time.Duration
+	// MaxStall is how long an entry may have handled nothing and still order tasks without
+	// a check of its callers' connections.
+	MaxStall time.Duration
 }
 
 const (
@@ -100,7 +109,8 @@
 	t.MaxOrderDelay = scale(t.EntryTimeout, orderDelayFraction)
 	leaseExpiry := LeaseExpiry(t.Lease)
 	t.RunsEndedAfter = t.EntryTimeout + t.StopTime + leaseExpiry + Slack
-	if t.RunsEndedAfter > t.ReconnectTimeout+resend || max(t.EntryTimeout+t.StopTime, leaseExpiry)+Slack > resend {
+	t.MaxStall = resend - max(t.EntryTimeout+t.StopTime, leaseExpiry) - Slack
+	if t.RunsEndedAfter > t.ReconnectTimeout+resend || t.MaxStall < 0 {
 		return t, ErrUnsatisfiable.New("a resend after %v leaves too little time to end runs with a stop time of %v and a lease of %v", resend, t.StopTime, t.Lease)
 	}
 	return t, nil
--- a/dispatch/bounds/bounds_test.go
+++ b/dispatch/bounds/bounds_test.go
@@ -29,6 +29,9 @@
 		if g.MaxLease > 0 && times.Lease > g.MaxLease {
 			t.Errorf("%+v: lease %v is longer than the worker grants", g, times.Lease)
 		}
+		if worst := times.MaxStall + max(times.EntryTimeout+times.StopTime, LeaseExpiry(times.Lease)) + Slack; worst > resend {
+			t.Errorf("%+v: runs for a caller that is gone may last %v, but the job may be sent again after %v", g, worst, resend)
+		}
 		if times.MaxOrderDelay >= times.EntryTimeout {
 			t.Errorf("%+v: an order may start after its entry has timed out", g)
 		}
--- a/dispatch/dispatcher/suspension_test.go
+++ b/dispatch/dispatcher/suspension_test.go
@@ -28,3 +28,22 @@
 		}
 	}
 }
+
+// The process handled nothing for so long that callers may have sent their jobs to other
+// entries. Their connections must be checked before anything else is handled.
+func TestStallIsReportedWhileJobsAreOpen(t *testing.T) {
+	b := newFixture(t, "a")
+	if got := b.d.Stall(b.now.Add(time.Hour)); got != 0 {
+		t.Errorf("without open jobs: a stall of %v", got)
+	}
+	b.mustSubmit(tasks(1, 1000, time.Second))
+	for _, c := range []struct{ since, want time.Duration }{
+		{0, 0},
+		{b.times.MaxStall, 0},
+		{b.times.MaxStall + 1, b.times.MaxStall + 1},
+	} {
+		if got := b.d.Stall(b.now.Add(c.since)); got != c.want {
+			t.Errorf("%v after the last input: a stall of %v, want %v", c.since, got, c.want)
+		}
+	}
+}
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -53,6 +53,9 @@
 
 // decide applies one input to the core and executes the actions that the core returns.
 func (e *entryNode) decide(input func(now time.Time)) {
+	if e.core.Stall(e.w.now) > 0 {
+		e.dropEnded()
+	}
 	input(e.w.now)
 	r := e.core.Ready(e.w.now)
 	for _, o := range r.Frames {
@@ -83,6 +86,13 @@
 	e.setTimer(e.core.Next(), func() { e.decide(e.core.Tick) })
 }
 
+// dropEnded ends the jobs of callers whose connections have ended.
+func (e *entryNode) dropEnded() {
+	for _, number := range sortedKeys(e.waiting) {
+		e.drop(number, func(t *attempt) bool { return t.closed })
+	}
+}
+
 // drop removes the attempts at a job for which gone returns true, and ends the job if none is
 // left.
 func (e *entryNode) drop(number uint64, gone func(*attempt) bool) {
--- a/dispatch/leasedcheck/stall_test.go
+++ b/dispatch/leasedcheck/stall_test.go
@@ -34,7 +34,7 @@
 // handles what has arrived meanwhile in any order. Guards against two runs at a time.
 func TestPromisesHoldWhenAnEntryStalls(t *testing.T) {
 	t.Parallel()
-	const long = 1500 * time.Millisecond
+	long, short := 1500*time.Millisecond, 50*time.Millisecond
 	for name, c := range map[string]struct {
 		runTime     time.Duration
 		reached     func(w *World, t *attempt) bool
@@ -42,6 +42,9 @@
 	}{
 		"before the request is read": {long, func(*World, *attempt) bool { return true }, time.Millisecond},
 		"before admission":           {long, func(_ *World, t *attempt) bool { return !t.checkedAt.IsZero() }, resendDelay},
+		"before the order leaves":    {long, func(_ *World, t *attempt) bool { return t.number > 0 }, resendDelay},
+		"after the order has left":   {long, func(w *World, t *attempt) bool { return w.checker.started[t.c.id] }, resendDelay},
+		"between two steps":          {short, func(w *World, t *attempt) bool { return w.checker.started[t.c.id] }, resendDelay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, stall := range []time.Duration{50, 150, 200, 300, 400, 600, 1000, 1250, 1310, 1400, 1700, 2400} {
--- a/node/dispatcher/callers.go
+++ b/node/dispatcher/callers.go
@@ -10,8 +10,12 @@
 	"github.com/papayahoist/papayahoist/node/clock"
 )
 
-// caller receives the answer to a job.
-type caller chan dispatcher.Answer
+// caller is a request that waits for the answer to a job.
+type caller struct {
+	ctx context.Context // of the request
+	// answer receives the answer. It is closed if the caller was found to be gone.
+	answer chan dispatcher.Answer
+}
 
 // maxCheckAge is how old the check of a caller's connection may be when the job is admitted.
 // Only a job that waits for the lock or for CPU in between exceeds it.
@@ -31,7 +35,7 @@
 		d.logCallerGone(j, "before the check")
 		return dispatcher.Answer{}, false
 	}
-	c := make(caller, 1)
+	c := &caller{ctx: ctx, answer: make(chan dispatcher.Answer, 1)}
 	var number uint64
 	var refused *dispatcher.Answer
 	ended := false
@@ -52,12 +56,12 @@
 		return *refused, true
 	}
 	select {
-	case a := <-c:
-		return a, true
+	case a, ok := <-c.answer:
+		return a, ok
 	case <-ctx.Done():
 	}
 	d.decide(func(now time.Time) {
-		d.drop(now, number, func(x caller) bool { return x == c })
+		d.drop(now, number, func(x *caller) bool { return x == c })
 	})
 	return dispatcher.Answer{}, false
 }
@@ -68,7 +72,7 @@
 
 // drop removes the callers of a job for which gone returns true, and ends the job if none is
 // left. The caller of drop holds d.mu.
-func (d *Dispatcher) drop(now time.Time, number uint64, gone func(caller) bool) {
+func (d *Dispatcher) drop(now time.Time, number uint64, gone func(*caller) bool) {
 	remaining := slices.DeleteFunc(d.callers[number], gone)
 	if len(remaining) > 0 {
 		d.callers[number] = remaining
@@ -78,6 +82,23 @@
 	d.core.CallerDisconnected(now, number)
 }
 
+// dropEnded drops the callers whose connections have ended, after a stall of the process. The
+// caller of dropEnded holds d.mu.
+func (d *Dispatcher) dropEnded(now time.Time, stall time.Duration) {
+	gone := 0
+	for number := range d.callers {
+		d.drop(now, number, func(c *caller) bool {
+			ended := callerconn.Ended(c.ctx)
+			if ended {
+				close(c.answer)
+				gone++
+			}
+			return ended
+		})
+	}
+	d.opts.Logger.Info("stalled", "elapsed_ms", stall.Milliseconds(), "callers_gone", gone)
+}
+
 // holdAfterSuspension delays a request if the process was suspended just before. It
 // returns false if the caller disconnects meanwhile.
 func (d *Dispatcher) holdAfterSuspension(ctx context.Context) bool {
--- a/node/dispatcher/callers_test.go
+++ b/node/dispatcher/callers_test.go
@@ -16,6 +16,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
 	dispatchlink "github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/node/callerconn"
+	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
 // lateListener accepts one connection, and only after its caller has ended it.
@@ -127,6 +128,48 @@
 	}
 }
 
+// An entry without CPU for a while handles a frame of an agent before it notices that a caller
+// has disconnected. The caller may have sent the job to another entry by then: a task that is
+// ordered now would run twice at a time.
+func TestStalledEntryOrdersNothingForACallerThatIsGone(t *testing.T) {
+	for name, linger := range map[string]int{"closed": -1, "reset": 0} {
+		t.Run(name, func(t *testing.T) {
+			times := bounds.Params{ResendAfter: 800 * time.Millisecond, StopTime: 20 * time.Millisecond}
+			d := newTestDispatcherWith(t, times, dispatcher.Options{})
+			l := &link{epoch: 1, out: rpc.NewQueue[*pb.OrderFrame](), end: func() {}}
+			d.linkUp(&pb.AgentGreeting{Agent: "a", Incarnation: "a1", Epoch: l.epoch}, l)
+			caller, served := connPair(t)
+			answered := make(chan bool, 1)
+			go func() {
+				_, ok := d.Submit(callerconn.WithConn(t.Context(), served), testJob)
+				answered <- ok
+			}()
+			for d.OpenJobs() == 0 {
+				if time.Sleep(time.Millisecond); len(answered) > 0 {
+					t.Fatal("the job ended before the stall")
+				}
+			}
+			endConn(t, caller, served, linger)
+			d.mu.Lock()
+			time.Sleep(d.opts.Core.Timeouts.MaxStall + time.Millisecond)
+			d.mu.Unlock()
+			d.decide(func(now time.Time) {
+				d.core.Step(now, "a1", l.epoch, &pb.WorkerFrame{Seq: 1, State: &pb.WorkerState{
+					Worker: "w", Service: testJob.Queue.Service, Accepting: true, Clean: true,
+					Capacity: &pb.Size{CpuMillis: 1000}, Room: &pb.Room{CpuMillis: 1000},
+				}})
+			})
+			frames, _ := l.out.Take(t.Context())
+			for _, f := range frames {
+				if len(f.Orders) > 0 {
+					t.Errorf("ordered %v", f.Orders)
+				}
+			}
+			wantNoAnswer(t, answered)
+		})
+	}
+}
+
 var testJob = dispatcher.Job{ID: "1", Queue: &pb.Queue{Name: "q", Service: "s", TargetMs: 10_000}, Steps: []dispatcher.Step{{Count: 1}}}
 
 func newTestDispatcherWith(t *testing.T, p bounds.Params, core dispatcher.Options) *Dispatcher {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -61,7 +61,7 @@
 	mu      sync.Mutex // guards the fields below and serializes calls of core
 	core    *dispatcher.Dispatcher
 	links   map[string]*link // by agent incarnation
-	callers map[uint64][]caller
+	callers map[uint64][]*caller
 	timer   *rpc.Timer
 }
 
@@ -82,7 +82,7 @@
 	}
 	d := &Dispatcher{
 		opts: o, nodes: l, core: dispatcher.New(o.Core),
-		links: make(map[string]*link), callers: make(map[uint64][]caller),
+		links: make(map[string]*link), callers: make(map[uint64][]*caller),
 	}
 	d.routes.Store(&routes{})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -127,6 +127,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.Now()
+	if stall := d.core.Stall(now); stall > 0 {
+		d.dropEnded(now, stall)
+	}
 	input(now)
 	r := d.core.Ready(now)
 	for _, f := range r.Frames {
@@ -137,7 +140,7 @@
 	}
 	for _, a := range r.Answers {
 		for _, c := range d.callers[a.Number] {
-			c <- a
+			c.answer <- a
 		}
 		delete(d.callers, a.Number)
 	}
