entry: histogram of the time until a frame leaves

How long an order or a stop waits in the entry after its decision bounds how late a run begins or ends for a caller that is gone; no log or metric showed it. papayahoist_frame_wait_seconds measures it from the frame's decision until the frame was passed to its connection.

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -39,11 +39,13 @@
 	// Seeds are the nodes' addresses of entries to start with. They may be out of date.
 	Seeds []string
 	Core  dispatcher.Options
-	// OnFrame, if not nil, is called with each frame queued for an agent, and
-	// OnExchange for each exchange that this entry starts.
-	OnFrame    func(*pb.OrderFrame)
-	OnExchange func()
-	Logger     *slog.Logger
+	// OnFrame, if not nil, is called with each frame queued for an agent, OnFrameSent with
+	// the time from then until the frame was passed to its connection, and OnExchange for
+	// each exchange that this entry starts.
+	OnFrame     func(*pb.OrderFrame)
+	OnFrameSent func(wait time.Duration)
+	OnExchange  func()
+	Logger      *slog.Logger
 }
 
 // Dispatcher connects an entry to its agents and to other entries. It is safe for
@@ -70,6 +72,9 @@
 	if o.OnFrame == nil {
 		o.OnFrame = func(*pb.OrderFrame) {}
 	}
+	if o.OnFrameSent == nil {
+		o.OnFrameSent = func(time.Duration) {}
+	}
 	if o.OnExchange == nil {
 		o.OnExchange = func() {}
 	}
--- a/node/dispatcher/links.go
+++ b/node/dispatcher/links.go
@@ -10,6 +10,7 @@
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
 	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -46,7 +47,11 @@
 	}
 	defer d.linkDown(g, l)
 	go d.readLink(stream, g, end)
-	return l.out.SendAll(ctx, stream.Send)
+	return l.out.SendAll(ctx, func(f *pb.OrderFrame) error {
+		err := stream.Send(f)
+		d.opts.OnFrameSent(clock.Now().Sub(time.Unix(0, f.SentNs)))
+		return err
+	})
 }
 
 func (d *Dispatcher) linkUp(g *pb.AgentGreeting, l *link) (ok bool) {
--- a/node/process/leased_metrics.go
+++ b/node/process/leased_metrics.go
@@ -23,6 +23,7 @@
 	runs       *prometheus.HistogramVec
 	storeCalls *prometheus.CounterVec
 	frames     *prometheus.CounterVec
+	frameWaits prometheus.Histogram
 	exchanges  prometheus.Counter
 }
 
@@ -50,11 +51,14 @@
 		frames: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayahoist_frames_total", Help: "Frames sent on links between entries and agents, by kind of content.",
 		}, []string{"kind"}),
+		frameWaits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "papayahoist_frame_wait_seconds", Help: "Time from the decision to send a frame to an agent until it was passed to the connection.", Buckets: durationBuckets,
+		}),
 		exchanges: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "papayahoist_exchanges_total", Help: "Exchanges with other entries that this entry began.",
 		}),
 	}
-	m.registry.MustRegister(m.decisions, m.jobs, m.orderWaits, m.runs, m.storeCalls, m.frames, m.exchanges, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.decisions, m.jobs, m.orderWaits, m.runs, m.storeCalls, m.frames, m.frameWaits, m.exchanges, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -71,6 +75,8 @@
 	m.decisions.WithLabelValues(event, reason).Inc()
 }
 
+func (m *leasedMetrics) observeFrameWait(wait time.Duration) { m.frameWaits.Observe(wait.Seconds()) }
+
 func (m *leasedMetrics) countStoreCall(kind string, _ time.Duration, err error) {
 	result := "answered"
 	if err != nil {
