--- a/dispatch/bounds/bounds.go
+++ b/dispatch/bounds/bounds.go
@@ -21,9 +21,9 @@
 //
 //	max(EntryTimeout + StopTime, Lease*(1+ClockError)) + Slack <= ResendAfter.
 //
-// An entry that gets no CPU for a while learns late that callers have disconnected, and what
-// it orders until then is for nobody. An order is safe if the caller can have disconnected at
-// most MaxStall before, whatever fails after it:
+// An entry that gets no CPU for a while learns late that callers have disconnected, and may
+// order tasks for them until then. Such an order is safe, whatever fails after it, if its caller
+// has disconnected at most MaxStall before:
 //
 //	MaxStall + max(EntryTimeout + StopTime, Lease*(1+ClockError)) + Slack <= ResendAfter.
 package bounds
@@ -68,8 +68,8 @@
 	// RunsEndedAfter is how long after an entry's last frame to an unreachable agent all
 	// runs that the entry ordered there have ended.
 	RunsEndedAfter time.Duration
-	// MaxStall is how long an entry may have handled nothing and still order tasks without
-	// a check of its callers' connections.
+	// MaxStall is how long an entry may handle nothing before it must check its callers'
+	// connections.
 	MaxStall time.Duration
 }
 
--- a/dispatch/dispatcher/suspension.go
+++ b/dispatch/dispatcher/suspension.go
@@ -43,11 +43,12 @@
 	return suspensionHold
 }
 
-// Stall returns for how long the process may have handled nothing, because it got no CPU or was
-// suspended; zero: for MaxStall at most, or no job is open. Callers may have disconnected and
-// sent their jobs to other entries since, and frames of agents may be read before the ends of
-// these connections. The driver passes such callers to CallerDisconnected before the next input,
-// which might otherwise order tasks that run elsewhere.
+// Stall returns how long the process has handled nothing while jobs are open, if that exceeds
+// MaxStall: it got no CPU or was suspended. Otherwise it returns zero.
+//
+// Callers may have disconnected meanwhile and sent their jobs to other entries, and an agent's
+// frame may be read before the ends of these connections. The driver must pass such callers to
+// CallerDisconnected before the next input, or that input may order tasks that run elsewhere.
 func (d *Dispatcher) Stall(now time.Time) time.Duration {
 	stall := now.Sub(d.lastReadyAt)
 	if len(d.jobs) == 0 || stall <= d.opts.Timeouts.MaxStall {
--- a/dispatch/leasedcheck/stall_test.go
+++ b/dispatch/leasedcheck/stall_test.go
@@ -10,7 +10,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
-// submit sends a job to an entry whose second step follows its first one.
+// submit sends a job of two steps, one after the other, to an entry.
 func (w *World) submit(e *entryNode, runTime time.Duration) *attempt {
 	const (
 		limit = 10 * time.Second
@@ -56,7 +56,7 @@
 	}
 }
 
-// runStall stalls an entry once a job of it has reached some state.
+// runStall stalls an entry once a job has reached some state there, and checks the promises.
 func runStall(t *testing.T, o Options, stall, runTime time.Duration, reached func(*World, *attempt) bool, resendAfter time.Duration) {
 	t.Helper()
 	var events []string
@@ -83,6 +83,7 @@
 	}
 }
 
+// lastEvents returns the end of a trace.
 func lastEvents(events []string) (text string) {
 	for _, e := range events[max(0, len(events)-60):] {
 		text += fmt.Sprintln(e)
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -28,9 +28,9 @@
 	// Stalls makes half of the freezes stalls: the process gets no CPU while its clocks
 	// run, so that it can't notice. Callers resend at once what was not read.
 	Stalls bool
-	// SchedulingDelays makes an entry take each step of a request (check of the connection,
-	// admission, frames to the connections of agents, notice that a caller has disconnected)
-	// in a goroutine that may wait for CPU, so that other inputs may overtake it.
+	// SchedulingDelays makes each step of an entry wait for CPU, so that other inputs may
+	// overtake it: check of a caller's connection, admission, passing frames to connections,
+	// noticing that a caller has disconnected.
 	SchedulingDelays bool
 	// WorkerRestarts makes workers keep their identifier across restarts, and adds tasks
 	// that crash their worker and changes of capacity.
