review: case 3, two tasks of a step on one worker beyond anti_affinity

Cause: the workers of a job's tasks are chosen before any of their orders exists, and only orders are counted.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
   exit 2
 fi
 [ -x review/bin/sim ] || review/build.sh || exit 2
-exec review/bin/sim shrunk review/3
+exec review/bin/sim affinity review/3
--- a/review/sim/main.go
+++ b/review/sim/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]caseSpec{
 	"twice":     {entries: 3, agents: 11, clockRate: 0.985, run: runTwice},
 	"cancelled": {entries: 3, agents: 4, clockRate: 1, run: runCancelled},
+	"affinity":  {entries: 3, agents: 11, clockRate: 1, run: runAffinity},
 	"shrunk":    {entries: 3, agents: 3, clockRate: 1, run: runShrunk},
 }
 
--- a/review/sim/worker.go
+++ b/review/sim/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -22,6 +23,10 @@
 	started            time.Time
 
 	mu       sync.Mutex
+	address  string // at which it listens
+	server   *http.Server
+	dead     chan struct{} // closed when this life ends
+	lives    int
 	cpu      int64
 	sequence uint64
 	token    uint64
@@ -64,17 +69,60 @@
 	return w
 }
 
+// serve lets the worker listen, at the address that it had before.
 func (w *worker) serve() (string, error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /papayahoist/run-start", w.call(w.start))
 	mux.HandleFunc("POST /papayahoist/run-stop", w.call(w.stop))
 	mux.HandleFunc("POST /papayahoist/hold", w.call(w.hold))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", cmp.Or(w.address, "127.0.0.1:0"))
 	if err != nil {
 		return "", err
 	}
-	go func() { _ = http.Serve(l, mux) }()
-	return l.Addr().String(), nil
+	server := &http.Server{Handler: mux}
+	w.mu.Lock()
+	w.address, w.server, w.dead = l.Addr().String(), server, make(chan struct{})
+	w.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	return w.address, nil
+}
+
+// crash ends this life of the worker with all that runs on it.
+func (w *worker) crash() {
+	w.mu.Lock()
+	w.runs.record.log("worker %s crashes", w.id)
+	for task := range w.running {
+		w.end(task, "lost", time.Now())
+	}
+	close(w.dead)
+	server := w.server
+	w.mu.Unlock()
+	_ = server.Close()
+}
+
+// revive begins a new life of the worker at the same address.
+func (w *worker) revive() error {
+	w.mu.Lock()
+	w.lives++
+	w.id = fmt.Sprintf("%s-%d", w.id[:10], w.lives+1)
+	w.token, w.leaseEnd, w.started, w.sequence, w.lastEnd = 0, 0, time.Now(), 0, 0
+	w.running, w.highest, w.ended = map[string]*workerRun{}, map[string]uint32{}, nil
+	w.runs.record.log("worker %s is up", w.id)
+	w.mu.Unlock()
+	if _, err := w.serve(); err != nil {
+		return err
+	}
+	go w.report()
+	return nil
+}
+
+func (w *worker) isDead() bool {
+	select {
+	case <-w.dead:
+		return true
+	default:
+		return false
+	}
 }
 
 const clockStart = time.Second
@@ -112,6 +160,10 @@
 			return
 		}
 		w.mu.Lock()
+		if w.isDead() {
+			w.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		w.lapse()
 		if b.Token < w.token {
 			body := w.body("fence")
@@ -279,6 +331,9 @@
 // report sends the worker's heartbeats.
 func (w *worker) report() {
 	client := &http.Client{Timeout: time.Second}
+	w.mu.Lock()
+	dead := w.dead
+	w.mu.Unlock()
 	for {
 		w.mu.Lock()
 		w.sequence++
@@ -298,7 +353,11 @@
 				w.runs.reported(w.id, sequence, cpu, resp.StatusCode)
 			}
 		}
-		time.Sleep(heartbeat)
+		select {
+		case <-time.After(heartbeat):
+		case <-dead:
+			return
+		}
 	}
 }
 
