runner: a handshake doesn't prolong an entry's runs

What callers saw: possibly two runs of a task at a time, when the link of an entry and an agent was lost twice within the entry timeout.

Cause: the agent took the time at which it had asked for a link for the last time at which the entry wanted its runs. But the entry's answer to a handshake says nothing about runs. The stops that were lost with the old link follow with the next frame, and the entry counts the time after which the runs must have ended (RunsEndedAfter) from its last frame, which the answer isn't. If the link is lost again before that frame, the agent goes on for up to one more entry timeout than the entry allows for.

Now the answer doesn't count for an entry that the agent knows already. The entry's first frame follows it within a round trip.

--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -18,7 +18,8 @@
 	// lastOrder is the highest order number received. Orders arrive in order on a link, and
 	// those of an older link are dropped, so no lower number can still arrive.
 	lastOrder uint64
-	// lastReceived is a lower bound of the time at which the entry sent its latest frame.
+	// lastReceived is a lower bound of the time at which the entry sent its latest frame. The answer
+	// to a handshake doesn't count, as it may leave before the stops that the entry has to repeat.
 	lastReceived time.Time
 	delay        frameDelay
 	downAt       time.Time
@@ -115,14 +116,13 @@
 	}
 	e := r.entry(g.Incarnation)
 	if e == nil {
-		e = &entry{name: g.Entry, incarnation: g.Incarnation, reportInterval: defaultReportInterval}
+		e = &entry{name: g.Entry, incarnation: g.Incarnation, reportInterval: defaultReportInterval, lastReceived: requested}
 		r.entries = append(r.entries, e)
 	}
 	e.session.Up(now, epoch, r.opts.Link)
 	e.retiring = false
 	e.delay = frameDelay{probedAt: now}
 	e.delay.update(now, requested, sentNs)
-	e.lastReceived = requested
 	e.stateChanged, e.reportedAt = true, time.Time{}
 	r.setEvacuations(now, e, g.Evacuations)
 	e.crashes = r.recentCrashes(now)
