bounds: a lease ends in time whenever the agent fails

Cause: an agent stops the runs of a silent entry after EntryTimeout (585 ms), and until then renewed their lease for its full time (780 ms, 796 by a clock that is slow by 2%). The two follow each other if the agent fails just before it would have stopped the runs: 1,381 ms. Derive compared the larger of the two with ResendAfter, as if only one process could fail, and the sum only for the case that the entry lives and waits for ReconnectTimeout before it answers. The same held for an entry that answers, or loses its caller, just before its link breaks, for an agent that is cut off from its worker, and MaxStall came on top of the sum where it was added to the larger of the two. A stop that no answer confirms left the lease unlimited.

Now no lease extends more than RenewalLimit (910 ms, 0.7 of ResendAfter) beyond the last frame from an entry with runs on the worker, or beyond the frame that asked for a stop which isn't confirmed. So it doesn't matter when the agent fails: what it has requested ends in time, and there is one inequality,

MaxStall + max(EntryTimeout + StopTime, RenewalLimit) + Slack <= ResendAfter.

An entry with runs sends a frame at least every 193 ms, so leases of linked entries are as long as before. EntryTimeout and Lease keep their values: no run ends earlier at a cut that heals. At the entry timeout 318 ms of lease are left for the other runs on the worker (polls come every 50 ms). MaxStall is 240 ms in place of 354. RunsEndedAfter is 1,060 ms in place of 1,581, so an entry starts the tasks of an unreachable agent elsewhere half a second earlier.

TestPromisesHoldWhenEntryAndAgentFail: the caller's connection ends, an entry fails in one of seven ways, its agent in one of four at each 20 ms of the 1.3 s after that, with clocks and stops at the limit of what is allowed. TestPromisesHoldWhenALinkIsLostTwice breaks if a handshake counts as a frame, now that RunsEndedAfter is shorter.

Tests changed: the property test checks each failure against its end, for 480 settings in place of five; it includes both earlier checks in a stricter form (RenewalLimit + MaxStall + Slack <= ResendAfter). TestTasksOfLostAgentRunElsewhereAfterItsRuns: the time limit of its short job follows RunsEndedAfter, as 1.5 s are long enough now for a second run. The mutation of entryTimeoutFraction breaks no promise any more, since the lease ends such runs; it is replaced by ones of RenewalLimit, LeaseAfter and LinkUp.

--- a/dispatch/bounds/bounds.go
+++ b/dispatch/bounds/bounds.go
@@ -1,31 +1,30 @@
 // Package bounds derives the timeouts that keep an entry, an agent and a worker
 // under a lease from running a task twice at the same time.
 //
-// A caller whose connection broke sends its job again after ResendAfter, to any entry,
-// which starts the tasks anew without knowing about the first entry's runs. All of
-// those must have ended by then, whatever failed:
+// A caller whose connection ends without an answer, or with the answer that its job was
+// abandoned, sends the job again after ResendAfter, to any entry, which starts the tasks anew
+// without knowing about the first entry's runs. All of those must have ended by then, whatever
+// failed. The times below count from the last frame that the agent has received from the
+// entry. Such a frame says that the entry still wants the runs that it doesn't stop.
 //
 //   - The entry is alive and reaches the agent: it stops them immediately.
-//   - The entry is gone, frozen or partitioned: the agent stops them EntryTimeout after
-//     the last frame from the entry, and a stop takes up to StopTime.
-//   - The agent is also gone, frozen or partitioned from its worker: the lease ends
-//     them, at most Lease after its last renewal by the worker's clock, which may be
-//     slow by ClockError.
+//   - The entry is gone, frozen or partitioned: the agent stops them after EntryTimeout, and a
+//     stop takes up to StopTime.
+//   - The agent also fails, or is cut off from its worker, at any moment before that: the lease
+//     ends them. The agent requests no lease that ends later than RenewalLimit, by a worker's
+//     clock that may be slow by ClockError. Its own failure can't change what it has requested,
+//     and another process of the agent requests no lease before it has found which runs are left.
+//   - The worker doesn't confirm a stop: the same, counted from the frame that asked for it.
 //
-// The entry abandons a job no sooner than ReconnectTimeout after it lost the link that the
-// job's runs are on. All values must therefore satisfy
+// The last frame was sent before the caller's connection ended, or up to MaxStall later by an
+// entry that got no CPU for so long; see Timeouts.MaxStall. So all values must satisfy
 //
-//	EntryTimeout + StopTime + Lease*(1+ClockError) + Slack <= ReconnectTimeout + ResendAfter
+//	MaxStall + max(EntryTimeout + StopTime, RenewalLimit) + Slack <= ResendAfter.
 //
-// and, for a caller that disconnects by itself while entry or agent fails,
+// A lease covers all runs of a worker. In order that it doesn't end the runs of other entries
+// when the agent can still stop those of a silent one, they must also satisfy
 //
-//	max(EntryTimeout + StopTime, Lease*(1+ClockError)) + Slack <= ResendAfter.
-//
-// An entry that gets no CPU for a while learns late that callers have disconnected, and may
-// order tasks for them until then. Such an order is safe, whatever fails after it, if its caller
-// has disconnected at most MaxStall before:
-//
-//	MaxStall + max(EntryTimeout + StopTime, Lease*(1+ClockError)) + Slack <= ResendAfter.
+//	EntryTimeout + StopTime <= RenewalLimit.
 package bounds
 
 import (
@@ -54,8 +53,12 @@
 	// EntryTimeout is how long after the last frame from an entry its agent stops the
 	// entry's runs.
 	EntryTimeout time.Duration
-	// Lease is the duration of the leases that agents request from workers.
+	// Lease is the longest duration of the leases that agents request from workers; see
+	// LeaseAfter.
 	Lease time.Duration
+	// RenewalLimit is how long after the last frame from an entry a lease may extend while runs of
+	// that entry are on the worker.
+	RenewalLimit time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
 	StopTime time.Duration
 	// ReconnectTimeout is how long an entry waits for a lost link to an agent to come back
@@ -88,6 +91,10 @@
 	reconnectFraction = 0.3
 	// leaseFraction is the longest lease as a fraction of ResendAfter.
 	leaseFraction = 0.6
+	// renewalFraction is RenewalLimit as a fraction of ResendAfter. A lease that is requested just
+	// before EntryTimeout must outlast some polls of the worker, and what is left of ResendAfter is
+	// for MaxStall.
+	renewalFraction = 0.7
 	// orderDelayFraction is MaxOrderDelay as a fraction of EntryTimeout.
 	orderDelayFraction = 0.3
 	// defaultResend, defaultLease and defaultStop apply to deployments that don't set
@@ -106,16 +113,23 @@
 		StopTime:         cmp.Or(g.StopTime, defaultStop),
 		ReconnectTimeout: scale(resend, reconnectFraction),
 	}
+	t.RenewalLimit = min(max(scale(resend, renewalFraction), t.EntryTimeout+t.StopTime), resend-Slack)
 	t.MaxOrderDelay = scale(t.EntryTimeout, orderDelayFraction)
-	leaseExpiry := LeaseExpiry(t.Lease)
-	t.RunsEndedAfter = t.EntryTimeout + t.StopTime + leaseExpiry + Slack
-	t.MaxStall = resend - max(t.EntryTimeout+t.StopTime, leaseExpiry) - Slack
-	if t.RunsEndedAfter > t.ReconnectTimeout+resend || t.MaxStall < 0 {
+	t.RunsEndedAfter = t.RenewalLimit + Slack
+	t.MaxStall = resend - t.RunsEndedAfter
+	if t.EntryTimeout+t.StopTime > t.RenewalLimit {
 		return t, ErrUnsatisfiable.New("a resend after %v leaves too little time to end runs with a stop time of %v and a lease of %v", resend, t.StopTime, t.Lease)
 	}
 	return t, nil
 }
 
+// LeaseAfter returns the duration of the leases that are requested while runs of an entry are on
+// the worker whose last frame was received the given time ago.
+func (t Timeouts) LeaseAfter(silence time.Duration) time.Duration {
+	left := time.Duration(float64(t.RenewalLimit-silence) / (1 + ClockError))
+	return min(t.Lease, max(0, left))
+}
+
 // LeaseExpiry returns the time, by this process's clock, after which a lease kept by a
 // worker's clock has certainly ended.
 func LeaseExpiry(lease time.Duration) time.Duration {
--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -368,7 +368,9 @@
 	j := tasks(1, 1000, 200*time.Millisecond)
 	j.TimeLimit = 10 * time.Second
 	longLimit := b.mustSubmit(j)
-	shortLimit := b.mustSubmit(tasks(1, 1000, 200*time.Millisecond))
+	j = tasks(1, 1000, 200*time.Millisecond)
+	j.TimeLimit = b.times.RunsEndedAfter + 100*time.Millisecond
+	shortLimit := b.mustSubmit(j)
 	a := b.agents["a-1"]
 	for _, o := range slices.Clone(a.orders) {
 		b.reportOrder(o, pb.OrderState_ORDER_STATE_STARTED, "", 0)
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/runner"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
@@ -36,6 +37,7 @@
 	lastEnd          uint64
 	pollWaiters      []func()
 	lossyUntil       time.Time // calls are lost or late until then
+	silentUntil      time.Time // all calls are lost until then
 	reportSequence   uint64
 }
 
@@ -50,9 +52,12 @@
 
 func newSimWorker(w *World, a *agentNode, incarnation int) *simWorker {
 	s := &simWorker{
-		w: w, a: a, incarnation: incarnation, up: true, capacity: defaultCapacity, startedAt: w.now, clockRate: 1 - 0.02*w.rand.Float64(),
+		w: w, a: a, incarnation: incarnation, up: true, capacity: defaultCapacity, startedAt: w.now, clockRate: 1 - bounds.ClockError*w.rand.Float64(),
 		runs: map[string]*simRun{}, highestRun: map[string]uint32{},
 	}
+	if w.o.SlowestWorkers {
+		s.clockRate = 1 - bounds.ClockError
+	}
 	w.schedule(w.jitter(20*time.Millisecond), s.report)
 	return s
 }
@@ -155,6 +160,9 @@
 	})
 	execute := func(respond bool) {
 		to := s.receiver()
+		if s.w.now.Before(to.silentUntil) {
+			return
+		}
 		if !to.up {
 			if respond && s.w.chance(0.7) {
 				a.run(incarnation, func() {
@@ -314,7 +322,11 @@
 		return
 	}
 	r.stopping = true
-	s.w.schedule(s.w.jitter(50*time.Millisecond), func() {
+	takes := s.w.times.StopTime
+	if !s.w.o.SlowestWorkers {
+		takes = s.w.jitter(takes)
+	}
+	s.w.schedule(takes, func() {
 		if s.up && s.runs[c.Task] == r {
 			s.finish(c.Task, runner.EndedStopped)
 		}
@@ -365,6 +377,8 @@
 	s.w.schedule(delay, func() {
 		s := s.receiver()
 		switch {
+		case s.w.now.Before(s.silentUntil):
+			return
 		case !s.up && s.w.chance(0.7), s.up && l.Worker.ID != s.identity().ID:
 			a.run(incarnation, func() {
 				if a.claimPoll(&incarnation) {
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -35,6 +35,8 @@
 	// WorkerRestarts makes workers keep their identifier across restarts, and adds tasks
 	// that crash their worker and changes of capacity.
 	WorkerRestarts bool
+	// SlowestWorkers makes workers' clocks as slow, and stops as long, as is allowed.
+	SlowestWorkers bool
 	// Disabled is the set of disabled features.
 	Disabled disabled.Set
 	// Trace, if not nil, is called with each event.
--- a/dispatch/runner/lease_test.go
+++ b/dispatch/runner/lease_test.go
@@ -5,8 +5,58 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
 )
 
+// leaseLeft returns how long a lease that is requested now lasts, at most, by a clock that runs
+// at the right rate.
+func (h *harness) leaseLeft(until time.Duration) time.Duration {
+	return bounds.LeaseExpiry(until - h.r.workerNow(h.now))
+}
+
+// An entry is killed, and its agent freezes before it has stopped the entry's runs. The lease
+// that it requested last must end them before the callers send their jobs again, also if it was
+// requested for runs of another entry.
+func TestLeaseEndsTheRunsOfASilentEntryInTime(t *testing.T) {
+	h := newHarness(t, "e1", "e2")
+	h.begin("e1", "t1", 100)
+	began := h.now
+	for h.now.Sub(began) < h.times.EntryTimeout-10*time.Millisecond {
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.poll()
+		l, _ := h.r.NextPoll(h.now, true)
+		s := h.begin("e2", h.now.String(), 10)
+		for call, until := range map[string]time.Duration{"poll": l.Until, "start": s.Until} {
+			if end := h.now.Sub(began) + h.leaseLeft(until); end > h.times.RenewalLimit {
+				t.Fatalf("the %s %v after the entry's last frame requests a lease up to %v, want %v at most", call, h.now.Sub(began), end, h.times.RenewalLimit)
+			}
+		}
+	}
+	h.frame("e1", &pb.OrderFrame{})
+	if l, _ := h.r.NextPoll(h.now, true); h.leaseLeft(l.Until) < h.times.Lease {
+		t.Errorf("a lease of %v after a frame from the entry, want %v", h.leaseLeft(l.Until), h.times.Lease)
+	}
+}
+
+// A caller has left and its entry stops the run, but no stop reaches the worker. The run must
+// end with the lease before the caller sends its job again, whoever else has runs there.
+func TestLeaseEndsARunThatCannotBeStopped(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t1", 100)
+	h.begin("e1", "t2", 100)
+	h.frame("e1", &pb.OrderFrame{Stops: []uint64{1}})
+	began := h.now
+	for h.now.Sub(began) < 2*h.times.RenewalLimit {
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.poll()
+		h.frame("e1", &pb.OrderFrame{})
+		l, _ := h.r.NextPoll(h.now, true)
+		if left := h.leaseLeft(l.Until); left > 0 && h.now.Sub(began)+left > h.times.RenewalLimit {
+			t.Fatalf("a lease up to %v after the stop, want %v at most", h.now.Sub(began)+left, h.times.RenewalLimit)
+		}
+	}
+}
+
 // A link is cut, reopens and is cut again before the entry has repeated the stops that were lost
 // with it. The answer to the handshake must not prolong the runs.
 func TestHandshakeDoesNotProlongRuns(t *testing.T) {
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -103,9 +103,16 @@
 // than a call takes.
 func (r *Runner) workerNow(now time.Time) time.Duration { return r.clock + now.Sub(r.clockAt) }
 
-// leaseEnd returns the end of a lease that is requested now, on the worker's clock.
+// leaseEnd returns the end of a lease that is requested now, on the worker's clock. A lease covers
+// all runs on the worker, so the run whose entry was heard of least recently limits it.
 func (r *Runner) leaseEnd(now time.Time) time.Duration {
-	return r.workerNow(now) + r.opts.Timeouts.Lease
+	silence := time.Duration(0)
+	for _, x := range r.runList {
+		if x.needsLease() {
+			silence = max(silence, now.Sub(x.lastWanted()))
+		}
+	}
+	return r.workerNow(now) + r.opts.Timeouts.LeaseAfter(silence)
 }
 
 // updateClock records the worker's clock from any answer.
--- a/dispatch/runner/run.go
+++ b/dispatch/runner/run.go
@@ -53,11 +53,27 @@
 	// again.
 	nextStallReport time.Duration
 	wanted          bool // false once its entry has asked to stop it
-	listed          bool // the current incarnation has listed it
-	stopAnswered    bool // the worker has answered a stop
-	orphaned        bool
-	lostReason      string    // why an unfenced run is lost
-	unfencedUntil   time.Time // when an unfenced run is considered lost
+	// unwantedSince is when the last frame was received whose entry wanted the run; set once it is
+	// no longer wanted.
+	unwantedSince time.Time
+	listed        bool // the current incarnation has listed it
+	stopAnswered  bool // the worker has answered a stop
+	orphaned      bool
+	lostReason    string    // why an unfenced run is lost
+	unfencedUntil time.Time // when an unfenced run is considered lost
+}
+
+// needsLease reports whether the run is on the worker, or may be, on behalf of a known entry.
+func (x *run) needsLease() bool {
+	return x.entry != nil && x.phase != queued && x.phase != unfenced
+}
+
+// lastWanted returns when its entry is last known to have wanted the run.
+func (x *run) lastWanted() time.Time {
+	if x.wanted {
+		return x.entry.lastReceived
+	}
+	return x.unwantedSince
 }
 
 // maxRecentRuns bounds the remembered ends: some seconds of the shortest tasks.
--- a/dispatch/runner/start.go
+++ b/dispatch/runner/start.go
@@ -137,7 +137,7 @@
 
 // stop ends a run at its entry's request, or because nobody waits for it.
 func (r *Runner) stop(now time.Time, x *run) {
-	x.wanted = false
+	x.wanted, x.unwantedSince = false, x.entry.lastReceived
 	switch x.phase {
 	case queued:
 		r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, ReasonStopped)
