runner: stop the runs of an entry at once when nothing listens there

A killed entry's runs went on for the whole entry timeout, 585 ms, though the agent's attempts to open a new link were refused 50 ms after the kill. They took capacity that nobody waited for, and were at work when the agent failed.

Cause: the driver looked for ECONNREFUSED in the error of the stream's first Send. If no connection can be opened, Send returns io.EOF, and the reason is returned by Receive, which wasn't called then. The model check models the refusal as the driver meant it, so it didn't show there.

Looked for elsewhere: node/entry opens its streams the same way, but decides nothing by the reason; the adapter's calls to worker and store are plain requests, whose errors carry it.

--- a/node/runner/links.go
+++ b/node/runner/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"syscall"
 	"time"
 
@@ -49,7 +50,8 @@
 	stream := papayahoistv1connect.NewWorkServiceClient(client, rpc.URL(t.address, nil), rpc.NoAcceptCompression).Attach(ctx)
 	err := stream.Send(&pb.WorkerFrame{Hello: e.r.newGreeting(previous, epoch)})
 	var first *pb.OrderFrame
-	if err == nil {
+	if err == nil || errors.Is(err, io.EOF) {
+		// If no connection could be opened, Send returns io.EOF, and Receive the reason.
 		first, err = stream.Receive()
 	}
 	timeout.Stop()
