dispatcher: count tasks chosen together for the limits of a worker

Cause: choose picks the workers of all waiting tasks of a job, and sendChosen makes their orders afterwards. The limit counted orders (agent.live), so tasks chosen in the same call didn't count. What kept them apart was that each pick goes on from the worker at which the last one stopped, and the capacity that is deducted at once. Neither does where workers are few, or where one is better than the others: in the entry's own failure domain, or emptier.

Now a chosen task reserves its place until its order is made or the job is refused, and reservations count like orders. The same for the two other limits that counted orders: one task at a worker on trial, and nothing beside a task that is suspected of crashing its worker.

Ruled out: orders that are repeated, refused or lost with a link, several steps at once, runs taken over from a link that came back. They are orders, and the model check with faults shows no start beyond the limit with them.

Reserving is enough: an entry keeps all orders of its jobs, chooses in one call at a time, and no other entry has the job while runs of it are left.

--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -65,7 +65,7 @@
 			return chosen, nil
 		}
 		for _, p := range chosen {
-			p.agent.free = p.agent.free.Plus(p.step.Size)
+			p.agent.release(p.task, p.step)
 		}
 		if !j.late {
 			d.requestAgents(now, j, &j.steps[left[0].step])
--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -32,6 +32,7 @@
 	loggedSpeed float64
 
 	live      []*order // not ended, oldest first
+	reserved  []*task  // chosen for it, with an order still to be made
 	lastSent  time.Time
 	downAt    time.Time
 	abandoned bool // the jobs that can't wait for it have been answered
@@ -67,11 +68,36 @@
 	return label == "" || slices.Contains(a.state.GetLabels(), label)
 }
 
-// countOfStep returns the number of live orders here for the task's step.
+// reserve takes a place for a task until its order is made or the place is released.
+func (a *agent) reserve(t *task, s *step) {
+	a.free = a.free.Minus(s.Size)
+	a.reserved = append(a.reserved, t)
+}
+
+func (a *agent) release(t *task, s *step) {
+	a.free = a.free.Plus(s.Size)
+	a.endReservation(t)
+}
+
+func (a *agent) endReservation(t *task) {
+	a.reserved = slices.DeleteFunc(a.reserved, func(x *task) bool { return x == t })
+}
+
+// stepLimitReached reports whether as many tasks of the step are here as may be at one worker.
+func (a *agent) stepLimitReached(t *task, s *step) bool {
+	return s.MaxPerWorker > 0 && a.countOfStep(t) >= s.MaxPerWorker
+}
+
+// countOfStep returns the number of tasks of the given task's step here, ordered or reserved.
 func (a *agent) countOfStep(t *task) int {
 	n := 0
 	for _, o := range a.live {
-		if o.task.job == t.job && o.task.step == t.step {
+		if o.task.sameStep(t) {
+			n++
+		}
+	}
+	for _, x := range a.reserved {
+		if x.sameStep(t) {
 			n++
 		}
 	}
--- a/dispatch/dispatcher/jobs.go
+++ b/dispatch/dispatcher/jobs.go
@@ -126,6 +126,8 @@
 	avoid []*agent
 }
 
+func (t *task) sameStep(o *task) bool { return t.job == o.job && t.step == o.step }
+
 func (t *task) name() string {
 	return t.job.ID + ".0." + strconv.Itoa(t.step) + "." + strconv.Itoa(t.index)
 }
--- a/dispatch/dispatcher/orders.go
+++ b/dispatch/dispatcher/orders.go
@@ -63,6 +63,7 @@
 	if d.suspected(t) {
 		a.trialUntil = now.Add(trialPeriod)
 	}
+	a.endReservation(t)
 	a.live = append(a.live, o)
 	a.releases.Add(o.expected, s.Size.CPUMillis)
 	t.job.orders = append(t.job.orders, o)
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -108,8 +108,7 @@
 	wait  time.Duration
 }
 
-// choose finds workers for the job's waiting tasks and deducts the capacity that they need
-// from the workers' free capacity. full reports that a task which any worker may run found
+// choose finds workers for the job's waiting tasks and reserves their places there. full reports that a task which any worker may run found
 // none, so no later one will either.
 func (d *Dispatcher) choose(now time.Time, j *job) (chosen []placement, left []*task, full bool) {
 	for n, t := range j.waiting {
@@ -127,7 +126,7 @@
 			}
 			continue
 		}
-		a.free = a.free.Minus(s.Size)
+		a.reserve(t, s)
 		chosen = append(chosen, placement{t, s, a, wait})
 	}
 	return chosen, left, false
@@ -262,22 +261,27 @@
 	return a.session.IsUp() && a.state.GetAccepting() && a.state.GetService() == service && !d.evacuations.Has(a.domain)
 }
 
-// mayRun reports whether a worker may be given a task at all.
+// mayRun reports whether a worker may be given a task now.
 func (d *Dispatcher) mayRun(now time.Time, a *agent, t *task, s *step) bool {
+	return d.isEligible(now, a, t, s) && !a.stepLimitReached(t, s)
+}
+
+// isEligible reports whether a worker may be given a task, apart from the limit of its step.
+func (d *Dispatcher) isEligible(now time.Time, a *agent, t *task, s *step) bool {
 	if a.healthState != place.Healthy {
 		d.updateHealthState(now, a) // its time may be over
 	}
 	switch {
 	case !d.takesOrders(a, t.job.queue.Service):
 		return false
-	case a.healthState == place.Suspended || a.healthState == place.Trial && len(a.live) > 0:
+	case a.healthState == place.Suspended || a.healthState == place.Trial && len(a.live)+len(a.reserved) > 0:
 		return false
 	case !s.Size.FitsIn(a.capacity) || !a.hasLabel(s.Requires):
 		return false
-	case slices.Contains(t.avoid, a) || now.Before(a.trialUntil):
+	case slices.Contains(t.avoid, a) || now.Before(a.trialUntil) || slices.ContainsFunc(a.reserved, d.suspected):
 		return false
 	}
-	return s.MaxPerWorker == 0 || a.countOfStep(t) < s.MaxPerWorker
+	return true
 }
 
 // score returns the expected delay of a task at a worker compared with an idle, healthy
--- a/dispatch/leasedcheck/check.go
+++ b/dispatch/leasedcheck/check.go
@@ -64,9 +64,29 @@
 	if used > s.effectiveCapacity() {
 		c.violated("%s uses %d of %d millicores with %s", s.id(), used, s.effectiveCapacity(), r.task)
 	}
+	c.checkStepLimit(s, r)
 	c.starts[r.task]++
 }
 
+// checkStepLimit verifies that a worker runs no more tasks of a step than may run on one.
+func (c *checker) checkStepLimit(s *simWorker, r *simRun) {
+	step := r.task[:strings.LastIndexByte(r.task, '.')+1]
+	n, _ := strconv.Atoi(strings.Split(r.task, ".")[2])
+	limit := c.w.callers[callerIndex(r.task)].job.Steps[n].MaxPerWorker
+	if limit == 0 {
+		return
+	}
+	running := 0
+	for task := range s.runs {
+		if strings.HasPrefix(task, step) {
+			running++
+		}
+	}
+	if running > limit {
+		c.violated("%s runs %d tasks of step %s, %d may run on one worker", s.id(), running, step, limit)
+	}
+}
+
 func (c *checker) runEnded(s *simWorker, task string) {
 	c.w.trace("%s ends %s", s.id(), task)
 	delete(c.running[task], s)
@@ -162,6 +182,9 @@
 		x.job.Payload = crashPrefix + x.job.Payload
 		x.job.Steps[0].Count = 1
 	}
+	if w.o.MaxPerWorker > 0 {
+		x.job.Steps[0].MaxPerWorker = 1 + len(w.callers)%w.o.MaxPerWorker
+	}
 	x.deadline = w.now.Add(limit)
 	w.callers = append(w.callers, x)
 	x.send()
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -41,6 +41,16 @@
 	})
 }
 
+// Only a few tasks of a step may run on one worker, and steps are wider than that lets run at a
+// time. Orders that are lost, refused or repeated must not bring a worker beyond the limit.
+func TestPromisesHoldWithLimitsPerWorker(t *testing.T) {
+	promisesHold(t, func(seed uint64) Options {
+		o := options(seed)
+		o.MaxPerWorker = 2
+		return o
+	})
+}
+
 // Operators evacuate and restore failure domains while faults occur, some entries can't
 // reach the store, agents and entries restart, and the store drops its history. Nothing
 // may start in a domain once its evacuation has had the time to spread. At the end all
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -35,6 +35,9 @@
 	// WorkerRestarts makes workers keep their identifier across restarts, and adds tasks
 	// that crash their worker and changes of capacity.
 	WorkerRestarts bool
+	// MaxPerWorker is the highest limit on the tasks of a step that may run on one worker; each job
+	// has a limit from one to it. Zero means no limits.
+	MaxPerWorker int
 	// SlowestWorkers makes workers' clocks as slow, and stops as long, as is allowed.
 	SlowestWorkers bool
 	// Disabled is the set of disabled features.
