dispatcher: tasks beyond the limit of their step wait for others of it

What callers would see: a job whose step has more tasks than its limit lets run at a time is refused as overload, although its tasks could run one after the other in time. And a job was abandoned when a worker refused one of its tasks while the step's other tasks, not begun yet, took the remaining workers up to the limit.

Now admit takes such a job if some workers are at the limit of the step and the last task is expected to start in time, taking turns on the places that were found; the rest waits and is placed when runs of the step end. A job that can't do that, in 3 times its objective, is refused at once as before. servable expects a worker at the limit to become free when a task of the step ends.

Evidence: TestTasksBeyondTheLimitOfTheirStepWait (refused before: "more urgent work takes all workers"), TestRefusedTaskWaitsForOthersOfItsStep (answered as unknown before: "no worker came free in time"), TestHeldJobWithMoreTasksThanItsLimitAllows.

--- a/dispatch/dispatcher/admit.go
+++ b/dispatch/dispatcher/admit.go
@@ -60,8 +60,8 @@
 			break
 		}
 		chosen, left, _ := d.choose(now, j)
-		if len(left) == 0 {
-			j.waiting = nil
+		if d.startInTurn(now, j, chosen, left) {
+			j.waiting = left
 			return chosen, nil
 		}
 		for _, p := range chosen {
@@ -75,6 +75,37 @@
 	return nil, &Answer{Outcome: NotRun, Reason: ReasonOverload, RetryAfter: d.retryAfter(d.predictWait(now, j))}
 }
 
+// startInTurn reports whether the tasks that found no worker are expected to start in time after
+// others of their step, because that step has more tasks than its limit per worker lets run at a
+// time. It is true if all have found one.
+func (d *Dispatcher) startInTurn(now time.Time, j *job, chosen []placement, left []*task) bool {
+	ahead := make(map[int]int) // tasks that have found no worker so far, by step
+	for _, t := range left {
+		s := &j.steps[t.step]
+		places, start := 0, time.Duration(0)
+		for _, p := range chosen {
+			if p.task.step == t.step {
+				places++
+				start = max(start, p.wait)
+			}
+		}
+		if places == 0 || !slices.ContainsFunc(d.agents, func(a *agent) bool { return a.stepLimitReached(t, s) }) {
+			return false
+		}
+		turn := 1 + ahead[t.step]/places
+		ahead[t.step]++
+		start += time.Duration(turn) * s.expected
+		latest := t.startBy()
+		if j.late {
+			latest = t.latestStart()
+		}
+		if now.Add(start).After(latest) {
+			return false
+		}
+	}
+	return true
+}
+
 // fits returns the number of linked workers of the job's service and, for each step,
 // whether its tasks fit one that may run them.
 func (d *Dispatcher) fits(j *job) (known int, fits []bool) {
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -241,7 +241,10 @@
 	needs := t.demand(now)
 	return slices.ContainsFunc(d.agents, func(a *agent) bool {
 		wait := a.expectedWait(needs)
-		return time.Duration(factor*float64(wait)) <= limit+a.timeGained(s.expected) && d.mayRun(now, a, t, s)
+		if a.stepLimitReached(t, s) {
+			wait += s.expected // until a task of the step ends there
+		}
+		return time.Duration(factor*float64(wait)) <= limit+a.timeGained(s.expected) && d.isEligible(now, a, t, s)
 	})
 }
 
--- a/dispatch/dispatcher/spread_test.go
+++ b/dispatch/dispatcher/spread_test.go
@@ -7,6 +7,7 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/place"
+	"github.com/papayahoist/papayahoist/dispatch/runner"
 )
 
 // spread returns a job of one step of which only some tasks may run on one worker.
@@ -75,6 +76,61 @@
 	b.checkSpread(1)
 }
 
+// A step has more tasks than may run at a time. The rest must neither be refused nor exceed the
+// limit, but run when others of the step have ended, as far as their answer is of use by then.
+func TestTasksBeyondTheLimitOfTheirStepWait(t *testing.T) {
+	b := newFixtureInDomains(t, 3)
+	n := b.mustSubmit(spread(8, 1, 100*time.Millisecond))
+	for ended := 0; ended < 8; ended++ {
+		b.checkSpread(1)
+		if got, want := len(b.orders()), min(3, 8-ended); got != want {
+			t.Fatalf("%d orders after %d tasks, want %d", got, ended, want)
+		}
+		b.advance(30 * time.Millisecond)
+		b.reportOrder(b.orders()[0], pb.OrderState_ORDER_STATE_DONE, "", 100*time.Millisecond)
+	}
+	b.wantAnswer(n, Completed, "")
+	_, refused := b.submit(spread(40, 1, 100*time.Millisecond))
+	if refused == nil || refused.Outcome != NotRun || len(b.orders()) != 0 {
+		t.Errorf("answer %+v, want a refusal of a job that takes 14 times as long as a task", refused)
+	}
+}
+
+// A worker refuses an order while the step's other tasks take the other workers up to the limit,
+// and none has begun. The job must not be abandoned: the task may run when one of them ends.
+func TestRefusedTaskWaitsForOthersOfItsStep(t *testing.T) {
+	b := newFixtureInDomains(t, 3)
+	n := b.mustSubmit(spread(3, 1, 100*time.Millisecond))
+	full := b.holder(b.orders()[0])
+	full.used = full.capacity + int64(full.orders[0].Size.CpuMillis) // no place is left after the refusal
+	b.reportOrder(full.orders[0], pb.OrderState_ORDER_STATE_REFUSED, runner.ReasonNoCapacity, 0)
+	if a, ok := b.answers[n]; ok {
+		t.Fatalf("answer %+v while the task may still run elsewhere", a)
+	}
+	b.reportOrder(b.orders()[0], pb.OrderState_ORDER_STATE_DONE, "", 100*time.Millisecond)
+	if got := len(b.orders()); got != 2 {
+		t.Errorf("%d orders, want the refused task's and another one", got)
+	}
+	b.checkSpread(1)
+}
+
+// A job is held while its entry starts up, and admitted when its first agent is linked. The tasks
+// beyond the limit of their step must not be forgotten then.
+func TestHeldJobWithMoreTasksThanItsLimitAllows(t *testing.T) {
+	b := newFixture(t)
+	b.d.startedAt = b.now
+	n := b.mustSubmit(spread(2, 1, 300*time.Millisecond))
+	b.now = b.now.Add(startupPeriod)
+	b.attach("a", "a-1")
+	for range 2 {
+		if got := len(b.orders()); got != 1 {
+			t.Fatalf("%d orders, want 1", got)
+		}
+		b.reportOrder(b.orders()[0], pb.OrderState_ORDER_STATE_DONE, "", 300*time.Millisecond)
+	}
+	b.wantAnswer(n, Completed, "")
+}
+
 // A worker that is on trial after failures gets one task, also if several are chosen together.
 func TestWorkerOnTrialGetsOneOfTheTasksChosenTogether(t *testing.T) {
 	b := newFixture(t, "a", "b", "c")
--- a/dispatch/dispatcher/startup.go
+++ b/dispatch/dispatcher/startup.go
@@ -59,4 +59,5 @@
 	}
 	d.resetJobTimer(j, j.placeBy)
 	d.sendChosen(now, chosen)
+	d.enqueue(j)
 }
