bounds: a lease is limited by orders that wait or arrive late, too

Cause: a lease covers all runs of a worker and can't be shortened. Only runs limited it, so a run could begin under a lease that a poll or a start for another entry had just extended by its full time: up to 585 ms of silence and 796 ms of lease. An order that arrives MaxOrderDelay (175 ms) late could find 796 ms as well, 971 ms in place of 910.

Now queued orders limit the lease from their arrival, and Lease is derived so that the one which an order finds fits the limit:

MaxOrderDelay + Lease*(1+ClockError) <= RenewalLimit,

720 ms in place of 780. leaseFraction is gone with it.

--- a/dispatch/bounds/bounds.go
+++ b/dispatch/bounds/bounds.go
@@ -21,8 +21,14 @@
 //
 //	MaxStall + max(EntryTimeout + StopTime, RenewalLimit) + Slack <= ResendAfter.
 //
-// A lease covers all runs of a worker. In order that it doesn't end the runs of other entries
-// when the agent can still stop those of a silent one, they must also satisfy
+// A lease covers all runs of a worker, and none is shortened. One that was requested just before
+// an order arrives applies to the order's run, too, and the frame with the order may have taken
+// MaxOrderDelay:
+//
+//	MaxOrderDelay + Lease*(1+ClockError) <= RenewalLimit.
+//
+// In order that a lease doesn't end the runs of other entries while the agent can still stop those
+// of a silent one, they must also satisfy
 //
 //	EntryTimeout + StopTime <= RenewalLimit.
 package bounds
@@ -57,7 +63,7 @@
 	// LeaseAfter.
 	Lease time.Duration
 	// RenewalLimit is how long after the last frame from an entry a lease may extend while runs of
-	// that entry are on the worker.
+	// that entry are on the worker, or orders wait for it.
 	RenewalLimit time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
 	StopTime time.Duration
@@ -89,8 +95,6 @@
 	// reconnectFraction is ReconnectTimeout as a fraction of ResendAfter: the time for an agent to
 	// come back on a new connection.
 	reconnectFraction = 0.3
-	// leaseFraction is the longest lease as a fraction of ResendAfter.
-	leaseFraction = 0.6
 	// renewalFraction is RenewalLimit as a fraction of ResendAfter. A lease that is requested just
 	// before EntryTimeout must outlast some polls of the worker, and what is left of ResendAfter is
 	// for MaxStall.
@@ -109,12 +113,12 @@
 	resend := cmp.Or(g.ResendAfter, defaultResend)
 	t := Timeouts{
 		EntryTimeout:     scale(resend, entryTimeoutFraction),
-		Lease:            min(cmp.Or(g.MaxLease, defaultLease), scale(resend, leaseFraction)),
 		StopTime:         cmp.Or(g.StopTime, defaultStop),
 		ReconnectTimeout: scale(resend, reconnectFraction),
 	}
 	t.RenewalLimit = min(max(scale(resend, renewalFraction), t.EntryTimeout+t.StopTime), resend-Slack)
 	t.MaxOrderDelay = scale(t.EntryTimeout, orderDelayFraction)
+	t.Lease = min(cmp.Or(g.MaxLease, defaultLease), withinExpiry(t.RenewalLimit-t.MaxOrderDelay))
 	t.RunsEndedAfter = t.RenewalLimit + Slack
 	t.MaxStall = resend - t.RunsEndedAfter
 	if t.EntryTimeout+t.StopTime > t.RenewalLimit {
@@ -126,8 +130,12 @@
 // LeaseAfter returns the duration of the leases that are requested while runs of an entry are on
 // the worker whose last frame was received the given time ago.
 func (t Timeouts) LeaseAfter(silence time.Duration) time.Duration {
-	left := time.Duration(float64(t.RenewalLimit-silence) / (1 + ClockError))
-	return min(t.Lease, max(0, left))
+	return min(t.Lease, max(0, withinExpiry(t.RenewalLimit-silence)))
+}
+
+// withinExpiry returns the longest lease that has certainly ended after the given time.
+func withinExpiry(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 + ClockError))
 }
 
 // LeaseExpiry returns the time, by this process's clock, after which a lease kept by a
--- a/dispatch/bounds/bounds_test.go
+++ b/dispatch/bounds/bounds_test.go
@@ -34,7 +34,10 @@
 // runs must have ended by then; otherwise a task would run twice at the same time.
 func TestRunsEndBeforeTheJobIsSentAgain(t *testing.T) {
 	settings(t, func(g Params, resend time.Duration, times Timeouts) {
-		ends := map[string]time.Duration{"the entry fails": times.EntryTimeout + times.StopTime}
+		ends := map[string]time.Duration{
+			"the entry fails": times.EntryTimeout + times.StopTime,
+			"entry and agent fail when an order has arrived": times.MaxOrderDelay + LeaseExpiry(times.Lease),
+		}
 		for silence := range steps(times.EntryTimeout) {
 			end := silence + LeaseExpiry(times.LeaseAfter(silence))
 			ends["entry and agent fail"] = max(ends["entry and agent fail"], end)
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -108,8 +108,8 @@
 	wait  time.Duration
 }
 
-// choose finds workers for the job's waiting tasks and reserves their places there. full reports that a task which any worker may run found
-// none, so no later one will either.
+// choose finds workers for the job's waiting tasks and reserves their places there. full reports
+// that a task which any worker may run found none, so no later one will either.
 func (d *Dispatcher) choose(now time.Time, j *job) (chosen []placement, left []*task, full bool) {
 	for n, t := range j.waiting {
 		s := &j.steps[t.step]
--- a/dispatch/leasedcheck/pairs_test.go
+++ b/dispatch/leasedcheck/pairs_test.go
@@ -1,41 +1,60 @@
 package leasedcheck
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
 
 // pairRun is a run in which an entry and an agent of one of its jobs fail, the agent some time
 // after the caller's connection has ended. The caller sends the job to another entry as soon as
-// it may.
+// it may. Runs of that entry keep the leases of all workers renewed.
 type pairRun struct {
 	failEntry func(w *World, t *attempt)
 	failAgent func(w *World, a *agentNode)
 	delay     time.Duration
+	// queued: the job's order waits for capacity when the entry fails.
+	queued bool
 }
 
 // run returns the violated promises, and whether the second entry has started the job.
 func (p pairRun) run(o Options) (violations []string, restarted bool) {
 	w := newWorld(o)
 	w.runFor(2 * time.Second)
+	for range w.agents {
+		w.submitSized(w.entries[1], 10*time.Second, defaultCapacity/10)
+		if p.queued {
+			w.submit(w.entries[1], 400*time.Millisecond+w.jitter(220*time.Millisecond))
+		}
+		w.runFor(20 * time.Millisecond) // reports arrive, so each worker gets one
+	}
 	t := w.submit(w.entries[0], 4*time.Second)
-	for !w.checker.started[t.c.id] {
-		if w.step(); t.finished {
-			return []string{"the job ended before its entry failed"}, false
+	if p.queued {
+		w.runFor(20 * time.Millisecond)
+	} else {
+		for !w.checker.started[t.c.id] {
+			if w.step(); t.finished {
+				return []string{"the job ended before its entry failed"}, false
+			}
 		}
+		w.runFor(w.jitter(500 * time.Millisecond)) // the entry sends frames meanwhile
 	}
-	w.runFor(w.jitter(500 * time.Millisecond)) // the entry sends frames meanwhile
-	holder := w.holder(t)
-	w.trace("%s and later %s fail", t.e.name, holder.name)
 	t.finished = true
 	p.failEntry(w, t)
-	w.schedule(p.delay, func() { p.failAgent(w, holder) })
+	w.schedule(p.delay, func() {
+		if holder := w.holder(t); holder != nil {
+			w.trace("%s fails", holder.name)
+			p.failAgent(w, holder)
+		}
+	})
+	startedBefore := 0
 	w.schedule(resendDelay, func() {
+		startedBefore = w.checker.starts[firstTask(t)]
 		t.c.attempts++
 		t.c.request(w.entries[1])
 	})
 	w.runFor(resendDelay + time.Second)
-	return w.checker.r.Violations, w.checker.starts[firstTask(t)] > 1
+	return w.checker.r.Violations, w.checker.starts[firstTask(t)] > startedBefore
 }
 
 // firstTask returns the name of the first task of the attempt's job.
@@ -82,11 +101,12 @@
 		}
 	},
 	"loses its links, and again after the next handshake": func(w *World, t *attempt) {
-		holder := w.holder(t)
 		w.isolate(t.e, 300*time.Millisecond)
 		t.notifyEntry()
-		holder.conns[t.e.index].closeByAgent()
-		w.whenAnswered(holder, t.e, func() { w.isolate(t.e, longerThanTheRun) })
+		for _, a := range w.agents {
+			a.conns[t.e.index].closeByAgent()
+			w.whenAnswered(a, t.e, func() { a.partitions[t.e.index] = w.now.Add(longerThanTheRun) })
+		}
 	},
 	"stalls, and is cut off before it notices that the caller has left": func(w *World, t *attempt) {
 		t.e.frozenUntil = w.now.Add(w.times.MaxStall)
@@ -124,35 +144,40 @@
 // when the entry timeout and the lease follow each other.
 func TestPromisesHoldWhenEntryAndAgentFail(t *testing.T) {
 	t.Parallel()
-	seedsPerDelay := uint64(max(1, *seeds/100))
 	for entryFailure, failEntry := range entryFailures {
 		for agentFailure, failAgent := range agentFailures {
-			t.Run("the entry "+entryFailure+", the agent "+agentFailure, func(t *testing.T) {
-				runs, restarted := 0, 0
-				for delay := time.Duration(0); delay < resendDelay; delay += 20 * time.Millisecond {
-					for range seedsPerDelay {
-						p := pairRun{failEntry, failAgent, delay}
-						o := Options{Seed: *first + uint64(runs), Entries: 2, Agents: 3, SlowestWorkers: true}
-						violations, again := p.run(o)
-						if runs++; again {
-							restarted++
-						}
-						if len(violations) == 0 {
-							continue
-						}
-						o.Trace = func(s string) { t.Log(s) }
-						p.run(o)
-						t.Fatalf("%v later, seed %d: %v", delay, o.Seed, violations)
-					}
-				}
-				if restarted < runs/2 {
-					t.Errorf("the second entry has started %d of %d jobs, want half", restarted, runs)
-				}
-			})
+			for _, queued := range []bool{false, true} {
+				t.Run(fmt.Sprintf("the entry %s, the agent %s, the order waits: %v", entryFailure, agentFailure, queued), func(t *testing.T) {
+					failAtAnyMoment(t, pairRun{failEntry: failEntry, failAgent: failAgent, queued: queued})
+				})
+			}
 		}
 	}
 }
 
+// failAtAnyMoment has the agent fail at each moment until the caller sends the job again.
+func failAtAnyMoment(t *testing.T, p pairRun) {
+	runs, restarted := 0, 0
+	for p.delay = 0; p.delay < resendDelay; p.delay += 20 * time.Millisecond {
+		for range max(1, *seeds/100) {
+			o := Options{Seed: *first + uint64(runs), Entries: 2, Agents: 3, SlowestWorkers: true}
+			violations, again := p.run(o)
+			if runs++; again {
+				restarted++
+			}
+			if len(violations) == 0 {
+				continue
+			}
+			o.Trace = func(s string) { t.Log(s) }
+			p.run(o)
+			t.Fatalf("%v later, seed %d: %v", p.delay, o.Seed, violations)
+		}
+	}
+	if restarted < runs/2 {
+		t.Errorf("the second entry has started %d of %d jobs, want half", restarted, runs)
+	}
+}
+
 // The link between an entry and an agent is cut, opens again for a handshake only, and stays cut.
 // The entry starts the task elsewhere once the agent must have ended its run. Guards against an
 // agent that counts the time from the handshake.
--- a/dispatch/leasedcheck/stall_test.go
+++ b/dispatch/leasedcheck/stall_test.go
@@ -9,12 +9,15 @@
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
-// submit sends a job of two steps, one after the other, to an entry.
+// submit sends a job of two steps, one after the other, to an entry. A worker has capacity for one
+// task of such jobs.
 func (w *World) submit(e *entryNode, runTime time.Duration) *attempt {
-	const (
-		limit = 10 * time.Second
-		cpu   = defaultCapacity * 6 / 10
-	)
+	return w.submitSized(e, runTime, defaultCapacity*6/10)
+}
+
+// submitSized is submit for tasks that need so many millicores.
+func (w *World) submitSized(e *entryNode, runTime time.Duration, cpu int64) *attempt {
+	const limit = 10 * time.Second
 	x := &caller{w: w, id: jobName(len(w.callers)), deadline: w.now.Add(limit), attempts: 1}
 	x.job = dispatcher.Job{
 		ID: x.id, Queue: &pb.Queue{Name: "q", Service: "s", Attempts: 3, Stretch: 1, TargetMs: uint32(limit.Milliseconds())},
--- a/dispatch/runner/lease_test.go
+++ b/dispatch/runner/lease_test.go
@@ -38,6 +38,36 @@
 	}
 }
 
+// An order arrives late, or waits for capacity, on a worker whose lease was renewed just before for
+// another entry's run. That lease can't be shortened, so it must not be too long for the order.
+func TestLeaseRequestedBeforeAnOrderEndsItsRunInTime(t *testing.T) {
+	h := newHarness(t, "e1", "e2")
+	h.frame("e1", &pb.OrderFrame{})
+	h.begin("e2", "t2", 4000, expected(uint32(h.times.EntryTimeout.Milliseconds())))
+	h.poll()
+	l, _ := h.r.NextPoll(h.now, true)
+	sent := h.now.Add(-h.times.MaxOrderDelay)
+	check := func(what string) {
+		t.Helper()
+		if end := h.now.Add(h.leaseLeft(l.Until)).Sub(sent); end > h.times.RenewalLimit {
+			t.Errorf("%s: a lease up to %v after the entry's last frame, want %v at most", what, end, h.times.RenewalLimit)
+		}
+	}
+	check("late order")
+	h.order("e1", "t1", 100, waits(1000))
+	sent = h.now
+	for h.now.Sub(sent) < h.times.EntryTimeout-10*time.Millisecond {
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.frame("e2", &pb.OrderFrame{})
+		l, _ = h.r.NextPoll(h.now, true)
+		check("queued order")
+	}
+	h.end("t2", EndedDone)
+	if len(h.started()) != 1 {
+		t.Errorf("started %v, want the queued order", h.started())
+	}
+}
+
 // A caller has left and its entry stops the run, but no stop reaches the worker. The run must
 // end with the lease before the caller sends its job again, whoever else has runs there.
 func TestLeaseEndsARunThatCannotBeStopped(t *testing.T) {
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -104,11 +104,12 @@
 func (r *Runner) workerNow(now time.Time) time.Duration { return r.clock + now.Sub(r.clockAt) }
 
 // leaseEnd returns the end of a lease that is requested now, on the worker's clock. A lease covers
-// all runs on the worker, so the run whose entry was heard of least recently limits it.
+// all runs on the worker, so the run whose entry was heard of least recently limits it. Queued
+// orders count, since a lease can't be shortened when they start.
 func (r *Runner) leaseEnd(now time.Time) time.Duration {
 	silence := time.Duration(0)
 	for _, x := range r.runList {
-		if x.needsLease() {
+		if x.entry != nil {
 			silence = max(silence, now.Sub(x.lastWanted()))
 		}
 	}
--- a/dispatch/runner/run.go
+++ b/dispatch/runner/run.go
@@ -63,12 +63,7 @@
 	unfencedUntil time.Time // when an unfenced run is considered lost
 }
 
-// needsLease reports whether the run is on the worker, or may be, on behalf of a known entry.
-func (x *run) needsLease() bool {
-	return x.entry != nil && x.phase != queued && x.phase != unfenced
-}
-
-// lastWanted returns when its entry is last known to have wanted the run.
+// lastWanted returns when its entry, which isn't nil, is last known to have wanted the run.
 func (x *run) lastWanted() time.Time {
 	if x.wanted {
 		return x.entry.lastReceived
