--- a/dispatch/bounds/bounds_test.go
+++ b/dispatch/bounds/bounds_test.go
@@ -30,6 +30,22 @@
 	}
 }
 
+// Settings of usual deployments are rejected although values exist that satisfy the bounds: their
+// processes would not start.
+func TestUsualSettingsAreAccepted(t *testing.T) {
+	for _, g := range []Params{
+		{},
+		{ResendAfter: 1300 * time.Millisecond, MaxLease: time.Second, StopTime: 50 * time.Millisecond},
+		{ResendAfter: 900 * time.Millisecond, MaxLease: 400 * time.Millisecond, StopTime: 20 * time.Millisecond},
+		{ResendAfter: 5 * time.Second, MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond},
+		{ResendAfter: time.Minute, MaxLease: 30 * time.Second, StopTime: time.Second},
+	} {
+		if _, err := Derive(g); err != nil {
+			t.Errorf("%+v: %v", g, err)
+		}
+	}
+}
+
 // A caller sends its job again after ResendAfter. Whatever has failed, the first entry's
 // runs must have ended by then; otherwise a task would run twice at the same time.
 func TestRunsEndBeforeTheJobIsSentAgain(t *testing.T) {
