runner: log runs that are found after they were reported as lost

The logs couldn't tell the hypotheses apart:

- An agent that had reported a run as lost ignored what its worker said of it afterwards.
Now it logs lost_run_found when a poll that began after the report lists the run, or when its end is listed as other than lapsed; and worker_known says so if the incarnation is the one that was taken for ended.
- worker_gone gave 'nothing listens at the worker's address' for an answer of another incarnation, too.
These are two reasons now.
- order_refused gave 'lost with its link' also where the agent's greeting doesn't name the entry.
That is 'the agent has forgotten this entry' now.

New test, which fails without the change: nothing was logged.

--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -109,16 +109,16 @@
 // received: an order that did not arrive never will, since the agent has closed that
 // link. Run ends that were lost with the link are reported again.
 func (d *Dispatcher) reconcile(now time.Time, a *agent, g *pb.AgentGreeting) {
-	seen := uint64(0)
+	seen, reason := uint64(0), "the agent has forgotten this entry"
 	for _, m := range g.Met {
 		if m.Incarnation == d.opts.Incarnation {
-			seen = m.SeenOrder
+			seen, reason = m.SeenOrder, "lost with its link"
 		}
 	}
 	for _, o := range slices.Clone(a.live) {
 		switch {
 		case o.number > seen:
-			d.handleRefusal(now, o, "lost with its link")
+			d.handleRefusal(now, o, reason)
 		case o.stopped:
 			a.pending.Stops = append(a.pending.Stops, o.number)
 		}
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -380,9 +380,16 @@
 		case s.w.now.Before(s.silentUntil):
 			return
 		case !s.up && s.w.chance(0.7), s.up && l.Worker.ID != s.identity().ID:
+			refused := !s.up
 			a.run(incarnation, func() {
 				if a.claimPoll(&incarnation) {
-					a.decide(func(now time.Time) { a.core.PollFailed(now, l, true) })
+					a.decide(func(now time.Time) {
+						if refused {
+							a.core.PollFailed(now, l, true)
+						} else {
+							a.core.PollSuperseded(now, l)
+						}
+					})
 					a.after(20*time.Millisecond, next)
 				}
 			})
--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -136,6 +136,9 @@
 // adoptWorker makes an incarnation of a worker the current one.
 func (r *Runner) adoptWorker(now time.Time, w Worker, how string) {
 	restarted := w.StartUnixMs > 0 && w.ID == r.worker.ID
+	if w.Incarnation == r.worker.Incarnation {
+		how += " though it was taken for ended"
+	}
 	r.worker, r.known = w, true
 	r.polled, r.failedPolls, r.unresponsive, r.lastEndNumber, r.clock = false, 0, false, 0, 0
 	r.logDecision(now, Decision{Event: "worker_known", Reason: how + ": " + w.Incarnation.String()})
@@ -155,7 +158,7 @@
 func (r *Runner) fenceEarlierCalls() {
 	r.token++
 	r.callSeq++
-	r.recentRuns, r.recentTasks = make(map[string]uint32), nil
+	r.recentRuns, r.recentTasks = make(map[string]endedRun), nil
 	for _, x := range r.runList {
 		if x.phase == unfenced {
 			x.callSeq = r.callSeq
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -361,3 +361,33 @@
 		t.Errorf("worker %q after the restart, %q before, want two names", after, before)
 	}
 }
+
+// A run was reported as lost while its worker was alive, and the worker lists it or its end later.
+// Nothing else in the logs shows that the conclusion was wrong.
+func TestRunFoundAfterItWasReportedAsLostIsLogged(t *testing.T) {
+	for name, c := range map[string]struct {
+		found func(*harness)
+		want  string
+	}{
+		"running": {func(h *harness) { h.poll() }, "is running"},
+		"ended":   {func(h *harness) { h.end("t1", EndedDone) }, "has ended as done"},
+		"lapsed":  {func(h *harness) { h.end("t1", EndedLapsed) }, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "e1")
+			got := ""
+			h.r.opts.OnDecision = func(d Decision) {
+				if d.Event == "lost_run_found" {
+					got = d.Reason
+				}
+			}
+			h.begin("e1", "t1", 1000)
+			h.r.handleCrash(h.now, "test")
+			h.r.HandleReport(h.now, Worker{Incarnation: Incarnation{ID: "w1"}, Service: "s", Capacity: size.Size{CPUMillis: 4000, MemoryMB: 1000}})
+			c.found(h)
+			if got != c.want {
+				t.Errorf("logged %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/dispatch/runner/messages.go
+++ b/dispatch/runner/messages.go
@@ -67,7 +67,9 @@
 	Wait, Slack time.Duration
 	// callSeq orders polls and answered starts and stops.
 	callSeq uint64
-	sent    time.Time
+	// number counts the polls.
+	number uint64
+	sent   time.Time
 }
 
 // OutgoingFrame is a frame for an entry.
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -82,6 +82,10 @@
 	EndedLapsed
 )
 
+func (e Ending) String() string {
+	return [...]string{"done", "failed", "stopped", "lapsed"}[e]
+}
+
 // End is the end of a run in the worker's list.
 type End struct {
 	Number uint64
@@ -130,7 +134,8 @@
 	if !r.known {
 		return Poll{}, false
 	}
-	l := Poll{Worker: r.worker.Incarnation, Token: r.token, LastEnd: r.lastEndNumber, callSeq: r.callSeq, sent: now}
+	r.pollsSent++
+	l := Poll{Worker: r.worker.Incarnation, Token: r.token, LastEnd: r.lastEndNumber, callSeq: r.callSeq, number: r.pollsSent, sent: now}
 	if r.unresponsive {
 		// The worker's next incarnation may answer. It numbers its ends anew, so none of them
 		// may be marked as seen.
@@ -198,6 +203,9 @@
 	r.lastEndNumber = e.Number
 	x := r.runs[e.Task]
 	if x == nil || x.run != e.Run || x.phase == queued {
+		if e.Ending != EndedLapsed {
+			r.logLostRun(now, e.Task, e.Run, "has ended as "+e.Ending.String())
+		}
 		return
 	}
 	switch e.Ending {
@@ -212,6 +220,13 @@
 	}
 }
 
+// logLostRun logs that a run has been reported as lost, although the worker says otherwise.
+func (r *Runner) logLostRun(now time.Time, task string, run uint32, what string) {
+	if e := r.recentRuns[task]; e.run == run && e.state == pb.OrderState_ORDER_STATE_LOST {
+		r.logDecision(now, Decision{Event: "lost_run_found", Task: task, Run: run, Reason: what})
+	}
+}
+
 // handleListed handles a run that the worker lists as running.
 func (r *Runner) handleListed(now time.Time, l Poll, row ListedRun) {
 	x := r.runs[row.Task]
@@ -219,8 +234,11 @@
 		x.listed = true
 	}
 	switch {
-	case x == nil && r.recentRuns[row.Task] >= row.Run:
+	case x == nil && r.recentRuns[row.Task].run >= row.Run:
 		// The answer to an older poll, or a run that is being stopped.
+		if l.number > r.recentRuns[row.Task].pollsSent {
+			r.logLostRun(now, row.Task, row.Run, "is running")
+		}
 	case x == nil:
 		// An earlier process started it, or an abandoned order was carried out late. Its size
 		// is unknown, so nothing may start beside it.
@@ -296,6 +314,13 @@
 	}
 }
 
+// PollSuperseded handles a poll that another incarnation of the worker has answered.
+func (r *Runner) PollSuperseded(now time.Time, l Poll) {
+	if r.isCurrent(l.Worker) {
+		r.handleCrash(now, "another life of the worker answers")
+	}
+}
+
 // PollFailed handles a poll without an answer. If refused is set, nothing listens at the
 // worker's address: its process has ended.
 func (r *Runner) PollFailed(now time.Time, l Poll, refused bool) {
--- a/dispatch/runner/run.go
+++ b/dispatch/runner/run.go
@@ -74,8 +74,16 @@
 // maxRecentRuns bounds the remembered ends: some seconds of the shortest tasks.
 const maxRecentRuns = 512
 
-// recordEnded records that a run of the task has ended.
-func (r *Runner) recordEnded(x *run) {
+// endedRun is the latest run of a task that this agent has reported as ended.
+type endedRun struct {
+	run   uint32
+	state pb.OrderState
+	// pollsSent is how many polls had been sent by then.
+	pollsSent uint64
+}
+
+// recordEnded records that a run of the task has been reported as ended.
+func (r *Runner) recordEnded(x *run, state pb.OrderState) {
 	if _, ok := r.recentRuns[x.task]; !ok {
 		if len(r.recentTasks) >= maxRecentRuns {
 			delete(r.recentRuns, r.recentTasks[0])
@@ -83,7 +91,9 @@
 		}
 		r.recentTasks = append(r.recentTasks, x.task)
 	}
-	r.recentRuns[x.task] = max(x.run, r.recentRuns[x.task])
+	if x.run >= r.recentRuns[x.task].run {
+		r.recentRuns[x.task] = endedRun{x.run, state, r.pollsSent}
+	}
 }
 
 func (r *Runner) remove(x *run) {
@@ -101,7 +111,7 @@
 func (r *Runner) end(now time.Time, x *run, state pb.OrderState, reason string) {
 	r.remove(x)
 	if x.phase != queued {
-		r.recordEnded(x)
+		r.recordEnded(x, state)
 	}
 	elapsed := time.Duration(0)
 	if !x.startedAt.IsZero() {
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -53,6 +53,7 @@
 	lossyUntil    time.Time
 	lastEndNumber uint64
 	callSeq       uint64 // orders polls and answered starts and stops
+	pollsSent     uint64
 
 	runs    map[string]*run // by task
 	runList []*run          // the same runs, oldest first
@@ -61,7 +62,7 @@
 
 	// recentRuns holds the runs that ended lately, by task. Answers of two polls may overtake
 	// each other, and the older one still lists runs that the newer one reported as ended.
-	recentRuns  map[string]uint32
+	recentRuns  map[string]endedRun
 	recentTasks []string
 
 	entries     []*entry
@@ -75,7 +76,7 @@
 	if o.OnDecision == nil {
 		o.OnDecision = func(Decision) {}
 	}
-	return &Runner{opts: o, token: o.Token, runs: make(map[string]*run), recentRuns: make(map[string]uint32)}
+	return &Runner{opts: o, token: o.Token, runs: make(map[string]*run), recentRuns: make(map[string]endedRun)}
 }
 
 // Drain stops taking orders. Runs in progress go on.
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -204,7 +204,7 @@
 		case runner.PollFenced:
 			r.core.PollFenced(now, l, seen.Clock)
 		case runner.PollOtherIncarnation:
-			r.core.PollFailed(now, l, true)
+			r.core.PollSuperseded(now, l)
 		default:
 			r.core.PollFailed(now, l, v == runner.PollRefused)
 		}
