--- a/dispatch/leasedcheck/links.go
+++ b/dispatch/leasedcheck/links.go
@@ -123,8 +123,8 @@
 		}
 	})
 	c.w.schedule(c.arrivalDelay(&c.entryArrival), func() {
-		if !e.up {
-			// Nothing listens at the address: the entry's process has ended.
+		if !e.up || e.refuses() {
+			// Nothing listens at the address.
 			a.run(c.agentIncarnation, func() {
 				if c.agentOpen {
 					c.agentOpen = false
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -17,6 +17,8 @@
 	links      map[string]*conn // by agent incarnation
 	waiting    map[uint64][]*attempt
 	suspension dispatcher.SuspensionDetector
+	// refusesUntil is until when connections of agents are refused.
+	refusesUntil time.Time
 }
 
 func newEntryNode(w *World, i int) *entryNode {
--- /dev/null
+++ b/dispatch/leasedcheck/signs.go
@@ -0,0 +1,113 @@
+package leasedcheck
+
+import "time"
+
+// Misleading is a set of signs that look as if a process had ended although it lives, or as if it
+// lived although it has ended.
+type Misleading uint8
+
+// Misleading signs.
+const (
+	// RefusedByWorkers: a worker resets its connections and refuses new ones for a while.
+	RefusedByWorkers Misleading = 1 << iota
+	// RefusedByEntries: the same of an entry.
+	RefusedByEntries
+	// LateReports: reports of a worker arrive late, also after its incarnation has ended.
+	LateReports
+	// EarlyLeave: a worker that leaves says so while runs are left, which go on for a while.
+	EarlyLeave
+)
+
+func (m Misleading) has(x Misleading) bool { return m&x != 0 }
+
+// injectMisleading gives one random sign of the options.
+func (w *World) injectMisleading() {
+	a := w.agents[w.rand.IntN(len(w.agents))]
+	e := w.entries[w.rand.IntN(len(w.entries))]
+	var signs []func()
+	if w.o.Misleading.has(RefusedByWorkers) && a.worker.up {
+		signs = append(signs, func() { a.worker.refuse(20*time.Millisecond + w.jitter(time.Second)) })
+	}
+	if w.o.Misleading.has(RefusedByEntries) && e.up {
+		signs = append(signs, func() { e.refuse(20*time.Millisecond + w.jitter(500*time.Millisecond)) })
+	}
+	if w.o.Misleading.has(LateReports) && a.worker.up {
+		signs = append(signs, func() { a.worker.crashSilently() })
+	}
+	if w.o.Misleading.has(EarlyLeave) && a.worker.up {
+		signs = append(signs, a.worker.leave)
+	}
+	if len(signs) > 0 {
+		signs[w.rand.IntN(len(signs))]()
+	}
+}
+
+// crashSilently ends this incarnation while reports of it are on their way. The next one doesn't
+// answer for a while, when they may arrive.
+func (s *simWorker) crashSilently() {
+	s.crashFor(s.w.jitter(300 * time.Millisecond))
+	s.w.schedule(600*time.Millisecond+s.w.jitter(time.Second), func() {
+		s.a.worker.silentUntil = s.w.now.Add(s.w.jitter(800 * time.Millisecond))
+	})
+}
+
+// refuse resets all connections and refuses new ones for a while. Runs go on.
+func (s *simWorker) refuse(d time.Duration) {
+	s.w.trace("%s refuses connections for %v", s.id(), d)
+	s.refusesUntil = s.w.now.Add(d)
+	resets := s.resets
+	s.resets = nil
+	for _, reset := range resets {
+		reset()
+	}
+}
+
+func (s *simWorker) refuses() bool { return s.w.now.Before(s.refusesUntil) }
+
+// onReset registers what the caller does when the connection of a call is reset.
+func (s *simWorker) onReset(f func()) {
+	if s.w.o.Misleading.has(RefusedByWorkers) {
+		s.resets = append(s.resets, f)
+	}
+}
+
+// leave drains the worker, announces its end, and ends it a little later.
+func (s *simWorker) leave() {
+	s.w.trace("%s drains", s.id())
+	s.draining = true
+	s.w.schedule(400*time.Millisecond+s.w.jitter(300*time.Millisecond), func() {
+		if !s.up {
+			return
+		}
+		s.w.trace("%s says that it leaves", s.id())
+		s.a.run(s.a.incarnation, func() {
+			s.a.decide(func(now time.Time) { s.a.core.HandleLeave(now, s.identity().ID) })
+		})
+		s.w.schedule(s.w.jitter(400*time.Millisecond), func() {
+			if s.up {
+				s.crash(false)
+			}
+		})
+	})
+}
+
+// reportDelay draws how late a report arrives.
+func (w *World) reportDelay() time.Duration {
+	if w.o.Misleading.has(LateReports) && w.chance(0.3) {
+		return w.jitter(3 * time.Second)
+	}
+	return 0
+}
+
+// refuse resets all links and refuses new ones for a while. The process goes on.
+func (e *entryNode) refuse(d time.Duration) {
+	e.w.trace("%s refuses connections for %v", e.name, d)
+	e.refusesUntil = e.w.now.Add(d)
+	for _, incarnation := range sortedKeys(e.links) {
+		if c := e.links[incarnation]; c != nil {
+			c.closeByEntry()
+		}
+	}
+}
+
+func (e *entryNode) refuses() bool { return e.w.now.Before(e.refusesUntil) }
--- /dev/null
+++ b/dispatch/leasedcheck/signs_test.go
@@ -0,0 +1,38 @@
+package leasedcheck
+
+import "testing"
+
+// misleadingSigns holds the promises under signs, alone and beside other faults.
+func misleadingSigns(t *testing.T, signs Misleading) {
+	for name, faults := range map[string]uint64{"alone": 0, "beside faults": 9} {
+		t.Run(name, func(t *testing.T) {
+			promisesHold(t, func(seed uint64) Options {
+				o := options(seed)
+				o.Faults, o.Misleading = int(seed%(faults+1)), signs
+				return o
+			})
+		})
+	}
+}
+
+// A worker refuses connections for a while and its runs go on. Guards against an agent that takes
+// it for ended, so that its tasks are started elsewhere beside them.
+func TestPromisesHoldWhenLiveWorkersRefuseConnections(t *testing.T) {
+	misleadingSigns(t, RefusedByWorkers)
+}
+
+// An entry refuses connections for a while and its jobs go on. Guards against an agent that forgets
+// the entry's orders, which the entry then takes for lost with their link.
+func TestPromisesHoldWhenLiveEntriesRefuseConnections(t *testing.T) {
+	misleadingSigns(t, RefusedByEntries)
+}
+
+// A report of an incarnation that has ended arrives while the current one doesn't answer. Guards
+// against an agent that takes it for the report of a new one.
+func TestPromisesHoldWithLateReports(t *testing.T) { misleadingSigns(t, LateReports) }
+
+// A worker says that it leaves and ends later. Guards against an agent that reports its runs as lost
+// while they go on.
+func TestPromisesHoldWhenWorkersLeaveBeforeTheirRunsEnd(t *testing.T) {
+	misleadingSigns(t, EarlyLeave)
+}
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -38,6 +38,8 @@
 	pollWaiters      []func()
 	lossyUntil       time.Time // calls are lost or late until then
 	silentUntil      time.Time // all calls are lost until then
+	refusesUntil     time.Time // connections are refused until then
+	resets           []func()  // what callers do when their connections are reset
 	reportSequence   uint64
 }
 
@@ -117,13 +119,20 @@
 	report := runner.Worker{
 		Incarnation: s.identity(), Service: "s", Capacity: size.Size{CPUMillis: s.capacity, MemoryMB: 1 << 20}, Draining: s.draining, Sequence: s.reportSequence,
 	}
-	s.a.run(s.a.incarnation, func() {
-		s.a.decide(func(now time.Time) {
-			if s.a.core.HandleReport(now, report) {
-				s.a.recordedWorker = report
-			}
+	deliver := func() {
+		s.a.run(s.a.incarnation, func() {
+			s.a.decide(func(now time.Time) {
+				if s.a.core.HandleReport(now, report) {
+					s.a.recordedWorker = report
+				}
+			})
 		})
-	})
+	}
+	if d := s.w.reportDelay(); d > 0 {
+		s.w.schedule(d, deliver)
+	} else {
+		deliver()
+	}
 	s.w.schedule(300*time.Millisecond, s.report)
 }
 
@@ -158,6 +167,14 @@
 			lost(false)
 		}
 	})
+	fail := func(refused bool) {
+		a.run(incarnation, func() {
+			if !answered {
+				answered = true
+				lost(refused)
+			}
+		})
+	}
 	execute := func(respond bool) {
 		to := s.receiver()
 		if s.w.now.Before(to.silentUntil) {
@@ -165,15 +182,15 @@
 		}
 		if !to.up {
 			if respond && s.w.chance(0.7) {
-				a.run(incarnation, func() {
-					if !answered {
-						answered = true
-						lost(true)
-					}
-				})
+				fail(true)
 			}
 			return
 		}
+		if to.refuses() {
+			fail(true)
+			return
+		}
+		to.onReset(func() { fail(false) })
 		deliver := do(to)
 		if !respond || deliver == nil {
 			return
@@ -370,6 +387,14 @@
 			a.after(20*time.Millisecond, next)
 		}
 	})
+	fail := func(handle func(now time.Time)) {
+		a.run(incarnation, func() {
+			if a.claimPoll(&incarnation) {
+				a.decide(handle)
+				a.after(20*time.Millisecond, next)
+			}
+		})
+	}
 	delay := 200*time.Microsecond + s.w.jitter(time.Millisecond)
 	if s.w.o.WorkerRestarts && s.w.now.Before(s.lossyUntil) && s.w.chance(0.1) {
 		delay = s.w.jitter(3 * time.Second)
@@ -379,32 +404,19 @@
 		switch {
 		case s.w.now.Before(s.silentUntil):
 			return
-		case !s.up && s.w.chance(0.7), s.up && l.Worker.ID != s.identity().ID:
-			refused := !s.up
-			a.run(incarnation, func() {
-				if a.claimPoll(&incarnation) {
-					a.decide(func(now time.Time) {
-						if refused {
-							a.core.PollFailed(now, l, true)
-						} else {
-							a.core.PollSuperseded(now, l)
-						}
-					})
-					a.after(20*time.Millisecond, next)
-				}
-			})
+		case !s.up && s.w.chance(0.7), s.up && s.refuses():
+			fail(func(now time.Time) { a.core.PollFailed(now, l, true) })
 			return
 		case !s.up:
 			return
+		case l.Worker.ID != s.identity().ID:
+			fail(func(now time.Time) { a.core.PollSuperseded(now, l) })
+			return
 		case l.Token < s.token:
-			a.run(incarnation, func() {
-				if a.claimPoll(&incarnation) {
-					a.decide(func(now time.Time) { a.core.PollFenced(now, l, s.clock()) })
-					a.after(20*time.Millisecond, next)
-				}
-			})
+			fail(func(now time.Time) { a.core.PollFenced(now, l, s.clock()) })
 			return
 		}
+		s.onReset(func() { fail(func(now time.Time) { a.core.PollFailed(now, l, false) }) })
 		s.token = l.Token
 		s.extendLease(l.Until)
 		for len(s.ends) > 0 && s.ends[0].Number <= l.LastEnd {
