runner: a refused connection doesn't end a worker's runs

What callers saw: a task ran on two workers at a time; the second run was ordered 0.03 to 0.5 s after the first, which went on and ended as done.

Cause: an agent took ECONNREFUSED from its worker for the end of the worker's process. It reported all runs there as lost at once, the entries ordered their tasks elsewhere, and neither the lease nor another incarnation was waited for. A process that lives refuses connections, too, while its port has no listener or something between resets them; its runs go on.

Sockets, TestRunsOfAWorkerThatRefusesConnectionsAreKept: the run is reported as 'worker crashed at the start' after 61 ms before, and as done now.

Fix: a refused connection makes the worker unresponsive at once: nothing starts there and no lease is renewed. Tasks on a worker that refused until then are still reported as suspects of a crash.

Ruled out: orders refused with 'not reached' (the call itself had no effect), silent workers (their lease was always waited for).

Tests: those that used a refused poll as the sign of a crash are tables now, with the two signs that remain; TestUnrecordedIncarnationIsNotUsed, whose case is an answer of another incarnation, uses that.

--- a/dispatch/runner/crash.go
+++ b/dispatch/runner/crash.go
@@ -27,7 +27,6 @@
 )
 
 // handleCrash handles an unrequested end of the worker's current incarnation, and of its runs.
-// Nothing listens at the worker's address.
 func (r *Runner) handleCrash(now time.Time, how string) { r.endAfterCrash(now, how, unanswered) }
 
 // handleSuperseded is like handleCrash, but another incarnation of the worker has taken its
@@ -38,15 +37,18 @@
 	if r.known && !r.worker.Draining {
 		r.recordCrashes(now)
 	}
-	r.workerGone(now, how, unresolved, func(x *run) string {
-		switch {
-		case r.worker.Draining:
-			return how
-		case r.crashedAtStart(x):
-			return ReasonCrashedAtStart
-		}
-		return ReasonCrashedLater
-	})
+	why := r.crashReason
+	if r.worker.Draining {
+		why = func(*run) string { return how }
+	}
+	r.workerGone(now, how, unresolved, why)
+}
+
+func (r *Runner) crashReason(x *run) string {
+	if r.crashedAtStart(x) {
+		return ReasonCrashedAtStart
+	}
+	return ReasonCrashedLater
 }
 
 // crashedAtStart reports whether the worker may have crashed soon after the run started.
--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -103,6 +103,9 @@
 	if w.Capacity != before.Capacity {
 		r.handleResize(now, before.Capacity)
 	}
+	if r.unresponsive {
+		r.ready.Poll = true
+	}
 	r.flushQueue(now)
 	r.markChanged()
 	return true
@@ -140,7 +143,7 @@
 		how += " though it was taken for ended"
 	}
 	r.worker, r.known = w, true
-	r.polled, r.failedPolls, r.unresponsive, r.lastEndNumber, r.clock = false, 0, false, 0, 0
+	r.polled, r.failedPolls, r.unresponsive, r.refused, r.lastEndNumber, r.clock = false, 0, false, false, 0, 0
 	r.logDecision(now, Decision{Event: "worker_known", Reason: how + ": " + w.Incarnation.String()})
 	if restarted {
 		r.fenceEarlierCalls()
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
@@ -155,15 +156,83 @@
 	}
 }
 
+// crashes are the ways in which an agent learns that its worker has ended.
+var crashes = map[string]func(h *harness){
+	"another incarnation answers": func(h *harness) {
+		l, _ := h.r.NextPoll(h.now, true)
+		h.r.PollSuperseded(h.now, l)
+		h.ready()
+	},
+	"refused until the lease has expired": func(h *harness) { h.refuseFor(h.leaseExpiry() + 10*time.Millisecond) },
+}
+
+// refuseFor has the worker refuse connections, while the entries go on sending frames.
+func (h *harness) refuseFor(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		for _, e := range h.r.entries {
+			h.frame(e.incarnation, &pb.OrderFrame{})
+		}
+		l, _ := h.r.NextPoll(h.now, true)
+		h.r.PollFailed(h.now, l, true)
+		h.wait(min(pollInterval, end.Sub(h.now)))
+	}
+}
+
+// leaseExpiry returns how long after a call the runs on a worker that can't be reached may go on.
+func (h *harness) leaseExpiry() time.Duration {
+	return bounds.LeaseExpiry(h.times.Lease) + bounds.Slack
+}
+
 // A worker with a new identifier in each incarnation refuses delayed calls to an earlier one,
 // so the run need not be held until it returns.
 func TestUnansweredStartIsLostWithUniqueIdentifier(t *testing.T) {
+	for name, crash := range crashes {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "e1")
+			h.order("e1", "t1", 1000)
+			crash(h)
+			h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, ReasonCrashedAtStart)
+		})
+	}
+}
+
+// A worker refuses connections, which one that lives may do for a while. Guards against an agent
+// that takes it for ended, and whose entry starts the task elsewhere beside the run.
+func TestRunsOfARefusingWorkerAreKeptUntilTheirLeaseExpires(t *testing.T) {
+	for name, c := range map[string]struct {
+		phase func(h *harness)
+		lost  string
+	}{
+		"running":      {func(h *harness) { h.begin("e1", "t1", 1000); h.wait(2 * startCrashWindow); h.poll() }, ReasonCrashedLater},
+		"just started": {func(h *harness) { h.begin("e1", "t1", 1000) }, ReasonCrashedAtStart},
+		"start sent":   {func(h *harness) { h.order("e1", "t1", 1000) }, ReasonCrashedAtStart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "e1")
+			c.phase(h)
+			h.refuseFor(h.leaseExpiry() - 10*time.Millisecond)
+			h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, pb.OrderState_ORDER_STATE_REFUSED)
+			h.order("e1", "t2", 1000)
+			h.wantNews("e1", 2, pb.OrderState_ORDER_STATE_REFUSED, ReasonNotAccepting)
+			h.refuseFor(20 * time.Millisecond)
+			h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, c.lost)
+		})
+	}
+}
+
+// A worker refuses connections for less than a lease. Its runs must go on and its ends be reported.
+func TestRunsSurviveARefusal(t *testing.T) {
 	h := newHarness(t, "e1")
-	h.order("e1", "t1", 1000)
-	l, _ := h.r.NextPoll(h.now, true)
-	h.r.PollFailed(h.now, l, true)
-	h.ready()
-	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, ReasonCrashedAtStart)
+	h.begin("e1", "t1", 1000)
+	h.begin("e1", "t2", 1000)
+	h.refuseFor(h.times.Lease / 2)
+	h.end("t1", EndedDone)
+	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_DONE, "")
+	if l, _ := h.r.NextPoll(h.now, true); l.Until != h.clock()+h.times.Lease || l.LastEnd != h.endNumber {
+		t.Errorf("the next poll requests a lease until %v and marks ends up to %d as seen, want %v and %d", l.Until, l.LastEnd, h.clock()+h.times.Lease, h.endNumber)
+	}
+	h.begin("e1", "t3", 1000)
+	h.wantNoNews("e1", 2, pb.OrderState_ORDER_STATE_LOST)
 }
 
 // The worker never returns: runs held for its next incarnation must not stay for ever.
@@ -266,46 +335,48 @@
 // A worker crashes. All entries, including those that link later, must receive the tasks that
 // ran on it, whichever entry ordered them: another entry may be sent the job that crashed it.
 func TestCrashIsReportedToAllEntries(t *testing.T) {
+	for name, crash := range crashes {
+		t.Run(name, func(t *testing.T) { crashIsReportedToAllEntries(t, crash) })
+	}
+}
+
+func crashIsReportedToAllEntries(t *testing.T, crash func(*harness)) {
 	h := newIncarnationHarness(t, "e1", "e2")
 	h.begin("e1", "long", 1000)
 	h.wait(2 * startCrashWindow)
 	h.poll()
 	h.begin("e1", "crashes", 1000)
 	h.wait(2 * startCrashWindow) // until it is noticed
-	l, _ := h.r.NextPoll(h.now, true)
-	h.r.PollFailed(h.now, l, true)
-	h.ready()
+	crash(h)
 	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, ReasonCrashedLater)
 	h.wantNews("e1", 2, pb.OrderState_ORDER_STATE_LOST, ReasonCrashedAtStart)
 	h.r.LinkUp(h.now, h.now, &pb.EntryGreeting{Entry: "e3", Incarnation: "e3"}, 1, h.now.UnixNano())
-	frames := h.last.Frames
-	frames = append(frames, h.ready().Frames...)
-	reported := map[string]int{}
-	for _, f := range frames {
-		for _, c := range f.Frame.Crashes {
+	h.ready()
+	for _, e := range []string{"e1", "e2", "e3"} {
+		for _, c := range h.crashes[e] {
 			if culprit := c.Task == "crashes"; c.Worker != (Incarnation{"w1", startMs}).String() || c.AtStart != culprit || c.Alone != culprit {
-				t.Errorf("%s received %v", f.Entry, c)
+				t.Errorf("%s received %v", e, c)
 			}
-			reported[f.Entry]++
 		}
-	}
-	for _, e := range []string{"e1", "e2", "e3"} {
-		if reported[e] != 2 {
-			t.Errorf("%s received %d tasks, want 2", e, reported[e])
+		if n := len(h.crashes[e]); n != 2 {
+			t.Errorf("%s received %d tasks, want 2", e, n)
 		}
 	}
 }
 
 // A worker that was asked to leave ends during its runs: no task is to blame.
 func TestEndOfDrainingWorkerIsNoCrash(t *testing.T) {
-	h := newIncarnationHarness(t, "e1")
-	h.begin("e1", "t1", 1000)
-	h.r.HandleReport(h.now, worker(startMs, func(w *Worker) { w.Draining = true }))
-	l, _ := h.r.NextPoll(h.now, true)
-	h.r.PollFailed(h.now, l, true)
-	h.ready()
-	if len(h.r.crashes) > 0 {
-		t.Errorf("crashes %v", h.r.crashes)
+	for name, crash := range crashes {
+		t.Run(name, func(t *testing.T) {
+			h := newIncarnationHarness(t, "e1")
+			h.begin("e1", "t1", 1000)
+			h.r.HandleReport(h.now, worker(startMs, func(w *Worker) { w.Draining = true }))
+			crash(h)
+			h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, "")
+			if len(h.r.crashes) > 0 {
+				t.Errorf("crashes %v", h.r.crashes)
+			}
+		})
 	}
 }
 
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -57,7 +57,7 @@
 const (
 	PollAnswered PollVerdict = iota
 	PollUnanswered
-	// PollRefused means that nothing listens at the worker's address.
+	// PollRefused means that the connection was refused, so that the call had no effect.
 	PollRefused
 	PollFenced
 	PollOtherIncarnation
@@ -176,7 +176,7 @@
 	r.updateClock(now, s.Clock)
 	r.polledAt = now
 	recovered := r.unresponsive || !r.polled
-	r.unresponsive, r.polled, r.failedPolls = false, true, 0
+	r.unresponsive, r.refused, r.polled, r.failedPolls = false, false, true, 0
 	if l.sent.After(r.answeredPollSent) {
 		r.answeredPollSent = l.sent
 	}
@@ -321,31 +321,34 @@
 	}
 }
 
-// PollFailed handles a poll without an answer. If refused is set, nothing listens at the
-// worker's address: its process has ended.
+// PollFailed handles a poll without an answer. If refused is set, the connection was refused. A
+// live worker may do that, too, so its runs count as going on until their lease has expired.
 func (r *Runner) PollFailed(now time.Time, l Poll, refused bool) {
-	if !r.isCurrent(l.Worker) {
-		return
+	if !r.isCurrent(l.Worker) || l.sent.Before(r.answeredPollSent) {
+		return // the worker has answered a later one
 	}
+	r.failedPolls++
 	if refused {
-		r.handleCrash(now, "nothing listens at the worker's address")
+		r.refused = true
+		r.handleUnresponsive(now, "it refuses connections")
 		return
 	}
-	if l.sent.Before(r.answeredPollSent) {
-		return // the worker has answered a later one
-	}
-	r.failedPolls++
 	r.lossyUntil = now.Add(lossyPeriod)
 	if r.failedPolls < maxFailedPolls && r.polled {
 		r.ready.Poll = true
 		return
 	}
-	if !r.unresponsive {
-		r.logDecision(now, Decision{Event: "worker_silent", Reason: "looks had no answer"})
-		r.unresponsive = true
-		r.flushQueue(now)
-		r.markChanged()
+	r.handleUnresponsive(now, "polls had no answer")
+}
+
+func (r *Runner) handleUnresponsive(now time.Time, why string) {
+	if r.unresponsive {
+		return
 	}
+	r.logDecision(now, Decision{Event: "worker_silent", Reason: why})
+	r.unresponsive = true
+	r.flushQueue(now)
+	r.markChanged()
 }
 
 // PollFenced handles a poll that the worker refused because it knows a higher token.
--- a/dispatch/runner/recall_test.go
+++ b/dispatch/runner/recall_test.go
@@ -38,7 +38,7 @@
 func TestUnrecordedIncarnationIsNotUsed(t *testing.T) {
 	h := newRecalledHarness(t, "e1")
 	l, _ := h.r.NextPoll(h.now, false)
-	h.r.PollFailed(h.now, l, true)
+	h.r.PollSuperseded(h.now, l)
 	h.ready()
 	h.order("e1", "t1", 1000)
 	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED, ReasonNotAccepting)
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -40,6 +40,7 @@
 	polled       bool // this incarnation of the worker has answered a poll
 	failedPolls  int  // consecutive polls without an answer
 	unresponsive bool // so many of them that nothing may start
+	refused      bool // a connection has been refused since the last answered poll
 	leaving      bool
 	token        uint64
 
@@ -144,12 +145,21 @@
 		r.tickRun(now, x)
 	}
 	if r.unresponsive && r.Running() > 0 && now.After(r.leaseRenewedAt.Add(bounds.LeaseExpiry(r.opts.Timeouts.Lease)+bounds.Slack)) {
-		// The worker has been out of reach for longer than its lease lasts, so it has ended all
-		// runs by itself.
-		r.loseRuns(now, unanswered, func(*run) string { return "the lease has lapsed" })
+		r.handleLeaseExpired(now)
 	}
 }
 
+// handleLeaseExpired ends the runs of a worker that has been out of reach for longer than its lease
+// lasts: it has crashed, or has ended them by itself.
+func (r *Runner) handleLeaseExpired(now time.Time) {
+	why := func(*run) string { return "the lease has lapsed" }
+	if r.refused && !r.worker.Draining {
+		r.recordCrashes(now)
+		why = r.crashReason
+	}
+	r.loseRuns(now, unanswered, why)
+}
+
 // Next returns when Tick is due; zero means not before the next input.
 func (r *Runner) Next() time.Time {
 	next := r.nextEntryEvent()
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -22,6 +22,7 @@
 	orders    map[string]uint64
 	last      Ready
 	updates   map[string][]*pb.OrderNews
+	crashes   map[string][]*pb.TaskCrash
 	states    map[string]*pb.WorkerState
 	acks      map[string]uint64
 	endNumber uint64
@@ -36,7 +37,7 @@
 	}
 	h := &harness{
 		t: t, now: time.Unix(1000, 0), times: times, seq: map[string]uint64{}, orders: map[string]uint64{},
-		updates: map[string][]*pb.OrderNews{}, states: map[string]*pb.WorkerState{}, acks: map[string]uint64{}, running: map[string]uint32{},
+		updates: map[string][]*pb.OrderNews{}, crashes: map[string][]*pb.TaskCrash{}, states: map[string]*pb.WorkerState{}, acks: map[string]uint64{}, running: map[string]uint32{},
 	}
 	h.r = New(Options{
 		Agent: "agent-1", Incarnation: "a1", Timeouts: times, Token: 1,
@@ -55,6 +56,7 @@
 	h.last = h.r.Ready(h.now)
 	for _, f := range h.last.Frames {
 		h.updates[f.Entry] = append(h.updates[f.Entry], f.Frame.News...)
+		h.crashes[f.Entry] = append(h.crashes[f.Entry], f.Frame.Crashes...)
 		h.acks[f.Entry] = f.Frame.Seq
 		if f.Frame.State != nil {
 			h.states[f.Entry] = f.Frame.State
--- a/node/runner/links_test.go
+++ b/node/runner/links_test.go
@@ -23,9 +23,11 @@
 // fakeEntry orders one task from an agent that takes orders.
 type fakeEntry struct {
 	papayahoistv1connect.UnimplementedWorkServiceHandler
+	// news, if not nil, receives what the agent says of the order.
+	news chan *pb.OrderNews
 }
 
-func (*fakeEntry) Attach(_ context.Context, stream *connect.BidiStream[pb.WorkerFrame, pb.OrderFrame]) error {
+func (e *fakeEntry) Attach(_ context.Context, stream *connect.BidiStream[pb.WorkerFrame, pb.OrderFrame]) error {
 	if _, err := stream.Receive(); err != nil {
 		return err
 	}
@@ -33,17 +35,31 @@
 	if err := stream.Send(hello); err != nil {
 		return err
 	}
+	seq := uint64(0)
+	send := func(f *pb.OrderFrame) error {
+		seq++
+		f.Seq, f.SentNs = seq, time.Now().UnixNano()
+		return stream.Send(f)
+	}
 	for ordered := false; ; {
 		f, err := stream.Receive()
 		if err != nil {
 			return err
 		}
+		if err := send(&pb.OrderFrame{Ack: f.Seq}); err != nil {
+			return err
+		}
+		for _, n := range f.News {
+			if e.news != nil {
+				e.news <- n
+			}
+		}
 		if ordered || !f.State.GetAccepting() {
 			continue
 		}
 		ordered = true
 		order := &pb.Order{Number: 1, Task: "t", Run: 1, Size: &pb.Size{CpuMillis: 100}, ExpectedMs: 1000}
-		if err := stream.Send(&pb.OrderFrame{Seq: 1, SentNs: time.Now().UnixNano(), Orders: []*pb.Order{order}}); err != nil {
+		if err := send(&pb.OrderFrame{Orders: []*pb.Order{order}, Ack: f.Seq}); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/node/runner/refusal_test.go
@@ -0,0 +1,89 @@
+package runner
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
+	dispatchlink "github.com/papayahoist/papayahoist/dispatch/link"
+	"github.com/papayahoist/papayahoist/dispatch/runner"
+	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/platform/adapter"
+	"github.com/papayahoist/papayahoist/platform/adapter/standin"
+)
+
+// refusingServer serves a handler at an address that can refuse connections for a while.
+type refusingServer struct {
+	t       *testing.T
+	handler http.Handler
+	address string
+	server  *http.Server
+}
+
+func (s *refusingServer) listen() {
+	s.t.Helper()
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.address, s.server = l.Addr().String(), &http.Server{Handler: s.handler}
+	go func() { _ = s.server.Serve(l) }()
+	s.t.Cleanup(func() { _ = s.server.Close() })
+}
+
+// refuse closes the listener and all connections.
+func (s *refusingServer) refuse() { _ = s.server.Close() }
+
+// A worker's port has no listener for a while, its connections are closed, and its runs go on.
+// Guards against an agent that reports them as lost while the worker runs them.
+func TestRunsOfAWorkerThatRefusesConnectionsAreKept(t *testing.T) {
+	ended := make(chan string, 1)
+	worker := standin.NewWorker(standin.WorkerOptions{
+		ID: "w", Service: "s", CPU: 1000, Memory: 1000, ClockRate: 1, MaxLease: time.Minute,
+		RunTime: func(string) time.Duration { return 600 * time.Millisecond },
+		OnStart: func(string, uint32, string) {}, OnEnd: func(_ string, _ uint32, how string) { ended <- how },
+	})
+	t.Cleanup(func() { worker.Close(func() {}) })
+	server := &refusingServer{t: t, handler: worker}
+	server.address = "127.0.0.1:0"
+	server.listen()
+	// The lease is half a minute.
+	times, err := bounds.Derive(bounds.Params{ResendAfter: time.Minute, MaxLease: time.Minute})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &fakeEntry{news: make(chan *pb.OrderNews, 10)}
+	address, _ := e.serve(t)
+	r := New(Options{
+		Entries: []string{address}, Worker: adapter.NewWorker(server.address, 4), Logger: slog.New(slog.DiscardHandler),
+		Core: runner.Options{Agent: "a", Incarnation: "a1", Timeouts: times, Link: dispatchlink.Options{}.WithDefaults(), Token: 1},
+	})
+	go r.Run()
+	t.Cleanup(r.Close)
+	r.HandleReport(runner.Worker{Incarnation: runner.Incarnation{ID: "w"}, Service: "s", Capacity: size.Size{CPUMillis: 1000, MemoryMB: 1000}})
+	next := func() *pb.OrderNews {
+		t.Helper()
+		select {
+		case n := <-e.news:
+			return n
+		case <-time.After(20 * time.Second):
+			t.Fatal("nothing is reported")
+			return nil
+		}
+	}
+	if n := next(); n.State != pb.OrderState_ORDER_STATE_STARTED {
+		t.Fatalf("the agent reports %v, want a start", n)
+	}
+	server.refuse()
+	if how := <-ended; how != "done" {
+		t.Fatalf("the run has ended as %s", how)
+	}
+	server.listen()
+	if n := next(); n.State != pb.OrderState_ORDER_STATE_DONE {
+		t.Errorf("the agent reports %v, want the end as done", n)
+	}
+}
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -37,9 +37,12 @@
 }
 
 const (
-	// pollRetryDelay keeps failing polls from using up the processor.
-	pollRetryDelay   = 20 * time.Millisecond
-	idlePollInterval = 50 * time.Millisecond
+	// pollRetryDelay keeps failing polls from using up the processor. It rises to
+	// maxPollRetryDelay, a fraction of a lease, while the worker refuses connections: that costs
+	// no wait by itself and may last as long as a machine is without a worker.
+	pollRetryDelay    = 20 * time.Millisecond
+	maxPollRetryDelay = 100 * time.Millisecond
+	idlePollInterval  = 50 * time.Millisecond
 )
 
 // Runner is the agent beside one worker. It is safe for concurrent use.
@@ -164,8 +167,15 @@
 
 // pollLoop keeps one waiting poll pending at the worker, which renews the lease.
 func (r *Runner) pollLoop() {
+	delay := pollRetryDelay
 	for r.ctx.Err() == nil {
-		if !r.poll(true) {
+		switch r.poll(true) {
+		case runner.PollAnswered:
+			delay = pollRetryDelay
+		case runner.PollRefused:
+			r.pause(delay)
+			delay = min(2*delay, maxPollRetryDelay)
+		default:
 			r.pause(pollRetryDelay)
 		}
 	}
@@ -183,19 +193,20 @@
 	}
 }
 
-func (r *Runner) poll(waiting bool) (answered bool) {
+// poll polls the worker. While no worker is known it only waits.
+func (r *Runner) poll(waiting bool) runner.PollVerdict {
 	var l runner.Poll
 	var ok bool
 	r.decide(func(now time.Time) { l, ok = r.core.NextPoll(now, waiting) })
 	if !ok {
 		r.pause(idlePollInterval)
-		return true
+		return runner.PollAnswered
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, l.Wait+l.Slack)
 	defer cancel()
 	seen, v := r.opts.Worker.Poll(ctx, l)
 	if r.ctx.Err() != nil {
-		return false
+		return v
 	}
 	r.decide(func(now time.Time) {
 		switch v {
@@ -209,7 +220,7 @@
 			r.core.PollFailed(now, l, v == runner.PollRefused)
 		}
 	})
-	return v == runner.PollAnswered
+	return v
 }
 
 func (r *Runner) pause(d time.Duration) {
