runner: an entry that refuses a connection is not forgotten

What callers saw: a job was answered as not run although one of its tasks had been started; where stops don't reach the worker as well, two runs at a time.

Cause: an agent took a refused connection to an entry for the end of the entry's process, stopped its runs and forgot it with the numbers of the orders received. An entry that lives is linked again, finds none of its orders in the greeting, and takes them for lost with their link: never begun, so it orders the tasks elsewhere while their runs are being stopped, or answers 'not run'.

Fix: the runs are stopped as before, which is safe whatever has happened; the entry is kept like one whose link was lost, for a minute after its last run. So the next greeting lists its orders, and the ends of the stopped runs are reported on the new link.

Ruled out: the entry's side of the link (it never dials agents).

New test TestOrdersOfAnEntryTakenForEndedAreRemembered; before: the greeting is empty.

--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -141,16 +141,18 @@
 	}
 }
 
-// EntryEnded records that an entry's process has ended, and stops its runs: nobody waits for
-// them.
+// EntryEnded stops the runs of an entry whose process has probably ended: nobody waits for them
+// then. An entry that lives links again, and must find all that it has ordered accounted for.
 func (r *Runner) EntryEnded(now time.Time, incarnation, why string) {
 	e := r.entry(incarnation)
 	if e == nil {
 		return
 	}
-	e.session.Down()
+	if e.session.IsUp() {
+		e.session.Down()
+		e.downAt = now
+	}
 	r.stopRunsOf(now, e, why)
-	r.entries = slices.DeleteFunc(r.entries, func(x *entry) bool { return x == e })
 }
 
 // stopRunsOf stops the runs of an entry that is no longer reachable. Its callers send their
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -699,3 +699,30 @@
 		t.Errorf("queued %v, want %v", got, want)
 	}
 }
+
+// An entry that lives refuses a connection, so that its agent stops its runs, and is linked again.
+// Guards against an agent that has forgotten its orders, which the entry then takes for orders that
+// have never arrived.
+func TestOrdersOfAnEntryTakenForEndedAreRemembered(t *testing.T) {
+	h := newHarness(t, "e1")
+	s := h.begin("e1", "t1", 1000)
+	h.r.LinkDown(h.now, "e1", 1)
+	h.r.EntryEnded(h.now, "e1", "refused")
+	if r := h.ready(); len(r.Stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(r.Stops))
+	}
+	g := h.r.Greeting(2)
+	if len(g.Met) != 1 || g.Met[0].Incarnation != "e1" || g.Met[0].SeenOrder != 1 {
+		t.Errorf("the greeting says %v, want order 1 of e1 as seen", g.Met)
+	}
+	h.r.LinkUp(h.now, h.now, &pb.EntryGreeting{Entry: "e1", Incarnation: "e1"}, 2, h.now.UnixNano())
+	h.r.StopAnswered(h.now, stopOf(s), h.clock())
+	h.end("t1", EndedStopped)
+	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_STOPPED, "")
+	h.r.LinkDown(h.now, "e1", 2)
+	h.r.EntryEnded(h.now, "e1", "ended")
+	h.wait(entryRetention + time.Second)
+	if len(h.r.entries) > 0 {
+		t.Error("an entry without link or runs is remembered for ever")
+	}
+}
--- a/node/runner/links.go
+++ b/node/runner/links.go
@@ -57,7 +57,6 @@
 	timeout.Stop()
 	if err != nil || first.GetHello() == nil {
 		if previous != "" && errors.Is(err, syscall.ECONNREFUSED) {
-			// Nothing listens at the entry's address: its process has ended.
 			e.entryEnded(t, previous, "nothing listens at the entry's address")
 		}
 		return false
@@ -71,7 +70,7 @@
 	return true
 }
 
-// entryEnded records that an entry process has ended.
+// entryEnded records that an entry process has probably ended.
 func (e *entries) entryEnded(t *target, incarnation, why string) {
 	e.mu.Lock()
 	t.incarnation = ""
