dispatcher: silence about an order isn't taken for proof that it was lost

An agent whose greeting doesn't name the entry remembers nothing of its orders; the entry took each of them for never received, and ordered the tasks elsewhere beside their runs, or answered 'not run'.

Cause: no mention of the entry counted like 'order 0 seen'. The first says nothing about the orders, the second does.

Evidence: TestOrdersSurviveAGreetingThatDoesNotNameTheEntry; before, the link is accepted and the order of a run that has started is given up at once.

--- a/dispatch/dispatcher/handshake_test.go
+++ b/dispatch/dispatcher/handshake_test.go
@@ -74,3 +74,38 @@
 		t.Errorf("links to close %v", r.Close)
 	}
 }
+
+// An agent's greeting doesn't name this entry, whose orders have begun there. Guards against an
+// entry that takes silence about an order for proof that it has never arrived.
+func TestOrdersSurviveAGreetingThatDoesNotNameTheEntry(t *testing.T) {
+	b := newFixture(t, "a", "other")
+	job := tasks(1, 3000, 5*time.Second)
+	job.TimeLimit = 30 * time.Second
+	b.mustSubmit(job)
+	o := b.orders()[0]
+	at := b.holder(o)
+	b.reportOrder(o, pb.OrderState_ORDER_STATE_STARTED, "", 0)
+	b.d.LinkDown(b.now, at.incarnation, at.epoch)
+	forgetful := func() (closed bool) {
+		at.epoch++
+		b.d.LinkUp(b.now, &pb.AgentGreeting{Agent: at.name, Incarnation: at.incarnation, FailureDomain: "hall", Epoch: at.epoch})
+		b.d.Step(b.now, at.incarnation, at.epoch, &pb.WorkerFrame{Seq: 1, State: at.currentState()})
+		return len(b.d.Ready(b.now).Close) == 1
+	}
+	if !forgetful() {
+		t.Error("the link is not refused")
+	}
+	for end := b.now.Add(b.times.RunsEndedAfter - 20*time.Millisecond); b.now.Before(end); {
+		b.advance(20 * time.Millisecond)
+		if n := len(b.orders()); n != 1 {
+			t.Fatalf("%d orders of one task whose run may go on", n)
+		}
+	}
+	b.advance(40 * time.Millisecond)
+	if n := len(b.orders()); n != 2 {
+		t.Errorf("%d orders, want another one once the run has ended", n)
+	}
+	if forgetful() {
+		t.Error("the link is refused though nothing is left there")
+	}
+}
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -66,6 +66,13 @@
 		}
 	}
 	a := d.agent(g.Incarnation)
+	if a != nil && len(a.live) > 0 && !d.isNamedBy(g.AgentGreeting) {
+		// What the agent doesn't remember may have begun there. The link is refused until its runs
+		// have certainly ended.
+		d.opts.OnDecision(Decision{Event: "late_greeting", Agent: g.Agent, Reason: "the agent has forgotten this entry", Waiting: len(a.live)})
+		d.ready.Close = append(d.ready.Close, g.Incarnation)
+		return
+	}
 	if a == nil {
 		a = &agent{name: g.Agent, incarnation: g.Incarnation, domain: g.FailureDomain, slowness: 1, speed: 1, loggedSpeed: 1, wakePos: indexheap.Absent}
 		d.agents = append(d.agents, a)
@@ -105,20 +112,25 @@
 	return next
 }
 
+// isNamedBy reports whether an agent's greeting says which orders of this entry it has received.
+func (d *Dispatcher) isNamedBy(g *pb.AgentGreeting) bool {
+	return slices.ContainsFunc(g.Met, func(m *pb.MetEntry) bool { return m.Incarnation == d.opts.Incarnation })
+}
+
 // reconcile compares the orders of an earlier link with what the agent says it has
 // received: an order that did not arrive never will, since the agent has closed that
 // link. Run ends that were lost with the link are reported again.
 func (d *Dispatcher) reconcile(now time.Time, a *agent, g *pb.AgentGreeting) {
-	seen, reason := uint64(0), "the agent has forgotten this entry"
+	seen := uint64(0)
 	for _, m := range g.Met {
 		if m.Incarnation == d.opts.Incarnation {
-			seen, reason = m.SeenOrder, "lost with its link"
+			seen = m.SeenOrder
 		}
 	}
 	for _, o := range slices.Clone(a.live) {
 		switch {
 		case o.number > seen:
-			d.handleRefusal(now, o, reason)
+			d.handleRefusal(now, o, "lost with its link")
 		case o.stopped:
 			a.pending.Stops = append(a.pending.Stops, o.number)
 		}
