runner: a report of another incarnation is checked before runs are lost

What callers saw: in the model, two runs of a task at a time; not seen on processes.

Cause: while the current incarnation didn't answer polls, any report with another identifier was taken for that of its successor. A late report of its predecessor looks the same; the runs of the current one, which lived, were reported as lost at once and its tasks ordered elsewhere. The class is that of: what can't be reached is taken for ended.

Fix: while runs are left, the incarnation that reports is polled first. If it answers, the current one has ended (one listens at the worker's address); if another one answers for it, the report was late; if none does, the lease ends the runs. A crashed worker's runs are lost when its successor answers.

Tests: TestReportOfAnotherIncarnationIsCheckedBeforeRunsAreLost; before, the run is reported as lost in all three cases.

--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -55,6 +55,8 @@
 // isCurrent reports whether a call was made to the current incarnation.
 func (r *Runner) isCurrent(l Incarnation) bool { return r.known && l == r.worker.Incarnation }
 
+func (r *Runner) isRival(l Incarnation) bool { return r.rival != nil && l == r.rival.Incarnation }
+
 // HandleReport handles a worker's report about itself. It returns false for a report of another
 // incarnation than the one that answers, and for one that is out of date.
 func (r *Runner) HandleReport(now time.Time, w Worker) bool {
@@ -73,6 +75,11 @@
 				// A delayed report of an incarnation that has ended: the current one answers.
 				return false
 			}
+			if r.Running() > 0 {
+				// Until one of the two answers, nothing shows which of them has ended.
+				r.rival, r.ready.Poll = &w, true
+				return false
+			}
 		}
 		r.handleSuperseded(now, "a new life of the worker reports")
 	}
@@ -136,13 +143,21 @@
 	}
 }
 
+// adoptRival makes the incarnation that has reported while the current one didn't answer the
+// current one.
+func (r *Runner) adoptRival(now time.Time, how string) {
+	w := *r.rival
+	r.handleSuperseded(now, how)
+	r.adoptWorker(now, w, "reports")
+}
+
 // adoptWorker makes an incarnation of a worker the current one.
 func (r *Runner) adoptWorker(now time.Time, w Worker, how string) {
 	restarted := w.StartUnixMs > 0 && w.ID == r.worker.ID
 	if w.Incarnation == r.worker.Incarnation {
 		how += " though it was taken for ended"
 	}
-	r.worker, r.known = w, true
+	r.worker, r.known, r.rival = w, true, nil
 	r.polled, r.failedPolls, r.unresponsive, r.refused, r.lastEndNumber, r.clock = false, 0, false, false, 0, 0
 	r.logDecision(now, Decision{Event: "worker_known", Reason: how + ": " + w.Incarnation.String()})
 	if restarted {
@@ -198,7 +213,7 @@
 		return
 	}
 	r.logDecision(now, Decision{Event: "worker_gone", Reason: how})
-	r.known, r.polled = false, false
+	r.known, r.polled, r.rival = false, false, nil
 	r.loseRuns(now, unresolved, why)
 	r.flushQueue(now)
 	r.markChanged()
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -462,3 +462,50 @@
 		})
 	}
 }
+
+// A report of another incarnation arrives while the current one, which has runs, doesn't answer.
+// Guards against an agent that takes a late report of an ended incarnation for that of a new one,
+// and reports the runs of a live worker as lost.
+func TestReportOfAnotherIncarnationIsCheckedBeforeRunsAreLost(t *testing.T) {
+	const lost = pb.OrderState_ORDER_STATE_LOST
+	for name, c := range map[string]struct {
+		then func(h *harness, l Poll)
+		want pb.OrderState
+	}{
+		"it has ended": {func(h *harness, l Poll) {
+			h.r.PollSuperseded(h.now, l)
+			h.wantNoNews("e1", 1, lost)
+			h.end("t1", EndedDone)
+		}, pb.OrderState_ORDER_STATE_DONE},
+		"it is the new one": {func(h *harness, l Poll) {
+			h.running = map[string]uint32{}
+			h.answer(l)
+		}, lost},
+		"neither answers": {func(h *harness, l Poll) {
+			h.refuseFor(h.leaseExpiry() - 100*time.Millisecond)
+			h.wantNoNews("e1", 1, lost)
+			h.refuseFor(120 * time.Millisecond)
+			if w, ok := h.r.Worker(); !ok || w.ID != "w0" {
+				h.t.Errorf("worker %v, want the one that has reported", w)
+			}
+		}, lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "e1")
+			h.begin("e1", "t1", 1000)
+			h.failPolls()
+			report := Worker{Incarnation: Incarnation{ID: "w0"}, Service: "s", Capacity: size.Size{CPUMillis: 4000, MemoryMB: 1000}}
+			h.r.HandleReport(h.now, report)
+			if !h.ready().Poll {
+				t.Error("no immediate poll follows")
+			}
+			h.wantNoNews("e1", 1, lost)
+			l, _ := h.r.NextPoll(h.now, true)
+			if l.Worker != report.Incarnation || l.Until != 0 {
+				t.Errorf("poll of %v with a lease until %v, want one of w0 without", l.Worker, l.Until)
+			}
+			c.then(h, l)
+			h.wantNews("e1", 1, c.want, "")
+		})
+	}
+}
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -135,6 +135,9 @@
 		return Poll{}, false
 	}
 	r.pollsSent++
+	if r.rival != nil {
+		return Poll{Worker: r.rival.Incarnation, Token: r.token, Slack: pollSlack, number: r.pollsSent, sent: now}, true
+	}
 	l := Poll{Worker: r.worker.Incarnation, Token: r.token, LastEnd: r.lastEndNumber, callSeq: r.callSeq, number: r.pollsSent, sent: now}
 	if r.unresponsive {
 		// The worker's next incarnation may answer. It numbers its ends anew, so none of them
@@ -170,6 +173,9 @@
 
 // PollAnswered handles the answer to a poll.
 func (r *Runner) PollAnswered(now time.Time, l Poll, s PollAnswer) {
+	if r.isRival(l.Worker) {
+		r.adoptRival(now, "a new life of the worker answers")
+	}
 	if !r.isCurrent(l.Worker) || !r.checkIncarnation(now, s.StartUnixMs) {
 		return
 	}
@@ -316,6 +322,10 @@
 
 // PollSuperseded handles a poll that another incarnation of the worker has answered.
 func (r *Runner) PollSuperseded(now time.Time, l Poll) {
+	if r.isRival(l.Worker) {
+		// The report was late: its incarnation has ended.
+		r.rival, r.ready.Poll = nil, true
+	}
 	if r.isCurrent(l.Worker) {
 		r.handleCrash(now, "another life of the worker answers")
 	}
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -35,8 +35,11 @@
 type Runner struct {
 	opts Options
 
-	worker       Worker
-	known        bool
+	worker Worker
+	known  bool
+	// rival is another incarnation that has reported while the current one didn't answer and has
+	// runs; nil if there is none.
+	rival        *Worker
 	polled       bool // this incarnation of the worker has answered a poll
 	failedPolls  int  // consecutive polls without an answer
 	unresponsive bool // so many of them that nothing may start
@@ -158,6 +161,9 @@
 		why = r.crashReason
 	}
 	r.loseRuns(now, unanswered, why)
+	if r.rival != nil {
+		r.adoptRival(now, "a new life of the worker reports")
+	}
 }
 
 // Next returns when Tick is due; zero means not before the next input.
