runner: runs of a worker that leaves go on until they end

Cause: the worker's announcement that it leaves was taken for its end. It sends the announcement and ends afterwards; until then its runs go on, and the agent had reported them as lost. Same class as: an announcement is no proof.

Fix: nothing starts there and no lease is renewed from the announcement on. The worker is forgotten once its runs have ended, by its own list, by the answer of another incarnation or by their lease. Workers drain for longer than usual tasks take, so few runs are left by then.

Test TestRunsOfALeavingWorkerGoOnUntilTheyEnd; before, the run is reported as lost at once.

--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -103,6 +103,7 @@
 		return false
 	}
 	before := r.worker
+	w.Draining = w.Draining || r.leaves
 	r.worker = w
 	if w.Draining != before.Draining {
 		r.logDecision(now, Decision{Event: "worker_draining", Reason: r.heldReason()})
@@ -157,7 +158,7 @@
 	if w.Incarnation == r.worker.Incarnation {
 		how += " though it was taken for ended"
 	}
-	r.worker, r.known, r.rival = w, true, nil
+	r.worker, r.known, r.leaves, r.rival = w, true, false, nil
 	r.polled, r.failedPolls, r.unresponsive, r.refused, r.lastEndNumber, r.clock = false, 0, false, false, 0, 0
 	r.logDecision(now, Decision{Event: "worker_known", Reason: how + ": " + w.Incarnation.String()})
 	if restarted {
@@ -196,16 +197,29 @@
 	return false
 }
 
-// HandleLeave records that a worker has announced its end. The message names no incarnation, so where
-// incarnations share an identifier it is applied only after the current one has reported that
+// HandleLeave records that a worker has announced its end. Runs that are left go on until it comes,
+// so their ends are waited for, without renewing their lease. The message names no incarnation, so
+// where incarnations share an identifier it is applied only after the current one has reported that
 // it drains.
 func (r *Runner) HandleLeave(now time.Time, id string) {
 	if !r.known || r.worker.ID != id || r.worker.StartUnixMs > 0 && !r.worker.Draining {
 		return
 	}
-	r.workerGone(now, "the worker left", unanswered, func(*run) string { return "the worker left" })
+	r.leaves, r.worker.Draining = true, true
+	r.flushQueue(now)
+	r.markChanged()
+	r.handleLeft(now)
+}
+
+// handleLeft forgets a worker that leaves once no runs are left on it.
+func (r *Runner) handleLeft(now time.Time) {
+	if r.leaves && r.Running() == 0 {
+		r.workerGone(now, reasonLeft, unanswered, func(*run) string { return reasonLeft })
+	}
 }
 
+const reasonLeft = "the worker left"
+
 // workerGone handles the end of the current incarnation. The function unresolved selects the
 // runs that a later incarnation may have started, or may still start; see mayStartLater.
 func (r *Runner) workerGone(now time.Time, how string, unresolved func(*run) bool, why func(*run) string) {
@@ -213,7 +227,7 @@
 		return
 	}
 	r.logDecision(now, Decision{Event: "worker_gone", Reason: how})
-	r.known, r.polled, r.rival = false, false, nil
+	r.known, r.polled, r.leaves, r.rival = false, false, false, nil
 	r.loseRuns(now, unresolved, why)
 	r.flushQueue(now)
 	r.markChanged()
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -509,3 +509,34 @@
 		})
 	}
 }
+
+// A worker says that it leaves while a run is left. Guards against an agent that reports the run as
+// lost while it goes on, and against one that renews its lease.
+func TestRunsOfALeavingWorkerGoOnUntilTheyEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		then func(h *harness)
+		want pb.OrderState
+	}{
+		"the run ends":     {func(h *harness) { h.end("t1", EndedDone) }, pb.OrderState_ORDER_STATE_DONE},
+		"the worker ends":  {func(h *harness) { h.refuseFor(h.leaseExpiry() + 10*time.Millisecond) }, pb.OrderState_ORDER_STATE_LOST},
+		"the lease lapses": {func(h *harness) { h.end("t1", EndedLapsed) }, pb.OrderState_ORDER_STATE_LOST},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "e1")
+			h.begin("e1", "t1", 1000)
+			h.r.HandleLeave(h.now, "w1")
+			h.ready()
+			h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_LOST)
+			h.order("e1", "t2", 1000)
+			h.wantNews("e1", 2, pb.OrderState_ORDER_STATE_REFUSED, ReasonNotAccepting)
+			if l, ok := h.r.NextPoll(h.now, true); !ok || l.Until != 0 {
+				t.Errorf("poll %v with a lease until %v, want one without", ok, l.Until)
+			}
+			c.then(h)
+			h.wantNews("e1", 1, c.want, "")
+			if _, known := h.r.Worker(); known {
+				t.Error("the worker is still known")
+			}
+		})
+	}
+}
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -144,9 +144,9 @@
 		// may be marked as seen.
 		l.LastEnd = 0
 	}
-	if r.clock > 0 && !r.hasOrphaned() && !r.unresponsive {
+	if r.clock > 0 && !r.hasOrphaned() && !r.unresponsive && !r.leaves {
 		// Leases are left to lapse for runs that can't be stopped: those of an earlier process,
-		// and those on an unresponsive worker, whose tasks may then run elsewhere.
+		// and those on a worker that is unresponsive or leaves, whose tasks may then run elsewhere.
 		l.Until = r.leaseEnd(now)
 		r.leaseRenewedAt = now
 	}
@@ -200,6 +200,7 @@
 		r.markChanged()
 	}
 	r.startQueued(now)
+	r.handleLeft(now)
 }
 
 func (r *Runner) handleEnd(now time.Time, e End) {
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -44,6 +44,7 @@
 	failedPolls  int  // consecutive polls without an answer
 	unresponsive bool // so many of them that nothing may start
 	refused      bool // a connection has been refused since the last answered poll
+	leaves       bool // the worker has announced its end
 	leaving      bool
 	token        uint64
 
@@ -161,6 +162,7 @@
 		why = r.crashReason
 	}
 	r.loseRuns(now, unanswered, why)
+	r.handleLeft(now)
 	if r.rival != nil {
 		r.adoptRival(now, "a new life of the worker reports")
 	}
