runner: a run that is listed after it was reported as lost is stopped

Cause: a run that the agent had reported as ended was ignored whenever the worker listed it, as if by an older poll. So a wrong conclusion, whatever its cause, was never corrected: the run wasn't stopped, its lease was renewed by the next polls, and its capacity counted as free.

Fix: polls are numbered. Only the answer to a poll that was sent before the report is taken for old; in any other, the run is handled like one of an earlier process: stopped, its lease not renewed, and nothing started until it has ended. This doesn't prevent a wrong conclusion; it bounds what follows.

Evidence: TestRunListedAfterItWasReportedAsLostIsStopped; before: no stop, the lease renewed, a task of 2,000 started beside 3,000 of 4,000 in use.

--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -540,3 +540,28 @@
 		})
 	}
 }
+
+// The worker lists a run that was reported as lost. Guards against an agent that lets it go on, beside
+// the run that was ordered in its place, and starts others in its capacity.
+func TestRunListedAfterItWasReportedAsLostIsStopped(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t1", 3000)
+	older, _ := h.r.NextPoll(h.now, true)
+	h.r.handleCrash(h.now, "test")
+	h.r.HandleReport(h.now, Worker{Incarnation: Incarnation{ID: "w1"}, Service: "s", Capacity: size.Size{CPUMillis: 4000, MemoryMB: 1000}})
+	h.answer(older)
+	if len(h.last.Stops) > 0 {
+		t.Error("a run is stopped because of a poll that was sent before its end was reported")
+	}
+	h.poll()
+	if len(h.last.Stops) != 1 || h.last.Stops[0].Task != "t1" {
+		t.Errorf("stops %v, want one of t1", h.last.Stops)
+	}
+	if l, _ := h.r.NextPoll(h.now, true); l.Until != 0 {
+		t.Errorf("the lease is renewed until %v", l.Until)
+	}
+	h.order("e1", "t2", 2000)
+	h.wantNews("e1", 2, pb.OrderState_ORDER_STATE_REFUSED, ReasonNotAccepting)
+	h.end("t1", EndedStopped)
+	h.begin("e1", "t3", 2000)
+}
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -227,7 +227,7 @@
 	}
 }
 
-// logLostRun logs that a run has been reported as lost, although the worker says otherwise.
+// logLostRun logs a run that has been reported as lost, although the worker says otherwise.
 func (r *Runner) logLostRun(now time.Time, task string, run uint32, what string) {
 	if e := r.recentRuns[task]; e.run == run && e.state == pb.OrderState_ORDER_STATE_LOST {
 		r.logDecision(now, Decision{Event: "lost_run_found", Task: task, Run: run, Reason: what})
@@ -241,14 +241,12 @@
 		x.listed = true
 	}
 	switch {
-	case x == nil && r.recentRuns[row.Task].run >= row.Run:
-		// The answer to an older poll, or a run that is being stopped.
-		if l.number > r.recentRuns[row.Task].pollsSent {
-			r.logLostRun(now, row.Task, row.Run, "is running")
-		}
+	case x == nil && r.recentRuns[row.Task].run >= row.Run && l.number <= r.recentRuns[row.Task].pollsSent:
+		// The poll was sent before the run was reported as ended.
 	case x == nil:
-		// An earlier process started it, or an abandoned order was carried out late. Its size
-		// is unknown, so nothing may start beside it.
+		// An earlier process started it, or an abandoned order was carried out late, or it was
+		// reported as lost by mistake. Its size is unknown, so nothing may start beside it.
+		r.logLostRun(now, row.Task, row.Run, "is running")
 		x = &run{task: row.Task, run: row.Run, orphaned: true, phase: stopping}
 		r.runs[x.task] = x
 		r.runList = append(r.runList, x)
