runner: an answer of the current worker settles a report of another one

Found by the review of before it was run anywhere: a late report of an ended incarnation set it as the one to be polled, and an answer of the current incarnation to a poll in flight left it so. From then on only the ended one was polled; if the worker fell silent, its runs were never reported as lost and new orders were accepted. Now that answer drops the other one. If it is a new incarnation after all, polls of the current one fail, and its next report is checked again.

TestWorkerThatAnswersAfterALateReportIsPolledOn; before: w0 is polled, and the run isn't reported in 0.9 s.

--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -565,3 +565,20 @@
 	h.end("t1", EndedStopped)
 	h.begin("e1", "t3", 2000)
 }
+
+// A late report of an ended incarnation is followed by an answer of the current one, which then
+// falls silent. Guards against an agent that goes on asking the ended incarnation only.
+func TestWorkerThatAnswersAfterALateReportIsPolledOn(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t1", 1000)
+	inFlight, _ := h.r.NextPoll(h.now, true)
+	h.failPolls()
+	h.r.HandleReport(h.now, Worker{Incarnation: Incarnation{ID: "w0"}, Service: "s", Capacity: size.Size{CPUMillis: 4000, MemoryMB: 1000}})
+	h.answer(inFlight)
+	if l, _ := h.r.NextPoll(h.now, true); l.Worker.ID != "w1" {
+		t.Errorf("poll of %v, want one of w1", l.Worker)
+	}
+	h.failPolls()
+	h.refuseFor(h.leaseExpiry() + 20*time.Millisecond)
+	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, "")
+}
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -179,6 +179,7 @@
 	if !r.isCurrent(l.Worker) || !r.checkIncarnation(now, s.StartUnixMs) {
 		return
 	}
+	r.rival = nil
 	r.updateClock(now, s.Clock)
 	r.polledAt = now
 	recovered := r.unresponsive || !r.polled
