dispatcher: refuse a forgetful agent until its orders have ended

Now links of that process are refused until no order is left at it.

The test dials again every 20 ms as such an agent does; before, the second dial was accepted. The log line is link_refused, as no process has ended.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -37,6 +37,7 @@
 	downAt    time.Time
 	abandoned bool // the jobs that can't wait for it have been answered
 	replaced  bool // another process of the agent has taken its place
+	forgetful bool // a greeting has left out this entry while orders were live
 	// handshakeAt is when the handshake of its link arrived.
 	handshakeAt time.Time
 
--- a/dispatch/dispatcher/handshake_test.go
+++ b/dispatch/dispatcher/handshake_test.go
@@ -86,9 +86,12 @@
 	at := b.holder(o)
 	b.reportOrder(o, pb.OrderState_ORDER_STATE_STARTED, "", 0)
 	b.d.LinkDown(b.now, at.incarnation, at.epoch)
+	var met []*pb.MetEntry
 	forgetful := func() (closed bool) {
 		at.epoch++
-		b.d.LinkUp(b.now, &pb.AgentGreeting{Agent: at.name, Incarnation: at.incarnation, FailureDomain: "hall", Epoch: at.epoch})
+		b.d.LinkUp(b.now, &pb.AgentGreeting{Agent: at.name, Incarnation: at.incarnation, FailureDomain: "hall", Epoch: at.epoch, Met: met})
+		// The reply makes the agent know the entry again, though not its orders.
+		met = []*pb.MetEntry{{Incarnation: "e1"}}
 		b.d.Step(b.now, at.incarnation, at.epoch, &pb.WorkerFrame{Seq: 1, State: at.currentState()})
 		return len(b.d.Ready(b.now).Close) == 1
 	}
@@ -97,7 +100,7 @@
 	}
 	for end := b.now.Add(b.times.RunsEndedAfter - 20*time.Millisecond); b.now.Before(end); {
 		b.advance(20 * time.Millisecond)
-		if n := len(b.orders()); n != 1 {
+		if n := len(b.orders()); n != 1 || !forgetful() {
 			t.Fatalf("%d orders of one task whose run may go on", n)
 		}
 	}
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -66,10 +66,11 @@
 		}
 	}
 	a := d.agent(g.Incarnation)
-	if a != nil && len(a.live) > 0 && !d.isNamedBy(g.AgentGreeting) {
-		// What the agent doesn't remember may have begun there. The link is refused until its runs
-		// have certainly ended.
-		d.opts.OnDecision(Decision{Event: "late_greeting", Agent: g.Agent, Reason: "the agent has forgotten this entry", Waiting: len(a.live)})
+	if a != nil && len(a.live) > 0 && (a.forgetful || !d.isNamedBy(g.AgentGreeting)) {
+		// What the agent doesn't remember may have begun there. Links are refused until these runs
+		// have certainly ended, since its later greetings leave them out, too.
+		a.forgetful = true
+		d.opts.OnDecision(Decision{Event: "link_refused", Agent: g.Agent, Reason: "the agent has forgotten this entry", Waiting: len(a.live)})
 		d.ready.Close = append(d.ready.Close, g.Incarnation)
 		return
 	}
@@ -80,7 +81,7 @@
 		d.health.Add(a.incarnation)
 	}
 	a.session.Up(now, g.Epoch, d.opts.Link)
-	a.lastSent, a.abandoned, a.handshakeAt, a.hasPredecessor = now, false, g.at, hasPredecessor
+	a.lastSent, a.abandoned, a.forgetful, a.handshakeAt, a.hasPredecessor = now, false, false, g.at, hasPredecessor
 	a.pending = pb.OrderFrame{}
 	a.entries, a.sendEntries, a.dirty = g.entries, false, true
 	d.recordExpedite(a, false)
