runner: a reported incarnation isn't forgotten, and its latest report counts

Four ways in which the incarnation that has reported while the current one is silent, or a worker that has announced its end, was handled wrongly:

- a call in flight to the current one was answered by another incarnation, or the lease expired after an announced end: the report was forgotten, and the agent knew no worker until the next one, up to 1.5 s later.
Whatever shows that the current one has ended now makes the reported one current;
- a late report replaced a later one, so that a worker that drains got work;
- its announcement that it leaves was ignored, with the same effect;
- the last run ended by a refused start: the worker was polled for ever.
What is left on it is looked at after each input.

'candidate' and 'endAnnounced' replace the names rival and leaves.

Tests: TestNextIncarnationIsKnownOnceTheCurrentOneHasEnded, TestNextIncarnationThatLeavesGetsNoWork, TestLeavingWorkerIsForgottenAfterItsLastStartIsRefused; before, all fail.

--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -55,7 +55,9 @@
 // isCurrent reports whether a call was made to the current incarnation.
 func (r *Runner) isCurrent(l Incarnation) bool { return r.known && l == r.worker.Incarnation }
 
-func (r *Runner) isRival(l Incarnation) bool { return r.rival != nil && l == r.rival.Incarnation }
+func (r *Runner) isCandidate(l Incarnation) bool {
+	return r.candidate != nil && l == r.candidate.Incarnation
+}
 
 // HandleReport handles a worker's report about itself. It returns false for a report of another
 // incarnation than the one that answers, and for one that is out of date.
@@ -76,8 +78,7 @@
 				return false
 			}
 			if r.Running() > 0 {
-				// Until one of the two answers, nothing shows which of them has ended.
-				r.rival, r.ready.Poll = &w, true
+				r.handleCandidate(w)
 				return false
 			}
 		}
@@ -103,7 +104,7 @@
 		return false
 	}
 	before := r.worker
-	w.Draining = w.Draining || r.leaves
+	w.Draining = w.Draining || r.endAnnounced
 	r.worker = w
 	if w.Draining != before.Draining {
 		r.logDecision(now, Decision{Event: "worker_draining", Reason: r.heldReason()})
@@ -144,12 +145,13 @@
 	}
 }
 
-// adoptRival makes the incarnation that has reported while the current one didn't answer the
-// current one.
-func (r *Runner) adoptRival(now time.Time, how string) {
-	w := *r.rival
-	r.handleSuperseded(now, how)
-	r.adoptWorker(now, w, "reports")
+// handleCandidate handles the report of another incarnation while the current one doesn't answer and
+// has runs. Until one of the two answers, nothing shows which of them has ended.
+func (r *Runner) handleCandidate(w Worker) {
+	if r.isCandidate(w.Incarnation) && w.Sequence < r.candidate.Sequence {
+		return
+	}
+	r.candidate, r.ready.Poll = &w, true
 }
 
 // adoptWorker makes an incarnation of a worker the current one.
@@ -158,7 +160,7 @@
 	if w.Incarnation == r.worker.Incarnation {
 		how += " though it was taken for ended"
 	}
-	r.worker, r.known, r.leaves, r.rival = w, true, false, nil
+	r.worker, r.known, r.endAnnounced, r.candidate = w, true, false, nil
 	r.polled, r.failedPolls, r.unresponsive, r.refused, r.lastEndNumber, r.clock = false, 0, false, false, 0, 0
 	r.logDecision(now, Decision{Event: "worker_known", Reason: how + ": " + w.Incarnation.String()})
 	if restarted {
@@ -193,7 +195,9 @@
 		return true
 	}
 	r.handleSuperseded(now, "another life of the worker answers")
-	r.worker.StartUnixMs = startMs
+	if !r.known {
+		r.worker.StartUnixMs = startMs
+	}
 	return false
 }
 
@@ -202,18 +206,21 @@
 // where incarnations share an identifier it is applied only after the current one has reported that
 // it drains.
 func (r *Runner) HandleLeave(now time.Time, id string) {
+	if r.candidate != nil && r.candidate.ID == id {
+		r.candidate = nil
+	}
 	if !r.known || r.worker.ID != id || r.worker.StartUnixMs > 0 && !r.worker.Draining {
 		return
 	}
-	r.leaves, r.worker.Draining = true, true
+	r.endAnnounced, r.worker.Draining = true, true
 	r.flushQueue(now)
 	r.markChanged()
 	r.handleLeft(now)
 }
 
-// handleLeft forgets a worker that leaves once no runs are left on it.
+// handleLeft forgets a worker that has announced its end once no runs are left on it.
 func (r *Runner) handleLeft(now time.Time) {
-	if r.leaves && r.Running() == 0 {
+	if r.endAnnounced && r.Running() == 0 {
 		r.workerGone(now, reasonLeft, unanswered, func(*run) string { return reasonLeft })
 	}
 }
@@ -227,10 +234,14 @@
 		return
 	}
 	r.logDecision(now, Decision{Event: "worker_gone", Reason: how})
-	r.known, r.polled, r.leaves, r.rival = false, false, false, nil
+	candidate := r.candidate
+	r.known, r.polled, r.endAnnounced, r.candidate = false, false, false, nil
 	r.loseRuns(now, unresolved, why)
 	r.flushQueue(now)
 	r.markChanged()
+	if candidate != nil {
+		r.adoptWorker(now, *candidate, "reports")
+	}
 }
 
 // loseRuns ends all runs, since nothing runs on the worker any more.
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -582,3 +582,79 @@
 	h.refuseFor(h.leaseExpiry() + 20*time.Millisecond)
 	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, "")
 }
+
+func reportOf(id string, sequence uint64, draining bool) Worker {
+	return Worker{Incarnation: Incarnation{ID: id}, Service: "s", Capacity: size.Size{CPUMillis: 4000, MemoryMB: 1000}, Sequence: sequence, Draining: draining}
+}
+
+// The next incarnation has reported, and then the current one is found to have ended. Guards against
+// an agent that has forgotten the report and knows no worker until the next one.
+func TestNextIncarnationIsKnownOnceTheCurrentOneHasEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after func(h *harness, l Poll, s Start)
+	}{
+		"a poll in flight says so":  {nil, func(h *harness, l Poll, _ Start) { h.r.PollSuperseded(h.now, l) }},
+		"a start in flight says so": {nil, func(h *harness, _ Poll, s Start) { h.r.StartAnswered(h.now, s, OtherIncarnation, 0, "") }},
+		"its lease has expired after it announced its end": {
+			func(h *harness, _ Poll, _ Start) { h.r.HandleLeave(h.now, "w1") },
+			func(h *harness, _ Poll, _ Start) { h.refuseFor(h.leaseExpiry() + 20*time.Millisecond) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "e1")
+			h.begin("e1", "t1", 1000)
+			h.order("e1", "t2", 1000)
+			s := h.last.Starts[0]
+			if c.before != nil {
+				c.before(h, Poll{}, s)
+			}
+			h.failPolls()
+			l, _ := h.r.NextPoll(h.now, true)
+			h.r.HandleReport(h.now, reportOf("w2", 1, false))
+			c.after(h, l, s)
+			h.ready()
+			if w, known := h.r.Worker(); !known || w.ID != "w2" {
+				t.Errorf("worker %v, known %v, want w2", w, known)
+			}
+			h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, "")
+		})
+	}
+}
+
+// The next incarnation reports, says that it leaves, and only then answers. Guards against starts on a
+// worker that leaves.
+func TestNextIncarnationThatLeavesGetsNoWork(t *testing.T) {
+	for name, leaves := range map[string]func(h *harness){
+		"an older report arrives late": func(h *harness) { h.r.HandleReport(h.now, reportOf("w2", 3, false)) },
+		"it announces its end":         func(h *harness) { h.r.HandleLeave(h.now, "w2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "e1")
+			h.begin("e1", "t1", 1000)
+			h.failPolls()
+			h.r.HandleReport(h.now, reportOf("w2", 5, name != "it announces its end"))
+			l, _ := h.r.NextPoll(h.now, true)
+			leaves(h)
+			h.running = map[string]uint32{}
+			h.answer(l)
+			h.order("e1", "t2", 1000)
+			if got := h.started(); len(got) > 0 {
+				t.Errorf("started %v", got)
+			}
+		})
+	}
+}
+
+// A worker announces its end, and the last start on it is refused. Guards against an agent that polls
+// the worker for ever.
+func TestLeavingWorkerIsForgottenAfterItsLastStartIsRefused(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.order("e1", "t1", 1000)
+	s := h.last.Starts[0]
+	h.r.HandleLeave(h.now, "w1")
+	h.r.StartAnswered(h.now, s, Refused, h.clock(), "late")
+	h.ready()
+	if _, known := h.r.Worker(); known {
+		t.Error("the worker is still known")
+	}
+}
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -135,8 +135,9 @@
 		return Poll{}, false
 	}
 	r.pollsSent++
-	if r.rival != nil {
-		return Poll{Worker: r.rival.Incarnation, Token: r.token, Slack: pollSlack, number: r.pollsSent, sent: now}, true
+	if r.candidate != nil {
+		// Only who answers matters: no lease is requested and no end marked as seen.
+		return Poll{Worker: r.candidate.Incarnation, Token: r.token, Slack: pollSlack, number: r.pollsSent, sent: now}, true
 	}
 	l := Poll{Worker: r.worker.Incarnation, Token: r.token, LastEnd: r.lastEndNumber, callSeq: r.callSeq, number: r.pollsSent, sent: now}
 	if r.unresponsive {
@@ -144,7 +145,7 @@
 		// may be marked as seen.
 		l.LastEnd = 0
 	}
-	if r.clock > 0 && !r.hasOrphaned() && !r.unresponsive && !r.leaves {
+	if r.clock > 0 && !r.hasOrphaned() && !r.unresponsive && !r.endAnnounced {
 		// Leases are left to lapse for runs that can't be stopped: those of an earlier process,
 		// and those on a worker that is unresponsive or leaves, whose tasks may then run elsewhere.
 		l.Until = r.leaseEnd(now)
@@ -173,13 +174,13 @@
 
 // PollAnswered handles the answer to a poll.
 func (r *Runner) PollAnswered(now time.Time, l Poll, s PollAnswer) {
-	if r.isRival(l.Worker) {
-		r.adoptRival(now, "a new life of the worker answers")
+	if r.isCandidate(l.Worker) {
+		r.handleSuperseded(now, "a new life of the worker answers")
 	}
 	if !r.isCurrent(l.Worker) || !r.checkIncarnation(now, s.StartUnixMs) {
 		return
 	}
-	r.rival = nil
+	r.candidate = nil
 	r.updateClock(now, s.Clock)
 	r.polledAt = now
 	recovered := r.unresponsive || !r.polled
@@ -201,7 +202,6 @@
 		r.markChanged()
 	}
 	r.startQueued(now)
-	r.handleLeft(now)
 }
 
 func (r *Runner) handleEnd(now time.Time, e End) {
@@ -322,9 +322,9 @@
 
 // PollSuperseded handles a poll that another incarnation of the worker has answered.
 func (r *Runner) PollSuperseded(now time.Time, l Poll) {
-	if r.isRival(l.Worker) {
+	if r.isCandidate(l.Worker) {
 		// The report was late: its incarnation has ended.
-		r.rival, r.ready.Poll = nil, true
+		r.candidate, r.ready.Poll = nil, true
 	}
 	if r.isCurrent(l.Worker) {
 		r.handleCrash(now, "another life of the worker answers")
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -37,14 +37,14 @@
 
 	worker Worker
 	known  bool
-	// rival is another incarnation that has reported while the current one didn't answer and has
+	// candidate is another incarnation that has reported while the current one didn't answer and has
 	// runs; nil if there is none.
-	rival        *Worker
+	candidate    *Worker
 	polled       bool // this incarnation of the worker has answered a poll
 	failedPolls  int  // consecutive polls without an answer
 	unresponsive bool // so many of them that nothing may start
 	refused      bool // a connection has been refused since the last answered poll
-	leaves       bool // the worker has announced its end
+	endAnnounced bool // the worker has announced its end
 	leaving      bool
 	token        uint64
 
@@ -162,9 +162,8 @@
 		why = r.crashReason
 	}
 	r.loseRuns(now, unanswered, why)
-	r.handleLeft(now)
-	if r.rival != nil {
-		r.adoptRival(now, "a new life of the worker reports")
+	if r.candidate != nil {
+		r.handleSuperseded(now, "a new life of the worker reports")
 	}
 }
 
@@ -195,6 +194,7 @@
 
 // Ready returns what has to be carried out since the last call.
 func (r *Runner) Ready(now time.Time) Ready {
+	r.handleLeft(now)
 	r.flush(now)
 	r.closeRetired()
 	out := r.ready
