runner: tasks are reported as crashing a worker only once it has ended

Fix: the runs whose lease expired while the worker was out of reach are remembered as suspects. They are reported when another incarnation shows that it has ended, and dropped when it answers. That holds for silent workers, too, whose crash wasn't reported at all before.

--- a/dispatch/runner/crash.go
+++ b/dispatch/runner/crash.go
@@ -37,18 +37,15 @@
 	if r.known && !r.worker.Draining {
 		r.recordCrashes(now)
 	}
-	why := r.crashReason
-	if r.worker.Draining {
-		why = func(*run) string { return how }
-	}
-	r.workerGone(now, how, unresolved, why)
-}
-
-func (r *Runner) crashReason(x *run) string {
-	if r.crashedAtStart(x) {
-		return ReasonCrashedAtStart
-	}
-	return ReasonCrashedLater
+	r.workerGone(now, how, unresolved, func(x *run) string {
+		switch {
+		case r.worker.Draining:
+			return how
+		case r.crashedAtStart(x):
+			return ReasonCrashedAtStart
+		}
+		return ReasonCrashedLater
+	})
 }
 
 // crashedAtStart reports whether the worker may have crashed soon after the run started.
@@ -57,7 +54,8 @@
 // recordCrashes reports to all entries the tasks during which the worker crashed, so that none
 // of them retries such a task as if it were harmless.
 func (r *Runner) recordCrashes(now time.Time) {
-	reports := r.crashReports()
+	reports := append(r.suspects, r.crashReports()...)
+	r.suspects = nil
 	for _, m := range reports {
 		r.crashes = append(r.crashes, crashRecord{now, m})
 	}
--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -161,7 +161,7 @@
 		how += " though it was taken for ended"
 	}
 	r.worker, r.known, r.endAnnounced, r.candidate = w, true, false, nil
-	r.polled, r.failedPolls, r.unresponsive, r.refused, r.lastEndNumber, r.clock = false, 0, false, false, 0, 0
+	r.polled, r.failedPolls, r.unresponsive, r.suspects, r.lastEndNumber, r.clock = false, 0, false, nil, 0, 0
 	r.logDecision(now, Decision{Event: "worker_known", Reason: how + ": " + w.Incarnation.String()})
 	if restarted {
 		r.fenceEarlierCalls()
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -184,7 +184,7 @@
 	r.updateClock(now, s.Clock)
 	r.polledAt = now
 	recovered := r.unresponsive || !r.polled
-	r.unresponsive, r.refused, r.polled, r.failedPolls = false, false, true, 0
+	r.unresponsive, r.polled, r.failedPolls, r.suspects = false, true, 0, nil
 	if l.sent.After(r.answeredPollSent) {
 		r.answeredPollSent = l.sent
 	}
@@ -339,7 +339,6 @@
 	}
 	r.failedPolls++
 	if refused {
-		r.refused = true
 		r.handleUnresponsive(now, "it refuses connections")
 		return
 	}
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -43,7 +43,6 @@
 	polled       bool // this incarnation of the worker has answered a poll
 	failedPolls  int  // consecutive polls without an answer
 	unresponsive bool // so many of them that nothing may start
-	refused      bool // a connection has been refused since the last answered poll
 	endAnnounced bool // the worker has announced its end
 	leaving      bool
 	token        uint64
@@ -73,7 +72,10 @@
 	entries     []*entry
 	evacuations evacuation.View
 	crashes     []crashRecord // of the last minute, oldest first
-	ready       Ready
+	// suspects are the tasks whose runs had a lease that expired while the worker was out of reach.
+	// If it turns out to have ended, it may have crashed under them.
+	suspects []*pb.TaskCrash
+	ready    Ready
 }
 
 // New returns a Runner without a worker.
@@ -156,12 +158,8 @@
 // handleLeaseExpired ends the runs of a worker that has been out of reach for longer than its lease
 // lasts: it has crashed, or has ended them by itself.
 func (r *Runner) handleLeaseExpired(now time.Time) {
-	why := func(*run) string { return "the lease has lapsed" }
-	if r.refused && !r.worker.Draining {
-		r.recordCrashes(now)
-		why = r.crashReason
-	}
-	r.loseRuns(now, unanswered, why)
+	r.suspects = append(r.suspects, r.crashReports()...)
+	r.loseRuns(now, unanswered, func(*run) string { return "the lease has lapsed" })
 	if r.candidate != nil {
 		r.handleSuperseded(now, "a new life of the worker reports")
 	}
