runner: an entry that refuses connections keeps its runs

What callers saw: jobs answered late or not at all while entries refused their agents for moments.

Fix: the driver draws nothing from a refused connection. Runs of an entry that has ended are stopped when another process answers at its address, when it has said so itself, or after EntryTimeout like those of any silent entry. The promise doesn't depend on an earlier stop: RenewalLimit holds whatever fails.

--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -141,8 +141,7 @@
 	}
 }
 
-// EntryEnded stops the runs of an entry whose process has probably ended: nobody waits for them
-// then. An entry that lives links again, and must find all that it has ordered accounted for.
+// EntryEnded stops the runs of an entry whose process has ended: nobody waits for them.
 func (r *Runner) EntryEnded(now time.Time, incarnation, why string) {
 	e := r.entry(incarnation)
 	if e == nil {
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -700,9 +700,8 @@
 	}
 }
 
-// An entry that lives refuses a connection, so that its agent stops its runs, and is linked again.
-// Guards against an agent that has forgotten its orders, which the entry then takes for orders that
-// have never arrived.
+// An entry is taken for ended, and is linked again. Guards against an agent that has forgotten its
+// orders, which the entry then takes for orders that have never arrived.
 func TestOrdersOfAnEntryTakenForEndedAreRemembered(t *testing.T) {
 	h := newHarness(t, "e1")
 	s := h.begin("e1", "t1", 1000)
--- a/node/runner/links.go
+++ b/node/runner/links.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -56,9 +55,6 @@
 	}
 	timeout.Stop()
 	if err != nil || first.GetHello() == nil {
-		if previous != "" && errors.Is(err, syscall.ECONNREFUSED) {
-			e.entryEnded(t, previous, "nothing listens at the entry's address")
-		}
 		return false
 	}
 	e.addAddresses(first.Entries)
@@ -70,7 +66,7 @@
 	return true
 }
 
-// entryEnded records that an entry process has probably ended.
+// entryEnded records that an entry process has ended.
 func (e *entries) entryEnded(t *target, incarnation, why string) {
 	e.mu.Lock()
 	t.incarnation = ""
