site: relays can refuse connections while their backend runs on

Cause: a relay could close its connections, but its port always had a listener.

Change: Refuse closes the listener and resets both ends of each connection; Listen binds the same address again, retries within a timeout, and returns ErrStart if it can't. Refusals that overlap end with the last. A connection that was accepted by a listener closed since is reset instead of served.

--- a/cmd/internal/site/relay.go
+++ b/cmd/internal/site/relay.go
@@ -12,11 +12,14 @@
 // Relay forwards TCP connections to a backend and can inject network faults. It
 // is safe for concurrent use.
 type Relay struct {
-	ln      net.Listener
+	address string
 	backend atomic.Pointer[string]
 	delay   atomic.Int64 // one way, in nanoseconds
 
 	mu          sync.Mutex
+	ln          net.Listener // nil while connections are refused
+	refusals    int          // calls of Refuse without a Listen
+	stopped     bool
 	conns       map[*relayedConn]struct{}
 	lastNumber  int // number of the newest connection
 	partitioned bool
@@ -95,14 +98,14 @@
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "relay")
 	}
-	r := &Relay{ln: ln, conns: make(map[*relayedConn]struct{})}
+	r := &Relay{address: ln.Addr().String(), ln: ln, conns: make(map[*relayedConn]struct{})}
 	r.SetDelay(delay)
-	go r.accept()
+	go r.accept(ln)
 	return r, nil
 }
 
 // Address returns the relay's listen address.
-func (r *Relay) Address() string { return r.ln.Addr().String() }
+func (r *Relay) Address() string { return r.address }
 
 // SetBackend sets the backend of new connections.
 func (r *Relay) SetBackend(address string) { r.backend.Store(&address) }
@@ -173,25 +176,83 @@
 	}
 }
 
+// Refuse closes the listener and resets every open connection, both its ends, so
+// that new connections are refused while the backend runs on. Each call needs a
+// call of Listen.
+func (r *Relay) Refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusals++
+	r.stopListening()
+	for c := range r.conns {
+		c.reset()
+	}
+}
+
+func (r *Relay) stopListening() {
+	if r.ln != nil {
+		_ = r.ln.Close()
+		r.ln = nil
+	}
+}
+
+// listenRetryInterval is the time between two attempts to listen again.
+const listenRetryInterval = 5 * time.Millisecond
+
+// Listen ends one call of Refuse. After the last, the relay listens again at its
+// address; if it can't within the timeout, Listen returns an ErrStart.
+func (r *Relay) Listen(timeout time.Duration) error {
+	r.mu.Lock()
+	r.refusals--
+	r.mu.Unlock()
+	for end := time.Now().Add(timeout); ; time.Sleep(listenRetryInterval) {
+		err := r.tryListen()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return ErrStart.Wrap(err, "relay listens again")
+		}
+	}
+}
+
+func (r *Relay) tryListen() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopped || r.refusals > 0 || r.ln != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.ln = ln
+	go r.accept(ln)
+	return nil
+}
+
 // Close stops the relay and closes its connections.
 func (r *Relay) Close() {
-	_ = r.ln.Close()
+	r.mu.Lock()
+	r.stopped = true
+	r.stopListening()
+	r.mu.Unlock()
 	r.CloseConnections()
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(ln net.Listener) {
 	for {
-		front, err := r.ln.Accept()
+		front, err := ln.Accept()
 		if err != nil {
 			return
 		}
-		go r.serve(front)
+		go r.serve(ln, front)
 	}
 }
 
 const relayDialTimeout = time.Second
 
-func (r *Relay) serve(front net.Conn) {
+func (r *Relay) serve(ln net.Listener, front net.Conn) {
 	c := &relayedConn{front: front, closed: make(chan struct{})}
 	r.mu.Lock()
 	c.discarding.Store(r.partitioned)
@@ -203,21 +264,29 @@
 		_ = front.Close()
 		return
 	}
-	r.add(c)
+	if !r.add(c, ln) {
+		c.reset()
+		return
+	}
 	c.forwardBoth(&r.delay)
 	r.mu.Lock()
 	delete(r.conns, c)
 	r.mu.Unlock()
 }
 
-// add registers the connection, so that the relay's faults apply to it.
-func (r *Relay) add(c *relayedConn) {
+// add registers the connection, so that the relay's faults apply to it. It returns
+// false if the listener that accepted it has been closed since.
+func (r *Relay) add(c *relayedConn, ln net.Listener) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ln != ln {
+		return false
+	}
 	r.lastNumber++
 	c.number = r.lastNumber
 	c.hold(r.held)
 	r.conns[c] = struct{}{}
+	return true
 }
 
 // forwardBoth forwards bytes until one side closes.
@@ -233,16 +302,28 @@
 	wg.Wait()
 }
 
-func (c *relayedConn) close() {
+func (c *relayedConn) close() { c.closeOnce.Do(c.closeEnds) }
+
+// reset closes both ends with a TCP reset, which discards bytes in transit.
+func (c *relayedConn) reset() {
 	c.closeOnce.Do(func() {
-		close(c.closed)
-		_ = c.front.Close()
-		if c.back != nil {
-			_ = c.back.Close()
+		for _, end := range []net.Conn{c.front, c.back} {
+			if tcp, ok := end.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
 		}
+		c.closeEnds()
 	})
 }
 
+func (c *relayedConn) closeEnds() {
+	close(c.closed)
+	_ = c.front.Close()
+	if c.back != nil {
+		_ = c.back.Close()
+	}
+}
+
 // chunk is data in transit, to be written at the given time.
 type chunk struct {
 	at   time.Time
--- a/cmd/internal/site/relay_test.go
+++ b/cmd/internal/site/relay_test.go
@@ -1,11 +1,15 @@
 package site
 
 import (
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // startEchoServer serves connections that return what they receive.
@@ -92,3 +96,121 @@
 		<-done
 	})
 }
+
+// newRefusingRelay returns a relay at an address from which no connection is made, so
+// that its port isn't taken while it refuses.
+func newRefusingRelay(t *testing.T) *Relay {
+	t.Helper()
+	r, err := NewRelayAt("127.0.0.2:0", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// openConnection connects through the relay and waits until the backend has answered.
+func openConnection(t *testing.T, r *Relay) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func refusesConnections(r *Relay) bool {
+	c, err := net.Dial("tcp", r.Address())
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// A port without a listener refuses new connections and resets open ones. A relay
+// that closes them in order would look like a process that answers.
+func TestRelayRefusesAndResetsConnections(t *testing.T) {
+	r := newRefusingRelay(t)
+	r.SetBackend(startEchoServer(t))
+	address, open := r.Address(), openConnection(t, r)
+	r.Refuse()
+	if _, err := open.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("open connection: %v, want a reset", err)
+	}
+	if !refusesConnections(r) {
+		t.Error("accepted a connection while refusing")
+	}
+	if err := r.Listen(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if r.Address() != address {
+		t.Errorf("listens at %s, before at %s", r.Address(), address)
+	}
+	openConnection(t, r)
+}
+
+// Of two overlapping refusals, the end of the shorter must not end the other.
+func TestRelayRefusesUntilLastListen(t *testing.T) {
+	r := newRefusingRelay(t)
+	r.SetBackend(startEchoServer(t))
+	r.Refuse()
+	r.Refuse()
+	if err := r.Listen(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if !refusesConnections(r) {
+		t.Error("the first of two Listen ended both refusals")
+	}
+	if err := r.Listen(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	openConnection(t, r)
+}
+
+// A connection that is accepted just before a refusal must not survive it.
+func TestRelayResetsConnectionAcceptedBeforeRefusal(t *testing.T) {
+	r := newRefusingRelay(t)
+	accepting := r.ln
+	r.Refuse()
+	if err := r.Listen(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if r.add(&relayedConn{}, accepting) {
+		t.Error("a connection of the earlier listener was added")
+	}
+}
+
+// A relay that can't listen again must say so, or the rest of a run would pass
+// without its link.
+func TestRelayListenReportsTakenAddress(t *testing.T) {
+	r := newRefusingRelay(t)
+	r.Refuse()
+	taken, err := net.Listen("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	if err := r.Listen(0); !errorx.IsOfType(err, ErrStart) {
+		t.Errorf("error %v, want ErrStart", err)
+	}
+}
+
+// A relay that is closed during a refusal must not listen again and leak its port.
+func TestRelayStaysClosedAfterRefusal(t *testing.T) {
+	r := newRefusingRelay(t)
+	r.Refuse()
+	r.Close()
+	if err := r.Listen(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if !refusesConnections(r) {
+		t.Error("a closed relay listens again")
+	}
+}
