soak: links refuse connections while both processes live

Cause: users saw two runs of a task at a time. A live process whose port has no listener for a moment is one way to get there, and the soak never refused a connection: its relays always listened.

Change: action refuse_link. For its length the relay of a path refuses new connections and resets open ones, then listens again at the same address; one that can't within 2 s is a finding. Each fault period has series of up to three, 25 ms to 2 s long and mostly short, four in nine on the path from agent to worker, two in nine from nodes to an entry, the others on the three other paths.

TestShortSoak (seed 1, small, 20 s) fails with this action on in 2 of 2 runs with -race: 2 and 1 findings, two runs of a task at a time. It is left as it is and passes again only with a fix.

--- a/cmd/internal/soak/checker.go
+++ b/cmd/internal/soak/checker.go
@@ -31,6 +31,9 @@
 	promiseStop      = "a planned stop cuts nothing and ends"
 	promiseStaysUp   = "a process doesn't end by itself"
 	promiseRecovered = "served again after the faults"
+	// promiseRelays concerns the soak itself: faults that aren't reverted would void
+	// the other checks.
+	promiseRelays = "a relay listens again after a refusal"
 )
 
 // workerIncarnation is one incarnation of a worker.
--- a/cmd/internal/soak/inject.go
+++ b/cmd/internal/soak/inject.go
@@ -32,7 +32,7 @@
 		return i.processes(a)
 	case CrashWorker, DrainWorker, FailRuns, StallRuns, LoseCalls, ResizeWorker:
 		return i.worker(a, i.c.hosts[a.Worker])
-	case HoldLink, ResetLink, SlowLink:
+	case HoldLink, ResetLink, SlowLink, RefuseLink:
 		return i.link(a)
 	case StoreFails, ForgetChanges:
 		i.store(a)
@@ -120,6 +120,9 @@
 // be considered lost.
 const slowLinkDelay = 40 * time.Millisecond
 
+// relistenTimeout is how long a relay may take to listen again after a refusal.
+const relistenTimeout = 2 * time.Second
+
 func (i *injector) link(a Action) bool {
 	r := i.c.nodes()[a.Process].relays[a.Path]
 	if r == nil {
@@ -133,6 +136,9 @@
 	case SlowLink:
 		r.SetDelay(slowLinkDelay)
 		defer r.SetDelay(0)
+	case RefuseLink:
+		r.Refuse()
+		defer i.listen(a, r)
 	default:
 		r.Hold(site.Direction(a.Arg), a.Every)
 		defer r.Release()
@@ -141,6 +147,12 @@
 	return true
 }
 
+func (i *injector) listen(a Action, r *site.Relay) {
+	if err := r.Listen(relistenTimeout); err != nil {
+		i.c.checker.AddFinding(i.c.since(), promiseRelays, "%s at %s still refuses connections: %v", a.Path, r.Address(), err)
+	}
+}
+
 func (i *injector) store(a Action) {
 	if a.Kind == ForgetChanges {
 		i.c.store.Compact()
--- a/cmd/internal/soak/schedule.go
+++ b/cmd/internal/soak/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -66,9 +67,10 @@
 	StoreFails    Kind = "store_fails" // Arg selects the fault
 	ForgetChanges Kind = "store_forgets_changes"
 
-	HoldLink  Kind = "hold_link" // bytes are delivered late
-	ResetLink Kind = "reset_link"
-	SlowLink  Kind = "slow_link"
+	HoldLink   Kind = "hold_link" // bytes are delivered late
+	ResetLink  Kind = "reset_link"
+	SlowLink   Kind = "slow_link"
+	RefuseLink Kind = "refuse_link" // connections are reset and new ones refused
 
 	NewVersion        Kind = "new_version"
 	OldVersion        Kind = "old_version"        // an operator writes an older version again
@@ -143,6 +145,11 @@
 	evacuationLength = configurationBound + 1500*time.Millisecond
 	// maxFaultLength is the longest duration of one fault.
 	maxFaultLength = 3 * time.Second
+	// minRefusalLength and maxRefusalLength bound how long a link refuses connections.
+	minRefusalLength = 25 * time.Millisecond
+	maxRefusalLength = 2 * time.Second
+	// meanRefusalGap is the mean time between two series of refusals at the usual size.
+	meanRefusalGap = 1500 * time.Millisecond
 	// meanSeriesGap is the mean time between two series of faults at the usual size.
 	// Larger sites get more faults, in proportion to their workers.
 	meanSeriesGap = 700 * time.Millisecond
@@ -158,7 +165,7 @@
 	if least := warmUp + faultPeriodLength/2 + calmSpanLength; duration < least {
 		return Schedule{}, ErrOptions.New("duration %v; the minimum is %v", duration, least)
 	}
-	p := planner{rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3)), size, Schedule{Seed: seed, Duration: duration, Size: size.Name}}
+	p := planner{rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4)), size, Schedule{Seed: seed, Duration: duration, Size: size.Name}}
 	at := warmUp
 	for at+faultPeriodLength/2+calmSpanLength <= duration {
 		length := faultPeriodLength/2 + p.randomDuration(faultPeriodLength/2)
@@ -181,7 +188,9 @@
 	// on it.
 	evacuations *rand.Rand
 	// resizes has its own source for the same reason.
-	resizes  *rand.Rand
+	resizes *rand.Rand
+	// refusals has its own source for the same reason.
+	refusals *rand.Rand
 	size     Size
 	schedule Schedule
 }
@@ -195,7 +204,7 @@
 // faultPeriod fills a span with overlapping series of faults, all of which end
 // within it.
 func (p *planner) faultPeriod(from, to time.Duration) {
-	gap := max(minSeriesGap, meanSeriesGap*time.Duration(sizes[1].Workers)/time.Duration(max(p.size.Workers, sizes[1].Workers)))
+	gap := p.seriesGap(meanSeriesGap)
 	for at := from; ; {
 		at += time.Duration(p.rand.ExpFloat64() * float64(gap))
 		if at >= to {
@@ -213,6 +222,61 @@
 		at := from + time.Duration(p.evacuations.Int64N(int64(to-from)))
 		p.evacuate(at, to-at, false)
 	}
+	p.refuseLinks(from, to)
+}
+
+// seriesGap scales the mean time between two series of faults to the size.
+func (p *planner) seriesGap(usual time.Duration) time.Duration {
+	return max(minSeriesGap, usual*time.Duration(sizes[1].Workers)/time.Duration(max(p.size.Workers, sizes[1].Workers)))
+}
+
+// refuseLinks adds series of up to three refusals, which may overlap.
+func (p *planner) refuseLinks(from, to time.Duration) {
+	r, gap := p.refusals, float64(p.seriesGap(meanRefusalGap))
+	for at := from; ; {
+		at += time.Duration(r.ExpFloat64() * gap)
+		if at >= to {
+			return
+		}
+		a, same, next := p.refusal(), r.IntN(2) == 0, at
+		for range 1 + r.IntN(3) {
+			a.At, a.For = next, min(p.refusalLength(), max(to-next, time.Millisecond))
+			p.add(a)
+			next += time.Duration((0.5 + r.Float64()) * float64(a.For))
+			if next >= to {
+				break
+			}
+			if !same {
+				a = p.refusal()
+			}
+		}
+	}
+}
+
+// refusalLength returns a length whose logarithm is uniformly distributed, so most
+// are short.
+func (p *planner) refusalLength() time.Duration {
+	ratio := float64(maxRefusalLength) / float64(minRefusalLength)
+	return time.Duration(float64(minRefusalLength) * math.Pow(ratio, p.refusals.Float64()))
+}
+
+// refusedPaths lists the paths that can refuse connections; a path is chosen as often
+// as it is listed.
+var refusedPaths = []Path{
+	AgentToWorker, AgentToWorker, AgentToWorker, AgentToWorker, NodesToEntry, NodesToEntry,
+	CallersToEntry, ProcessToStore, WorkerToAgent,
+}
+
+func (p *planner) refusal() Action {
+	r := p.refusals
+	a := Action{Kind: RefuseLink, Path: refusedPaths[r.IntN(len(refusedPaths))], Worker: r.IntN(p.size.Workers)}
+	switch a.Path {
+	case CallersToEntry, NodesToEntry:
+		a.Process = r.IntN(p.size.Entries)
+	case ProcessToStore:
+		a.Process = r.IntN(p.size.Entries + p.size.Workers)
+	}
+	return a
 }
 
 func (p *planner) evacuate(at, lasts time.Duration, calm bool) {
