entry: a machine's suspension counts against the announcement

What callers would see: a job with a key made by the caller runs twice. Found by the review of related paths (not seen by callers).

Cause: the entry compared the end of its announcement with time.Now, whose monotonic reading stands still while the machine is suspended. The announcement lapses in the store meanwhile, others serve its keys, and after the resumption the entry took it for valid and served them too. It didn't even read the list again after the next renewal.

Evidence: TestResumedEntryServesNoKeys, 40 s of suspension with an announcement of 30 s; with a clock that doesn't count them: status 200 for both keys sent afterwards, list not read, 3 starts instead of 1.

Fix: membership gives the end of the announcement by node/clock, which counts suspension, read before the call to the store, and the entry judges it by the same clock under the lock under which a key is decided. All other times stay those of the wall clock, since keys are compared with the clocks of callers. TestAnnouncementEndsByClockOfTheEntry holds both to one clock: with time.Now in membership, the announcement ends 262,967 h ahead.

Contract shares are still judged by the monotonic clock (membership.md, "Left open"): no second run, but a limit may be exceeded.

--- a/dispatch/keyhome/doc.go
+++ b/dispatch/keyhome/doc.go
@@ -25,5 +25,6 @@
 //
 // A Resolver does no I/O, reads no clock, and must not be used by several goroutines
 // concurrently. Times are those of the local wall clock. Clocks of callers and
-// entries may differ by up to Skew.
+// entries may differ by up to Skew. Only the announcement is judged by a clock of its own,
+// which must count the time during which the machine is suspended: the service does.
 package keyhome
--- a/dispatch/keyhome/keyhome.go
+++ b/dispatch/keyhome/keyhome.go
@@ -37,7 +37,8 @@
 	self    string
 	members map[string]*member
 
-	announcedUntil time.Time
+	announced      bool      // the announcement is valid
+	announcedUntil time.Time // by a clock that counts suspension
 	listedAt       time.Time // when the first list since the announcement was received; zero if none
 	ownsSince      time.Time // keys first sent after this time may be owned; zero if none yet
 }
@@ -60,16 +61,24 @@
 }
 
 // AnnouncementRenewed records that the announcement is valid until the given time, counted
-// from before the call that renewed it. It reports whether the list must be read.
+// from before the call that renewed it. It reports whether the list must be read. Both
+// times are those of a clock that counts suspension.
 func (d *Resolver) AnnouncementRenewed(now, until time.Time) (list bool) {
-	if !now.Before(d.announcedUntil) {
+	d.ExpireAnnouncement(now)
+	if !d.announced {
 		// It may have lapsed, and the other entries have excluded this one.
 		d.listedAt, d.ownsSince = time.Time{}, time.Time{}
 	}
-	d.announcedUntil = until
+	d.announced, d.announcedUntil = true, until
 	return d.listedAt.IsZero()
 }
 
+// ExpireAnnouncement ends the announcement once it may have lapsed. Now is the time of the
+// clock given to AnnouncementRenewed. It must be called before each Home.
+func (d *Resolver) ExpireAnnouncement(now time.Time) {
+	d.announced = d.announced && now.Before(d.announcedUntil)
+}
+
 // ApplyList applies the whole list of announced entries. ReadAt is a time before the
 // call that read the list and after AnnouncementRenewed. Call ApplyList also when an announcement
 // is reported to be gone.
@@ -192,7 +201,7 @@
 	switch {
 	case home != d.self && d.members[home].removedAt.IsZero():
 		return Remote, home
-	case home != d.self || d.ownsSince.IsZero() || from.Before(d.ownsSince) || !now.Before(d.announcedUntil):
+	case home != d.self || d.ownsSince.IsZero() || from.Before(d.ownsSince) || !d.announced:
 		return Unknown, ""
 	}
 	return Local, d.self
--- a/dispatch/keyhome/keyhome_test.go
+++ b/dispatch/keyhome/keyhome_test.go
@@ -159,6 +159,7 @@
 		if !w.up(p) {
 			return
 		}
+		p.resolver.ExpireAnnouncement(w.clock(p))
 		verdict, home := p.resolver.Home(w.clock(p), key, firstSent)
 		switch verdict {
 		case keyhome.Local:
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/entry"
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
+	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 	"github.com/papayahoist/papayahoist/platform/retry"
@@ -44,6 +45,9 @@
 	Hello *pb.EntryHello
 	// Listen addresses, each an IP and a port.
 	CallersListen, NodesListen, OperatorsListen string
+	// LeaseClock returns the time by which the announcement in the store is judged. It
+	// must count the time during which the machine is suspended. Default clock.Now.
+	LeaseClock func() time.Time
 	// Contract returns the contract in force, or nil. It must not block.
 	Contract func(name string) *pb.Contract
 	// Peers returns the live entries. It must not block.
@@ -128,6 +132,9 @@
 // called. Its addresses are known from then on.
 func New(opts Options) (*Entry, error) {
 	opts.DrainTimeout = cmp.Or(opts.DrainTimeout, DefaultDrainTimeout)
+	if opts.LeaseClock == nil {
+		opts.LeaseClock = clock.Now
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewEntry(prometheus.NewRegistry(), metrics.Options{Role: "entry"})
 	}
@@ -285,6 +292,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
+	e.core.KeyResolver().ExpireAnnouncement(e.opts.LeaseClock())
 	input(now)
 	ready := e.core.Ready(now)
 	for _, d := range ready.Dials {
--- a/node/entry/keys_test.go
+++ b/node/entry/keys_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/node/entry"
 )
 
@@ -31,7 +32,7 @@
 func handshake(members ...member) {
 	var all []string
 	for _, m := range members {
-		m.AnnouncementRenewed(time.Now().Add(time.Hour))
+		m.AnnouncementRenewed(clock.Now().Add(time.Hour))
 		all = append(all, m.incarnation)
 	}
 	for _, m := range members {
@@ -115,3 +116,43 @@
 		t.Errorf("status %d, %+v without the time when it was first sent, want outcome unknown", status, out)
 	}
 }
+
+// A machine is suspended until its announcement has lapsed, and is resumed before it renews
+// that. Others serve its keys by then: if it served them too, jobs would run twice.
+func TestResumedEntryServesNoKeys(t *testing.T) {
+	var suspended atomic.Int64
+	leaseClock := func() time.Time { return clock.Now().Add(time.Duration(suspended.Load())) }
+	s := newSite(t)
+	e := s.entryWith("e1", func() []*pb.Peer { return nil }, leaseClock)
+	ep := newBlockingEndpoint()
+	close(ep.released)
+	s.agent(e, "", ep)
+	announce := func() bool {
+		list := e.AnnouncementRenewed(leaseClock().Add(30 * time.Second))
+		if list {
+			e.ApplyList(time.Now(), nil)
+		}
+		return list
+	}
+	announce()
+	sent := time.Now().Add(keySkew + 10*time.Millisecond)
+	for sent.After(time.Now().Add(keySkew)) {
+		token(t, e)
+	}
+	if status, out := submitKey(t, e, "serial-1", sent); status != http.StatusOK {
+		t.Fatalf("status %d, %+v while the announcement is valid", status, out)
+	}
+	suspended.Store(int64(40 * time.Second))
+	if status, out := submitKey(t, e, "serial-2", sent); status == http.StatusOK || out.Outcome != jobs.OutcomeUnknown {
+		t.Errorf("status %d, %+v after the suspension, want outcome unknown", status, out)
+	}
+	if !announce() {
+		t.Error("the list is not read again after the announcement had lapsed")
+	}
+	if status, out := submitKey(t, e, "serial-3", sent); status == http.StatusOK || out.Outcome != jobs.OutcomeUnknown {
+		t.Errorf("status %d, %+v for a key sent before the announcement was renewed, want outcome unknown", status, out)
+	}
+	if n := ep.starts.Load(); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -93,12 +93,12 @@
 }
 
 // AnnouncementRenewed records that the entry's announcement in the store is valid until the
-// given time, which is counted from before the call to the store. It returns true
-// if the list of entries must be read from the store and applied.
+// given time of Options.LeaseClock, which is counted from before the call to the store. It
+// returns true if the list of entries must be read from the store and applied.
 func (e *Entry) AnnouncementRenewed(until time.Time) (list bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.core.KeyResolver().AnnouncementRenewed(time.Now(), until)
+	return e.core.KeyResolver().AnnouncementRenewed(e.opts.LeaseClock(), until)
 }
 
 // ApplyList applies the complete list of entries in the store, read in a call that
--- a/node/entry/unresponsive_test.go
+++ b/node/entry/unresponsive_test.go
@@ -162,13 +162,17 @@
 }
 
 func (s *site) entry(name string, peers func() []*pb.Peer) *entry.Entry {
+	return s.entryWith(name, peers, nil)
+}
+
+func (s *site) entryWith(name string, peers func() []*pb.Peer, leaseClock func() time.Time) *entry.Entry {
 	contract := &pb.Contract{
 		Name: "desk", Waiting: 1000, DefaultTimeoutMs: 20_000, Class: pb.Class_CLASS_NORMAL, Weight: 1,
 		Rate: 10_000, Burst: 1000, Concurrency: 100, MemoryBytes: 64 << 30,
 	}
 	e, err := entry.New(entry.Options{
 		Hello:         &pb.EntryHello{Entry: name, Incarnation: entry.NewIncarnation()},
-		CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0",
+		CallersListen: "127.0.0.1:0", NodesListen: "127.0.0.1:0", LeaseClock: leaseClock,
 		Contract: func(string) *pb.Contract { return contract }, Peers: peers,
 		Core:   coreentry.Options{Link: shortLinkTimeouts, KeyResolver: keyhome.Options{Skew: keySkew}},
 		Logger: slog.New(slog.DiscardHandler),
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -52,9 +52,9 @@
 	// be nil, and must not block.
 	ExtendState func(to string, state *pb.PeerState)
 	OnState     func(*pb.PeerState)
-	// OnAnnounced is called after each renewal of the announcement with the time until
-	// which it is valid, counted from before the call that renewed it. If it returns
-	// true, OnListed is called with all entries in the store, read by a call that began
+	// OnAnnounced is called after each renewal of the announcement with the time of
+	// clock.Now until which it is valid, counted from before the call that renewed it.
+	// If it returns true, OnListed is called with all entries in the store, read by a call that began
 	// at readAt. OnListed is also called after an entry was removed from the store. Both
 	// may be nil.
 	OnAnnounced func(until time.Time) (list bool)
--- a/node/membership/membership_test.go
+++ b/node/membership/membership_test.go
@@ -16,6 +16,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/contract"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/node/config"
 	"github.com/papayahoist/papayahoist/node/membership"
 	"github.com/papayahoist/papayahoist/platform/standin/inproc"
@@ -434,3 +435,29 @@
 		})
 	}
 }
+
+// The entry judges its announcement by clock.Now. If the end of the announcement were given
+// by time.Now, it would lie years ahead, and an entry would serve keys that others have
+// taken over.
+func TestAnnouncementEndsByClockOfTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ttl = 30 * time.Second
+		c := newCluster(t)
+		ahead := make(chan time.Duration, 10)
+		m := membership.New(membership.Options{
+			Self: &pb.Peer{Entry: "entry", Incarnation: "1", Address: "10.0.0.1"}, Store: c.client(c.random), Config: config.NewHolder(),
+			Exchanger: &exchanger{c, "10.0.0.1"}, Random: c.random, LeaseTTL: ttl,
+			OnAnnounced: func(until time.Time) bool { ahead <- until.Sub(clock.Now()); return false },
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { m.Run(ctx) })
+		for range 2 {
+			if d := <-ahead; d > ttl {
+				t.Errorf("the announcement ends in %v, want at most %v", d, ttl)
+			}
+		}
+		stop()
+		wg.Wait()
+	})
+}
--- a/node/membership/store.go
+++ b/node/membership/store.go
@@ -8,6 +8,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/contract"
 	"github.com/papayahoist/papayahoist/dispatch/member"
+	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/platform/retry"
 	"github.com/papayahoist/papayahoist/platform/store"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -146,7 +147,7 @@
 			wait = retry.Backoff(minAnnounceBackoff, maxAnnounceBackoff, failures, m.opts.Random())
 		} else {
 			failures = 0
-			m.renewed(ctx, a.renewedAt)
+			m.renewed(ctx, a.renewal)
 		}
 		if !m.waitForRenewal(ctx, wait) {
 			break
@@ -175,11 +176,21 @@
 	}
 }
 
-// renewed reports a renewal of the announcement by a call that began at the given time.
-// A tenth of the lease is kept as a margin for clocks that run at different rates.
-func (m *Membership) renewed(ctx context.Context, start time.Time) {
-	m.update(func(_ time.Time, s *member.Set) { s.LeaseRenewed(start) })
-	if m.opts.OnAnnounced != nil && m.opts.OnAnnounced(start.Add(m.opts.LeaseTTL*9/10)) {
+// renewal is when a call began that granted or renewed the lease. The lease is valid for at
+// least its TTL from then on.
+type renewal struct {
+	at time.Time
+	// boot is the same time by a clock that counts suspension, as the store does.
+	boot time.Time
+}
+
+func beginRenewal() renewal { return renewal{at: time.Now(), boot: clock.Now()} }
+
+// renewed reports a renewal of the announcement. A tenth of the lease is kept as a margin
+// for clocks that run at different rates.
+func (m *Membership) renewed(ctx context.Context, r renewal) {
+	m.update(func(_ time.Time, s *member.Set) { s.LeaseRenewed(r.at) })
+	if m.opts.OnAnnounced != nil && m.opts.OnAnnounced(r.boot.Add(m.opts.LeaseTTL*9/10)) {
 		m.listEntries(ctx)
 	}
 }
@@ -208,9 +219,7 @@
 	key     string
 	lease   store.LeaseID
 	written bool
-	// renewedAt is when the last call that granted or renewed the lease began. The lease
-	// is valid for at least its TTL from then on.
-	renewedAt time.Time
+	renewal renewal
 }
 
 // renew renews the lease. If that has lapsed, it announces the entry again.
@@ -223,21 +232,21 @@
 		a.lease, a.written = 0, false
 	}
 	if a.lease == 0 {
-		began := time.Now()
+		began := beginRenewal()
 		lease, err := a.m.opts.Store.Grant(ctx, a.m.opts.LeaseTTL)
 		if err != nil {
 			return err
 		}
-		a.lease, a.renewedAt = lease, began
+		a.lease, a.renewal = lease, began
 	}
 	return a.write(ctx)
 }
 
 func (a *announcement) keepAlive(ctx context.Context) error {
-	began := time.Now()
+	began := beginRenewal()
 	err := a.m.opts.Store.KeepAlive(ctx, a.lease)
 	if err == nil {
-		a.renewedAt = began
+		a.renewal = began
 	}
 	return err
 }
