entry: an announced agent process is asked before it replaces another

What callers would see: outcome unknown ("the agent was restarted") for jobs whose tasks go on in a live agent, and an entry that never uses that agent again. Found by the review of related paths (not seen by callers).

Cause: an announcement with another incarnation was taken for proof that the process in use had ended. It may be a late one of an earlier process that this entry has never seen, for example if the entry was frozen or two requests overtake each other. The live process was given up and then recognised as ended, so that its own announcements were ignored.

Evidence: TestLateAnnouncementOfEndedProcess; before, the job is answered as unknown at once and there are no links 6 s later; now its result arrives.

Fix: the announced process is dialled, and replaces the other one only once it has accepted the link; agents refuse links that name another incarnation. If another process answers at its address, it is the one that has ended. If nothing answers, both are dialled in turn. Tasks stay with the process that has them until then. The link in use is closed for the dial, and opened again without loss: waiting for its timeout instead would keep an agent that was replaced at another address out of use for up to 12 s (heartbeat timeout).

TestRestartedAgentReplacesEarlierProcess passes before and after.

--- a/dispatch/entry/agents.go
+++ b/dispatch/entry/agents.go
@@ -21,6 +21,10 @@
 	dialAt      time.Time // when the next attempt may start
 	downAt      time.Time // when the last link was lost
 	abandoned   bool      // until it announces itself again
+	// announced is another process that announced itself under this name; nil if there is
+	// none. Asking means that the last dial was to that process.
+	announced *pb.AgentHello
+	asking    bool
 
 	leaving    bool
 	load       *pb.AgentLoad
@@ -45,8 +49,9 @@
 	forgetAgentAfter = 10 * time.Minute
 )
 
-// AgentAnnounced handles an agent's announcement. A new incarnation replaces the old
-// one, whose process has ended. Relink requests a new link to the same process.
+// AgentAnnounced handles an agent's announcement. A new incarnation replaces the old one,
+// whose process has ended, once it has accepted a link. Relink requests a new link to the
+// same process.
 func (e *Entry) AgentAnnounced(now time.Time, hello *pb.AgentHello, relink, leaving bool) {
 	if slices.Contains(e.pastIncarnations[hello.Agent], hello.Incarnation) {
 		// A stale announcement, delayed until after that of the next process. Handling
@@ -55,18 +60,13 @@
 	}
 	a := e.byName[hello.Agent]
 	if a != nil && a.hello.Incarnation != hello.Incarnation {
-		e.abandon(now, a, "the agent was restarted")
-		e.removeEnded(a)
-		a = nil
+		e.askAnnounced(now, a, hello)
+		return
 	}
 	if a == nil {
-		a = &agent{hello: hello, downAt: now}
-		e.byName[hello.Agent] = a
-		e.agents = append(e.agents, a)
-		slices.SortFunc(e.agents, func(x, y *agent) int { return strings.Compare(x.hello.Agent, y.hello.Agent) })
+		a = e.addAgent(now, hello)
 	}
 	a.leaving = leaving
-	e.policy.health.Add(hello.Agent)
 	if a.abandoned {
 		e.recordPeer(now, event.PeerBack, a, "", 0)
 		a.abandoned = false
@@ -80,16 +80,48 @@
 	e.dial(now, a)
 }
 
+func (e *Entry) addAgent(now time.Time, hello *pb.AgentHello) *agent {
+	a := &agent{hello: hello, downAt: now}
+	e.byName[hello.Agent] = a
+	e.agents = append(e.agents, a)
+	slices.SortFunc(e.agents, func(x, y *agent) int { return strings.Compare(x.hello.Agent, y.hello.Agent) })
+	e.policy.health.Add(hello.Agent)
+	return a
+}
+
+// askAnnounced dials a process that announced itself under the name of another one. Its
+// announcement may be late and the other process the later one, so nothing else is
+// concluded from it.
+func (e *Entry) askAnnounced(now time.Time, a *agent, hello *pb.AgentHello) {
+	if a.announced.GetIncarnation() != hello.Incarnation {
+		if a.session.IsUp() {
+			e.recordPeer(now, event.PeerSuspected, a, "another process has announced itself", 0)
+		}
+		e.linkLost(now, a)
+		a.dialAt, a.asking = now, false
+	}
+	a.announced = hello
+	if a.abandoned {
+		a.abandoned, a.downAt = false, now
+	}
+	e.dial(now, a)
+}
+
 // removeEnded removes an agent whose process is known to have ended.
 func (e *Entry) removeEnded(a *agent) {
+	e.rememberEnded(a.hello)
+	e.forgetAgent(a)
+}
+
+// rememberEnded records a process that is known to have ended.
+func (e *Entry) rememberEnded(hello *pb.AgentHello) {
 	if len(e.pastIncarnations) >= maxPastAgents {
 		// Agents are regularly replaced by ones with new names. If an incarnation is
 		// not remembered, a stale announcement costs at most one dial.
 		clear(e.pastIncarnations)
 	}
-	past := append(e.pastIncarnations[a.hello.Agent], a.hello.Incarnation)
-	e.pastIncarnations[a.hello.Agent] = past[max(0, len(past)-maxPastIncarnations):]
-	e.forgetAgent(a)
+	past := append(e.pastIncarnations[hello.Agent], hello.Incarnation)
+	e.pastIncarnations[hello.Agent] = past[max(0, len(past)-maxPastIncarnations):]
 }
 
 // forgetAbandoned removes agents that were abandoned long ago. One that comes back
@@ -118,12 +150,18 @@
 	a.dialing = true
 	a.dialAt = now.Add(e.backoff(a.failedDials))
 	a.failedDials++
+	// If both processes are known, they are dialed in turn.
+	a.asking = a.announced != nil && !a.asking
+	target := a.hello
+	if a.asking {
+		target = a.announced
+	}
 	h := &pb.EntryHello{
 		Entry: e.opts.Hello.Entry, Incarnation: e.opts.Hello.Incarnation, Address: e.opts.Hello.Address,
-		FailureDomain: e.opts.Hello.FailureDomain, AgentIncarnation: a.hello.Incarnation, Epoch: a.epoch,
+		FailureDomain: e.opts.Hello.FailureDomain, AgentIncarnation: target.Incarnation, Epoch: a.epoch,
 		OperatorAddress: e.opts.Hello.OperatorAddress,
 	}
-	e.ready.Dials = append(e.ready.Dials, Dial{Agent: a.hello.Agent, Address: a.hello.Address, Hello: h})
+	e.ready.Dials = append(e.ready.Dials, Dial{Agent: a.hello.Agent, Address: target.Address, Hello: h})
 }
 
 // backoff returns the delay after the given number of failed attempts, drawn from
@@ -148,7 +186,14 @@
 	if a == nil || a.epoch != epoch || !a.dialing {
 		return
 	}
-	a.dialing, a.failedDials = false, 0
+	if a.asking {
+		ended := a
+		e.abandon(now, ended, "the agent was restarted")
+		e.removeEnded(ended)
+		a = e.addAgent(now, ended.announced)
+		a.epoch = epoch
+	}
+	a.dialing, a.failedDials, a.announced = false, 0, nil
 	a.session.Up(now, epoch, e.opts.Link)
 	e.recordPeer(now, event.LinkUp, a, "", epoch)
 	a.sentDemand = 0
@@ -182,12 +227,18 @@
 }
 
 // LinkDown reports that a link was lost or could not be opened. Refused means that
-// another process answered there, so the agent's process has ended.
+// another process answered there, so the process that was dialed has ended.
 func (e *Entry) LinkDown(now time.Time, name string, epoch uint64, refused bool) {
 	a := e.byName[name]
 	if a == nil || a.epoch != epoch {
 		return
 	}
+	if refused && a.asking {
+		e.rememberEnded(a.announced)
+		a.announced, a.asking, a.dialing, a.dialAt = nil, false, false, now
+		e.dial(now, a)
+		return
+	}
 	if refused {
 		e.abandon(now, a, "the agent was restarted")
 		e.removeEnded(a)
--- a/dispatch/entry/agents_test.go
+++ b/dispatch/entry/agents_test.go
@@ -76,3 +76,65 @@
 		t.Error("the job is still known although its last task has ended")
 	}
 }
+
+// The announcement of an agent's earlier process, which this entry has never seen, arrives
+// after the later process has a link. If the entry took it for a restart, it would give up
+// the tasks of the live process and ignore that process from then on.
+func TestLateAnnouncementOfEndedProcess(t *testing.T) {
+	for name, refused := range map[string]bool{"the live process answers at its address": true, "nothing answers at its address": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, 1, contractOf("desk"))
+			b.run = func(string, agent.Run) (time.Duration, *pb.TaskResult) {
+				return 5 * time.Second, &pb.TaskResult{Outcome: pb.Outcome_OUTCOME_COMPLETE, RunMillis: 5000}
+			}
+			id, _ := b.submit("desk", 1, nil)
+			b.advance(100 * time.Millisecond)
+			if len(b.running["agent-0"]) != 1 {
+				t.Fatal("the task does not run")
+			}
+			b.entry.AgentAnnounced(b.now, &pb.AgentHello{Agent: "agent-0", Incarnation: "earlier", Slots: 8}, false, false)
+			r := b.entry.Ready(b.now)
+			if len(r.Answers) > 0 {
+				t.Errorf("answered %v, want the job to wait for its task", r.Answers)
+			}
+			for _, d := range r.Dials {
+				if d.Hello.AgentIncarnation != "earlier" {
+					t.Fatalf("process %s is dialed, want the announced one to be asked first", d.Hello.AgentIncarnation)
+				}
+				b.entry.LinkDown(b.now, "agent-0", d.Hello.Epoch, refused)
+			}
+			b.entry.AgentAnnounced(b.now, &pb.AgentHello{Agent: "agent-0", Incarnation: "0", Slots: 8, MemoryBytes: 32 * gib}, false, false)
+			b.advance(6 * time.Second)
+			if a := b.answers[id]; a.GetOutcome() != pb.Outcome_OUTCOME_COMPLETE {
+				t.Errorf("answer %v, want the result of the live process", a)
+			}
+			if n := b.entry.Links(); n != 1 {
+				t.Errorf("%d links, want one to the live process", n)
+			}
+		})
+	}
+}
+
+// An agent is restarted while its entry still has the link to the earlier process. If the
+// entry kept that process once the later one has answered, jobs would wait for results that
+// never come.
+func TestRestartedAgentReplacesEarlierProcess(t *testing.T) {
+	b := newFixture(t, 1, contractOf("desk"))
+	id, _ := b.submit("desk", 1, nil)
+	b.advance(50 * time.Millisecond)
+	if len(b.running["agent-0"]) != 1 {
+		t.Fatal("the task does not run")
+	}
+	hello := &pb.AgentHello{Agent: "agent-0", Incarnation: "later", Address: "10.0.0.2:1", Slots: 8, MemoryBytes: 32 * gib}
+	b.agents["agent-0"], b.running["agent-0"] = agent.New(agent.Options{Hello: hello}), nil
+	b.entry.AgentAnnounced(b.now, hello, false, false)
+	b.settle()
+	if a := b.answers[id]; a.GetOutcome() != pb.Outcome_OUTCOME_UNKNOWN {
+		t.Errorf("answer %v, want outcome unknown", a)
+	}
+	next, _ := b.submit("desk", 1, nil)
+	b.advance(time.Second)
+	if a := b.answers[next]; a.GetOutcome() != pb.Outcome_OUTCOME_COMPLETE {
+		t.Errorf("answer %v of a job after the restart, want it complete", a)
+	}
+}
