dispatcher: a task that crashes its workers isn't started again after any loss

Since crashes are reported once another incarnation shows itself, a run may be lost for its lease first, and only runs that were lost with the reason of a crash had their task checked. Now any loss does. TestPoisonTaskEndsItsJobHoweverItsRunIsLost; before, the task runs again.

--- a/dispatch/dispatcher/crash.go
+++ b/dispatch/dispatcher/crash.go
@@ -187,10 +187,6 @@
 
 // handleLoss decides on a task whose run has ended without a result.
 func (d *Dispatcher) handleLoss(now time.Time, t *task, at *agent, reason string) {
-	if reason != runner.ReasonCrashedAtStart && reason != runner.ReasonCrashedLater {
-		d.requeue(t.job, t)
-		return
-	}
 	if t.job.ended {
 		return
 	}
--- a/dispatch/dispatcher/crash_test.go
+++ b/dispatch/dispatcher/crash_test.go
@@ -194,3 +194,18 @@
 		t.Errorf("%d tasks are recorded", len(c.byTask))
 	}
 }
+
+// A run is lost since its lease has lapsed, and its task has crashed workers before. Guards against a
+// further start of a task that crashes each worker when a crash becomes known only later.
+func TestPoisonTaskEndsItsJobHoweverItsRunIsLost(t *testing.T) {
+	b := newFixture(t, "a", "b", "c")
+	n := b.mustSubmit(tasks(1, 1000, 100*time.Millisecond))
+	o := b.orders()[0]
+	at := b.holder(o)
+	for _, worker := range []string{"w1", "w2", "w3"} {
+		at.seq++
+		b.d.Step(b.now, at.incarnation, at.epoch, &pb.WorkerFrame{Seq: at.seq, Ack: at.ack, Crashes: []*pb.TaskCrash{{Task: o.Task, Worker: worker, AtStart: true}}})
+	}
+	b.reportOrder(o, pb.OrderState_ORDER_STATE_LOST, "the lease has lapsed", 0)
+	b.wantAnswer(n, Failed, ReasonCrashes)
+}
