runner: a start that was sent twice may be carried out by the next incarnation

Found by the review, on workers that keep their identifier (born), in the model only: a start was sent twice, one copy was answered and the run listed, and the worker restarted; the other copy was carried out by the next incarnation beside a run elsewhere. 'Listed' was taken for proof that nothing is under way. Runs whose start was sent more than once are held until the next incarnation has answered with a higher token, like those without an answer.

--- a/dispatch/leasedcheck/signs_test.go
+++ b/dispatch/leasedcheck/signs_test.go
@@ -1,6 +1,9 @@
 package leasedcheck
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // misleadingSigns holds the promises under signs, alone and beside other faults.
 func misleadingSigns(t *testing.T, signs Misleading) {
@@ -8,7 +11,7 @@
 		t.Run(name, func(t *testing.T) {
 			promisesHold(t, func(seed uint64) Options {
 				o := options(seed)
-				o.Faults, o.Misleading = int(seed%(faults+1)), signs
+				o.Faults, o.Misleading, o.Signs = int(seed%(faults+1)), signs, 4+int(seed%57)
 				return o
 			})
 		})
@@ -36,3 +39,26 @@
 func TestPromisesHoldWhenWorkersLeaveBeforeTheirRunsEnd(t *testing.T) {
 	misleadingSigns(t, EarlyLeave)
 }
+
+const allSigns = RefusedByWorkers | RefusedByEntries | LateReports | EarlyLeave
+
+// All misleading signs occur together, beside faults of all kinds and under each variant of the model.
+// Guards against conclusions that only hold while a single sign is wrong.
+func TestPromisesHoldUnderAllMisleadingSigns(t *testing.T) {
+	for name, variant := range map[string]func(o *Options){
+		"usual":                    func(*Options) {},
+		"stalls":                   func(o *Options) { o.Stalls, o.SchedulingDelays = true, true },
+		"slowest workers":          func(o *Options) { o.SlowestWorkers, o.MaxPerWorker = true, 3 },
+		"link subsets":             func(o *Options) { o.Entries, o.Agents, o.Links, o.Evacuations = 5, 6, 2, 4 },
+		"workers keep identifiers": func(o *Options) { o.WorkerRestarts = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			promisesHold(t, func(seed uint64) Options {
+				o := options(seed)
+				o.Misleading, o.Signs, o.ReportInterval = allSigns, 4+int(seed%17), 1500*time.Millisecond
+				variant(&o)
+				return o
+			})
+		})
+	}
+}
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -1,6 +1,7 @@
 package leasedcheck
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -133,7 +134,7 @@
 	} else {
 		deliver()
 	}
-	s.w.schedule(300*time.Millisecond, s.report)
+	s.w.schedule(cmp.Or(s.w.o.ReportInterval, 300*time.Millisecond), s.report)
 }
 
 // crash ends this incarnation. Another one starts after 0.1 s to 1.1 s, and a second later
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -40,8 +40,11 @@
 	MaxPerWorker int
 	// SlowestWorkers makes workers' clocks as slow, and stops as long, as is allowed.
 	SlowestWorkers bool
-	// Misleading is the set of misleading signs that occur while jobs arrive, half as many as jobs.
+	// Misleading is the set of misleading signs that occur while jobs arrive, and Signs their number.
 	Misleading Misleading
+	Signs      int
+	// ReportInterval is the time between two reports of a worker. Default 300 ms.
+	ReportInterval time.Duration
 	// Disabled is the set of disabled features.
 	Disabled disabled.Set
 	// Trace, if not nil, is called with each event.
@@ -122,10 +125,8 @@
 		for range o.Faults {
 			w.schedule(w.jitter(arrivalTime), w.injectFault)
 		}
-		if o.Misleading != 0 {
-			for range o.Jobs / 2 {
-				w.schedule(w.jitter(arrivalTime), w.injectMisleading)
-			}
+		for range o.Signs {
+			w.schedule(w.jitter(arrivalTime), w.injectMisleading)
 		}
 		for range o.Evacuations {
 			w.schedule(w.jitter(arrivalTime), w.operators.toggleDomain)
--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -249,7 +249,8 @@
 	for _, x := range slices.Clone(r.runList) {
 		switch {
 		case x.phase == queued || x.phase == unfenced:
-		case r.mayStartLater(x) && unresolved(x):
+		case r.mayStartLater(x) && (unresolved(x) || x.sends > 1):
+			// Of a start that was sent twice, one may still be on its way.
 			r.markUnfenced(now, x, why(x))
 		default:
 			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, why(x))
