--- a/dispatch/dispatcher/handshake_test.go
+++ b/dispatch/dispatcher/handshake_test.go
@@ -13,12 +13,8 @@
 	b.ready()
 }
 
-// An agent requests a link, is killed, and another process takes its place. The first one's
-// handshake arrives after the second one is linked. The task that the first one started still
-// runs beside the second one, and must not be placed again because the old handshake doesn't
-// list it.
-func TestLateHandshakeOfEndedAgentIsIgnored(t *testing.T) {
-	b := newFixture(t, "a", "other")
+// loseLinkDuringRun has an agent run a long task and lose its link to the entry.
+func (b *fixture) loseLinkDuringRun() *fakeAgent {
 	job := tasks(1, 3000, 5*time.Second)
 	job.TimeLimit = 30 * time.Second
 	b.mustSubmit(job)
@@ -26,6 +22,16 @@
 	at := b.holder(o)
 	b.reportOrder(o, pb.OrderState_ORDER_STATE_STARTED, "", 0)
 	b.d.LinkDown(b.now, at.incarnation, at.epoch)
+	return at
+}
+
+// An agent requests a link, is killed, and another process takes its place. The first one's
+// handshake arrives after the second one is linked. The task that the first one started still
+// runs beside the second one, and must not be placed again because the old handshake doesn't
+// list it.
+func TestLateHandshakeOfEndedAgentIsIgnored(t *testing.T) {
+	b := newFixture(t, "a", "other")
+	at := b.loseLinkDuringRun()
 	second := &fakeAgent{name: at.name, incarnation: at.name + "-2", capacity: 4000, used: 3000}
 	b.agents[second.incarnation] = second
 	b.attach(second.name, second.incarnation)
@@ -79,13 +85,7 @@
 // entry that takes silence about an order for proof that it has never arrived.
 func TestOrdersSurviveAGreetingThatDoesNotNameTheEntry(t *testing.T) {
 	b := newFixture(t, "a", "other")
-	job := tasks(1, 3000, 5*time.Second)
-	job.TimeLimit = 30 * time.Second
-	b.mustSubmit(job)
-	o := b.orders()[0]
-	at := b.holder(o)
-	b.reportOrder(o, pb.OrderState_ORDER_STATE_STARTED, "", 0)
-	b.d.LinkDown(b.now, at.incarnation, at.epoch)
+	at := b.loseLinkDuringRun()
 	var met []*pb.MetEntry
 	forgetful := func() (closed bool) {
 		at.epoch++
--- a/dispatch/runner/crash.go
+++ b/dispatch/runner/crash.go
@@ -26,11 +26,12 @@
 	maxCrashes = 256
 )
 
-// handleCrash handles an unrequested end of the worker's current incarnation, and of its runs.
+// handleCrash handles an unrequested end of the worker's current incarnation, and of its runs, when
+// a poll of it has reached another one.
 func (r *Runner) handleCrash(now time.Time, how string) { r.endAfterCrash(now, how, unanswered) }
 
-// handleSuperseded is like handleCrash, but another incarnation of the worker has taken its
-// place.
+// handleSuperseded is like handleCrash, but the answers to earlier calls may be those of the
+// incarnation that has taken its place.
 func (r *Runner) handleSuperseded(now time.Time, how string) { r.endAfterCrash(now, how, unlisted) }
 
 func (r *Runner) endAfterCrash(now time.Time, how string, unresolved func(*run) bool) {
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -136,7 +136,7 @@
 	}
 	r.pollsSent++
 	if r.candidate != nil {
-		// Only who answers matters: no lease is requested and no end marked as seen.
+		// It only shows who answers: no lease is requested and no end marked as seen.
 		return Poll{Worker: r.candidate.Incarnation, Token: r.token, Slack: pollSlack, number: r.pollsSent, sent: now}, true
 	}
 	l := Poll{Worker: r.worker.Incarnation, Token: r.token, LastEnd: r.lastEndNumber, callSeq: r.callSeq, number: r.pollsSent, sent: now}
