node/runner: refused ports can't be taken while nothing listens there

Found on the last reading of the diff: two tests close a listener and listen at its port again 0.2 to 0.6 s later, on 127.0.0.1, from which other tests connect meanwhile; a port taken by one of those would fail them. They use 127.0.0.2, as the relay's tests do.

--- a/node/runner/links_test.go
+++ b/node/runner/links_test.go
@@ -69,7 +69,8 @@
 }
 
 // serve serves the entry at an address. The function that it returns closes its listener and all
-// connections, as if its process were killed.
+// connections, as if its process were killed. An entry that is to be served there again has an address
+// from which no connection is made, so that its port isn't taken meanwhile.
 func (e *fakeEntry) serve(t *testing.T, at string) (address string, kill func()) {
 	l, err := net.Listen("tcp", at)
 	if err != nil {
@@ -163,7 +164,7 @@
 // An entry's process is killed, and another one answers at its address. Nobody waits for the runs of
 // the first, so they must not go on until the entry times out: its callers send their jobs elsewhere.
 func TestRunsOfAnEndedEntryAreStoppedAtOnce(t *testing.T) {
-	address, kill := (&fakeEntry{incarnation: "e1"}).serve(t, "127.0.0.1:0")
+	address, kill := (&fakeEntry{incarnation: "e1"}).serve(t, "127.0.0.2:0")
 	w := newFakeWorker()
 	runAgent(t, address, w)
 	receive(t, "start", w.started)
@@ -176,7 +177,7 @@
 // an agent that stops the entry's runs, for which callers wait.
 func TestRunsOfAnEntryThatRefusesConnectionsGoOn(t *testing.T) {
 	e := &fakeEntry{incarnation: "e1", news: make(chan *pb.OrderNews, 10)}
-	address, refuse := e.serve(t, "127.0.0.1:0")
+	address, refuse := e.serve(t, "127.0.0.2:0")
 	w := newFakeWorker()
 	runAgent(t, address, w)
 	receive(t, "start", w.started)
--- a/node/runner/refusal_test.go
+++ b/node/runner/refusal_test.go
@@ -44,10 +44,10 @@
 	})
 	t.Cleanup(func() { worker.Close(func() {}) })
 	server := &refusingServer{t: t, handler: worker}
-	server.address = "127.0.0.1:0"
+	server.address = "127.0.0.2:0"
 	server.listen()
 	e := &fakeEntry{incarnation: "e1", news: make(chan *pb.OrderNews, 10)}
-	address, _ := e.serve(t, "127.0.0.1:0")
+	address, _ := e.serve(t, "127.0.0.2:0")
 	runAgent(t, address, adapter.NewWorker(server.address, 4))
 	next := func() *pb.OrderNews {
 		t.Helper()
