--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -40,14 +40,21 @@
 	Seeds []string
 	Core  dispatcher.Options
 	// OnFrame, if not nil, is called with each frame queued for an agent, OnFrameSent with
-	// the time from then until the frame was passed to its connection, and OnExchange for
-	// each exchange that this entry starts.
+	// the time from then until the frame was passed to its connection, and OnExchange with
+	// each exchange that this entry has started, when it has ended.
 	OnFrame     func(*pb.OrderFrame)
 	OnFrameSent func(wait time.Duration)
-	OnExchange  func()
+	OnExchange  func(Exchange)
 	Logger      *slog.Logger
 }
 
+// Exchange describes an exchange with another entry that has ended.
+type Exchange struct {
+	// Sent and Received are the bytes of the two messages, as far as they were transferred.
+	Sent, Received int64
+	Err            error
+}
+
 // Dispatcher connects an entry to its agents and to other entries. It is safe for
 // concurrent use.
 type Dispatcher struct {
@@ -76,7 +83,7 @@
 		o.OnFrameSent = func(time.Duration) {}
 	}
 	if o.OnExchange == nil {
-		o.OnExchange = func() {}
+		o.OnExchange = func(Exchange) {}
 	}
 	l, err := net.Listen("tcp", o.NodesListen)
 	if err != nil {
@@ -213,8 +220,8 @@
 }
 
 // SetConfiguration applies a configuration if it is newer than the one in force, and
-// forwards it to the other entries then. It reports whether it was newer.
-func (d *Dispatcher) SetConfiguration(c *pb.Configuration) bool {
+// forwards it to the other entries then. Source is where it was received from.
+func (d *Dispatcher) SetConfiguration(c *pb.Configuration, source string) {
 	newer := false
 	d.decide(func(time.Time) {
 		if newer = d.core.SetConfiguration(c); newer {
@@ -222,9 +229,17 @@
 		}
 	})
 	if newer {
+		behind := d.peers.setOwnVersion(c.Version)
+		d.opts.Logger.Info("configuration_in_force", "version", c.Version, "source", source, "queues", len(c.Queues),
+			"behind_ms", behind.Milliseconds())
 		d.peers.push()
 	}
-	return newer
+}
+
+// NewestVersion returns the newest version of the configuration that is known to be in force
+// at any entry, and for how long this one has lacked it.
+func (d *Dispatcher) NewestVersion() (version uint64, behind time.Duration) {
+	return d.peers.newestVersion()
 }
 
 // SetEvacuations applies a list of evacuated failure domains, and forwards it to the other
--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -10,6 +10,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/gossip"
 	"github.com/papayahoist/papayahoist/node/clock"
+	"github.com/papayahoist/papayahoist/platform/progress"
 )
 
 // The traffic of an entry must not grow with the number of entries. An entry therefore
@@ -149,9 +150,19 @@
 
 // exchangeOnce returns the version of the configuration in force at the other entry.
 func (p *peers) exchangeOnce(ctx context.Context, x *peer, withConfiguration bool) (theirs uint64, ok bool) {
-	p.d.opts.OnExchange()
+	began := clock.Now()
+	ctx, meter := progress.WithMeter(ctx)
 	resp, err := x.client.Share(ctx, connect.NewRequest(p.request(x, withConfiguration)))
+	p.d.opts.OnExchange(Exchange{Sent: meter.Sent(), Received: meter.Received(), Err: err})
+	p.mu.Lock()
+	wasFailing := x.failing
+	x.failing = err != nil
+	p.mu.Unlock()
 	if err != nil {
+		if !wasFailing {
+			p.d.opts.Logger.Warn("exchange_failed", "entry", x.address, "elapsed_ms", clock.Now().Sub(began).Milliseconds(),
+				"transferred", meter.String(), "err", err)
+		}
 		// The connection may be unresponsive: the next exchange opens a new one.
 		x.http.CloseIdleConnections()
 		return 0, false
@@ -163,7 +174,7 @@
 	p.d.SetEvacuations(m.Evacuations)
 	p.mergeWaiting(m.WaitingRecords)
 	if m.Configuration != nil {
-		p.d.SetConfiguration(m.Configuration)
+		p.d.SetConfiguration(m.Configuration, x.address)
 	}
 	return m.Version, true
 }
@@ -185,6 +196,7 @@
 		}
 		x.incarnation, x.lastReceived, x.digest = s.incarnation, now, s.digest
 		x.version, x.evacuations = s.version, s.evacuations
+		p.versions.SetOther(now, s.version)
 		p.view.RecordContact(now, x.address)
 		if len(s.records) == 0 {
 			// An entry of an earlier version sends addresses only.
@@ -219,7 +231,7 @@
 	p.d.SetEvacuations(req.Evacuations)
 	p.mergeWaiting(req.WaitingRecords)
 	if req.Configuration != nil {
-		p.d.SetConfiguration(req.Configuration)
+		p.d.SetConfiguration(req.Configuration, req.Address)
 	}
 	p.addCandidates([]string{req.Address})
 	p.mu.Lock()
--- a/node/dispatcher/exchange_test.go
+++ b/node/dispatcher/exchange_test.go
@@ -76,7 +76,7 @@
 	for len(one.Entries()) < 2 || len(two.Entries()) < 2 {
 		time.Sleep(5 * time.Millisecond)
 	}
-	one.SetConfiguration(&pb.Configuration{Version: 7})
+	one.SetConfiguration(&pb.Configuration{Version: 7}, "store")
 	for two.Configuration().GetVersion() != 7 {
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -11,10 +11,12 @@
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/dispatch/catchup"
 	"github.com/papayahoist/papayahoist/dispatch/gossip"
 	"github.com/papayahoist/papayahoist/dispatch/tally"
 	"github.com/papayahoist/papayahoist/node/clock"
 	"github.com/papayahoist/papayahoist/node/rpc"
+	"github.com/papayahoist/papayahoist/platform/progress"
 )
 
 const (
@@ -24,6 +26,9 @@
 	// all machines start, many changes arrive within a short time, and each notification
 	// goes to every agent.
 	notifyDelay = 50 * time.Millisecond
+	// reportBehindAfter is how long another entry must have had a newer configuration for
+	// this to be logged. Changes take a fraction of it when nothing is wrong.
+	reportBehindAfter = time.Second
 )
 
 // peer is another entry, identified by its address.
@@ -39,6 +44,7 @@
 	version      uint64 // of the configuration in force there
 	evacuations  uint64 // revision of the evacuations known there
 	tally        uint64 // tally.View.Changes when it was last sent the tally
+	failing      bool   // the last exchange that this entry started has failed
 }
 
 // peers holds the other entries. With its partners among them, this entry exchanges the
@@ -57,6 +63,9 @@
 	notified    []string // the live entries of which agents were last notified
 	tally       *tally.View
 	pushing     bool // a push to partners is scheduled
+
+	versions       catchup.Tracker
+	reportedBehind uint64 // newest version at the last report of being behind
 }
 
 func newPeers(d *Dispatcher) *peers {
@@ -85,6 +94,7 @@
 		case <-t.C:
 			p.updateView(func(now time.Time) { p.view.Tick(now) })
 			p.countWaiting(p.d.waitingLocal(tally.MinWait))
+			p.reportBehind()
 		case <-ctx.Done():
 		}
 	}
@@ -146,6 +156,7 @@
 		return
 	}
 	client := rpc.NewClient(nil)
+	client.Transport = progress.Transport{Next: client.Transport}
 	x := &peer{
 		address: address, http: client,
 		client: papayahoistv1connect.NewWorkServiceClient(client, rpc.URL(address, nil), rpc.NoAcceptCompression),
@@ -172,6 +183,32 @@
 	}
 }
 
+// setOwnVersion records the version in force here, and returns how long another entry has
+// had it before.
+func (p *peers) setOwnVersion(version uint64) (behind time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.versions.SetOwn(clock.Now(), version)
+}
+
+func (p *peers) newestVersion() (version uint64, behind time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.versions.Newest(clock.Now())
+}
+
+// reportBehind logs once for each version that other entries have had for a while and this
+// one lacks.
+func (p *peers) reportBehind() {
+	newest, behind := p.newestVersion()
+	if behind < reportBehindAfter || newest == p.reportedBehind {
+		return
+	}
+	p.reportedBehind = newest
+	p.d.opts.Logger.Warn("configuration_behind", "version", p.d.Configuration().GetVersion(), "newest", newest,
+		"behind_ms", behind.Milliseconds())
+}
+
 func (p *peers) leave() {
 	p.mu.Lock()
 	p.leaving = true
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -108,7 +108,7 @@
 	}
 	e.dispatcher, err = dispatcher.New(dispatcher.Options{
 		NodesListen: s.NodesListen, Address: s.AdvertisedAddress(), Seeds: s.Seeds, Logger: e.logger,
-		OnFrame: e.metrics.countOrderFrame, OnFrameSent: e.metrics.observeFrameWait, OnExchange: e.metrics.exchanges.Inc,
+		OnFrame: e.metrics.countOrderFrame, OnFrameSent: e.metrics.observeFrameWait, OnExchange: e.metrics.countExchange,
 		Core: coredispatcher.Options{
 			Entry: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Timeouts: times, Link: leasedLinkOptions(times),
 			RemoteFactor: s.Bounds.RemoteFactor, ReportsPerSecond: reportsPerCore * s.ProcessorShare,
@@ -185,6 +185,14 @@
 	e.metrics.registerGauge("papayahoist_open_jobs", "Admitted jobs that have not been answered yet.", func() float64 { return float64(e.dispatcher.OpenJobs()) })
 	e.metrics.registerGauge("papayahoist_uneven_workers", "Linked workers whose speed isn't 1.", func() float64 { return float64(e.dispatcher.UnevenWorkers()) })
 	e.metrics.registerGauge("papayahoist_configuration_version", "Version of the configuration in force.", func() float64 { return float64(e.dispatcher.Configuration().GetVersion()) })
+	e.metrics.registerGauge("papayahoist_configuration_newest_version", "Newest version of the configuration known to be in force at any entry.", func() float64 {
+		version, _ := e.dispatcher.NewestVersion()
+		return float64(version)
+	})
+	e.metrics.registerGauge("papayahoist_configuration_behind_seconds", "Time for which another entry has had a newer configuration.", func() float64 {
+		_, behind := e.dispatcher.NewestVersion()
+		return behind.Seconds()
+	})
 	e.metrics.registerGauge("papayahoist_evacuated_domains", "Number of evacuated failure domains.", func() float64 { return float64(len(e.dispatcher.Evacuations().GetDomains())) })
 	metricsServer, err := e.metrics.serve(e.opts.Settings.MetricsListen)
 	if err != nil {
--- a/node/process/leased_metrics.go
+++ b/node/process/leased_metrics.go
@@ -11,6 +11,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/node/dispatcher"
+	"github.com/papayahoist/papayahoist/platform/adapter"
 )
 
 // leasedMetrics are the metrics of an entry or agent for leased workers. Label values
@@ -22,9 +24,12 @@
 	orderWaits prometheus.Histogram
 	runs       *prometheus.HistogramVec
 	storeCalls *prometheus.CounterVec
+	storeBytes *prometheus.CounterVec
 	frames     *prometheus.CounterVec
 	frameWaits prometheus.Histogram
-	exchanges  prometheus.Counter
+	exchanges  *prometheus.CounterVec
+	// exchangeBytes counts parts of messages, too, whose exchange has failed.
+	exchangeBytes *prometheus.CounterVec
 }
 
 // durationBuckets are in seconds, around the latency objectives of sub-second tasks.
@@ -48,17 +53,23 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayahoist_store_calls_total", Help: "Calls to the platform's store, by kind and result.",
 		}, []string{"kind", "result"}),
+		storeBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayahoist_store_received_bytes_total", Help: "Bytes of responses of the platform's store, by kind of call and result.",
+		}, []string{"kind", "result"}),
 		frames: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayahoist_frames_total", Help: "Frames sent on links between entries and agents, by kind of content.",
 		}, []string{"kind"}),
 		frameWaits: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "papayahoist_frame_wait_seconds", Help: "Time from the decision to send a frame to an agent until it was passed to the connection.", Buckets: durationBuckets,
 		}),
-		exchanges: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "papayahoist_exchanges_total", Help: "Exchanges with other entries that this entry began.",
-		}),
+		exchanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayahoist_exchanges_total", Help: "Exchanges with other entries that this entry began, by result.",
+		}, []string{"result"}),
+		exchangeBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayahoist_exchange_bytes_total", Help: "Bytes of the messages of these exchanges, by direction and result.",
+		}, []string{"direction", "result"}),
 	}
-	m.registry.MustRegister(m.decisions, m.jobs, m.orderWaits, m.runs, m.storeCalls, m.frames, m.frameWaits, m.exchanges, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.decisions, m.jobs, m.orderWaits, m.runs, m.storeCalls, m.storeBytes, m.frames, m.frameWaits, m.exchanges, m.exchangeBytes, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -77,12 +88,25 @@
 
 func (m *leasedMetrics) observeFrameWait(wait time.Duration) { m.frameWaits.Observe(wait.Seconds()) }
 
-func (m *leasedMetrics) countStoreCall(kind string, _ time.Duration, err error) {
-	result := "answered"
+// callResult is the value of the label for the result of a call.
+func callResult(err error) string {
 	if err != nil {
-		result = "failed"
+		return "failed"
 	}
-	m.storeCalls.WithLabelValues(kind, result).Inc()
+	return "answered"
+}
+
+func (m *leasedMetrics) countStoreCall(c adapter.Call) {
+	result := callResult(c.Err)
+	m.storeCalls.WithLabelValues(c.Kind, result).Inc()
+	m.storeBytes.WithLabelValues(c.Kind, result).Add(float64(c.Received))
+}
+
+func (m *leasedMetrics) countExchange(x dispatcher.Exchange) {
+	result := callResult(x.Err)
+	m.exchanges.WithLabelValues(result).Inc()
+	m.exchangeBytes.WithLabelValues("sent", result).Add(float64(x.Sent))
+	m.exchangeBytes.WithLabelValues("received", result).Add(float64(x.Received))
 }
 
 // Kinds of frames. A frame with several kinds of content counts as the first of them
--- a/node/process/leased_operator.go
+++ b/node/process/leased_operator.go
@@ -68,9 +68,7 @@
 		r.entry.logger.Error("configuration_unreadable", "revision", uint64(item.Revision), "err", err)
 		return
 	}
-	if r.entry.dispatcher.SetConfiguration(c) {
-		r.entry.logger.Info("configuration_in_force", "version", c.Version, "revision", uint64(item.Revision), "queues", len(c.Queues))
-	}
+	r.entry.dispatcher.SetConfiguration(c, "store")
 }
 
 // Unreachable implements follow.Reader.
