--- a/cmd/internal/site/relay.go
+++ b/cmd/internal/site/relay.go
@@ -15,6 +15,7 @@
 	address string
 	backend atomic.Pointer[string]
 	delay   atomic.Int64 // one way, in nanoseconds
+	link    atomic.Pointer[relayLink]
 
 	mu          sync.Mutex
 	ln          net.Listener // nil while connections are refused
@@ -113,6 +114,10 @@
 // SetDelay sets the one-way delay of bytes that arrive from now on.
 func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
 
+// SetLink limits the bandwidth of connections that are opened from now on to that of a link.
+// The given direction is the inbound one of the link's host.
+func (r *Relay) SetLink(l *Link, inbound Direction) { r.link.Store(&relayLink{l, inbound}) }
+
 // Blackhole discards all further bytes of open connections without closing them.
 // New connections work.
 func (r *Relay) Blackhole() {
@@ -257,8 +262,12 @@
 	r.mu.Lock()
 	c.discarding.Store(r.partitioned)
 	r.mu.Unlock()
+	link := r.link.Load()
+	link.setWindow(front)
 	if backend := r.backend.Load(); backend != nil && !c.discarding.Load() {
-		c.back, _ = net.DialTimeout("tcp", *backend, relayDialTimeout)
+		if c.back, _ = net.DialTimeout("tcp", *backend, relayDialTimeout); c.back != nil {
+			link.setWindow(c.back)
+		}
 	}
 	if c.back == nil && !c.discarding.Load() {
 		_ = front.Close()
@@ -268,7 +277,7 @@
 		c.reset()
 		return
 	}
-	c.forwardBoth(&r.delay)
+	c.forwardBoth(&r.delay, link)
 	r.mu.Lock()
 	delete(r.conns, c)
 	r.mu.Unlock()
@@ -290,15 +299,15 @@
 }
 
 // forwardBoth forwards bytes until one side closes.
-func (c *relayedConn) forwardBoth(delay *atomic.Int64) {
+func (c *relayedConn) forwardBoth(delay *atomic.Int64, link *relayLink) {
 	defer c.close()
 	if c.back == nil {
 		_, _ = io.Copy(io.Discard, c.front)
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { c.forward(c.back, c.front, &c.to, delay); c.close() })
-	wg.Go(func() { c.forward(c.front, c.back, &c.from, delay); c.close() })
+	wg.Go(func() { c.forward(c.back, c.front, &c.to, delay, link.pacer(ToBackend)); c.close() })
+	wg.Go(func() { c.forward(c.front, c.back, &c.from, delay, link.pacer(FromBackend)); c.close() })
 	wg.Wait()
 }
 
@@ -336,8 +345,9 @@
 )
 
 // forward copies bytes from one side to the other after the delay. Bytes
-// are discarded while c.discarding is set, and wait at a closed gate.
-func (c *relayedConn) forward(to, from net.Conn, g *gate, delay *atomic.Int64) {
+// are discarded while c.discarding is set, and wait at a closed gate. The pacer limits the
+// rate at which they are read, unless it is nil.
+func (c *relayedConn) forward(to, from net.Conn, g *gate, delay *atomic.Int64, p *pacer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	chunks := make(chan chunk, relayQueue)
@@ -346,6 +356,9 @@
 		buf := make([]byte, relayBuffer)
 		for {
 			n, err := from.Read(buf)
+			if p != nil {
+				p.wait(n)
+			}
 			if n > 0 && !c.discarding.Load() {
 				at := time.Now().Add(time.Duration(delay.Load()))
 				select {
