--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -151,9 +151,10 @@
 // exchangeOnce returns the version of the configuration in force at the other entry.
 func (p *peers) exchangeOnce(ctx context.Context, x *peer, withConfiguration bool) (theirs uint64, ok bool) {
 	began := clock.Now()
-	ctx, meter := progress.WithMeter(ctx)
+	ctx, call := progress.Start(ctx, progress.Limits{Response: exchangeTimeout, Stall: exchangeTimeout})
+	defer call.End()
 	resp, err := x.client.Share(ctx, connect.NewRequest(p.request(x, withConfiguration)))
-	p.d.opts.OnExchange(Exchange{Sent: meter.Sent(), Received: meter.Received(), Err: err})
+	p.d.opts.OnExchange(Exchange{Sent: call.Sent(), Received: call.Received(), Err: err})
 	p.mu.Lock()
 	wasFailing := x.failing
 	x.failing = err != nil
@@ -161,7 +162,7 @@
 	if err != nil {
 		if !wasFailing {
 			p.d.opts.Logger.Warn("exchange_failed", "entry", x.address, "elapsed_ms", clock.Now().Sub(began).Milliseconds(),
-				"transferred", meter.String(), "err", err)
+				"transferred", call.String(), "err", err)
 		}
 		// The connection may be unresponsive: the next exchange opens a new one.
 		x.http.CloseIdleConnections()
