follow: what has changed is no longer asked for when it can't be received

Second part of the cause of CONFIG at entries with small links: a watch that failed was repeated from the same revision.

The size limit follows the store's limit for a value (store_value_bytes, from the platform's settings).

TestNoChangeMissed is as it was: streams of single changes (etcdv3) don't grow, and aren't listed again.

--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -58,6 +58,8 @@
 	// store. A changed configuration must be in force within seconds.
 	minStoreRetryWait = 100 * time.Millisecond
 	maxStoreRetryWait = 800 * time.Millisecond
+	// storeListAfter allows for one lost connection.
+	storeListAfter = 2
 	// reportsPerCore is the number of agents' load reports that one core handles per
 	// second with about a twentieth of its time, at 15 us each.
 	reportsPerCore = 3000
@@ -125,7 +127,8 @@
 		return nil, ErrStart.Wrap(err, "listen for readiness checks")
 	}
 	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{
-		OnCall: e.metrics.countStoreCall, WatchWait: func() time.Duration { return watchWait(len(e.dispatcher.Entries()), rand.Float64()) },
+		MaxValueBytes: int64(s.StoreValueBytes),
+		OnCall:        e.metrics.countStoreCall, WatchWait: func() time.Duration { return watchWait(len(e.dispatcher.Entries()), rand.Float64()) },
 	})
 	e.roster = roster.New(roster.Options{
 		Store: e.store, Name: s.Name, Address: s.AdvertisedAddress(), Logger: e.logger,
@@ -175,7 +178,7 @@
 	wg.Go(func() { e.log.Run(bgCtx) })
 	go e.roster.Run(bgCtx, e.dispatcher.AddEntries)
 	go func() {
-		_ = follow.Run(bgCtx, e.store, adapter.OperatorPrefix, &operatorReader{entry: e}, follow.Options{MinWait: minStoreRetryWait, MaxWait: maxStoreRetryWait})
+		_ = follow.Run(bgCtx, e.store, adapter.OperatorPrefix, &operatorReader{entry: e}, follow.Options{MinWait: minStoreRetryWait, MaxWait: maxStoreRetryWait, ListAfter: storeListAfter})
 	}()
 	jobsServer := &http.Server{
 		Handler: adapter.NewJobsHandler(e.dispatcher), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/node/settings/leased.go
+++ b/node/settings/leased.go
@@ -51,6 +51,8 @@
 	MetricsListen string `json:"metrics_listen"`
 	// StoreAddress is the address of the platform's key-value store.
 	StoreAddress string `json:"store_address"`
+	// StoreValueBytes is the size of the largest value that the store accepts.
+	StoreValueBytes uint32 `json:"store_value_bytes"`
 	// Seeds are nodes addresses of entries; they may be out of date.
 	Seeds  []string `json:"seeds"`
 	Bounds Bounds   `json:"bounds"`
@@ -91,12 +93,14 @@
 	// defaultLeasedConnections is enough for the concurrent calls to one worker.
 	defaultLeasedConnections = 16
 	maxBound                 = time.Hour
+	defaultStoreValueBytes   = 1 << 20
+	maxStoreValueBytes       = 64 << 20
 )
 
 // DefaultLeasedEntry returns an entry's default settings. Required settings are
 // left empty.
 func DefaultLeasedEntry() LeasedEntry {
-	return LeasedEntry{Role: RoleLeasedEntry, Bounds: Bounds{GracePeriod: defaultGrace}, LogLevel: slog.LevelInfo}
+	return LeasedEntry{Role: RoleLeasedEntry, StoreValueBytes: defaultStoreValueBytes, Bounds: Bounds{GracePeriod: defaultGrace}, LogLevel: slog.LevelInfo}
 }
 
 // DefaultLeasedAgent returns an agent's default settings. Required settings are
@@ -126,6 +130,7 @@
 	v.advertised("nodes_address", e.NodesAddress, e.NodesListen)
 	v.optionalListen("metrics_listen", e.MetricsListen)
 	v.address("store_address", e.StoreAddress)
+	v.number("store_value_bytes", uint64(e.StoreValueBytes), 1, maxStoreValueBytes)
 	v.addresses("seeds", e.Seeds, 0)
 	v.bounds(e.Bounds)
 	v.level("log_level", e.LogLevel)
