dispatcher: entries fetch a newer configuration, from one other at a time

Cause: every entry that had a version sent it whole to each partner that lacked it, all at once and again every half second, and answered the partner's own exchanges with it, too. Each such call had 400 ms. Over 19 Mbit/s no two of nine fit; all were abandoned and begun anew: exchanges of a-3 ended after 400 ms with 65,536 bytes each, up to nine at a time, and kept the link full for the store's response and the callers as well. b-3 and c-3 did the same; no large entry did. Ruled out as its begin: the processor (a-3 used half of its share when the link was full), the store (others were answered in milliseconds).

Now exchanges carry versions, and an entry that lacks one fetches it (package catchup): after a delay in which the store usually delivers it, not while the store is delivering, from one entry at a time, for as long as the transfer makes progress. An entry serves two fetches at a time. Entries of earlier versions are sent configurations as before.

--- a/api/papayahoistv1/papayahoistv1connect/work.connect.go
+++ b/api/papayahoistv1/papayahoistv1connect/work.connect.go
@@ -41,6 +41,9 @@
 	WorkServiceAttachProcedure = "/papayahoist.v1.WorkService/Attach"
 	// WorkServiceShareProcedure is the fully-qualified name of the WorkService's Share RPC.
 	WorkServiceShareProcedure = "/papayahoist.v1.WorkService/Share"
+	// WorkServiceFetchConfigurationProcedure is the fully-qualified name of the WorkService's
+	// FetchConfiguration RPC.
+	WorkServiceFetchConfigurationProcedure = "/papayahoist.v1.WorkService/FetchConfiguration"
 	// WorkServiceCancelProcedure is the fully-qualified name of the WorkService's Cancel RPC.
 	WorkServiceCancelProcedure = "/papayahoist.v1.WorkService/Cancel"
 	// WorkServiceInviteProcedure is the fully-qualified name of the WorkService's Invite RPC.
@@ -53,6 +56,9 @@
 	Attach(context.Context) *connect.BidiStreamForClient[papayahoistv1.WorkerFrame, papayahoistv1.OrderFrame]
 	// Share exchanges the states of two entries.
 	Share(context.Context, *connect.Request[papayahoistv1.ShareRequest]) (*connect.Response[papayahoistv1.ShareResponse], error)
+	// FetchConfiguration fails with resource_exhausted while too many transfers are in
+	// progress; the caller should then ask another entry.
+	FetchConfiguration(context.Context, *connect.Request[papayahoistv1.FetchConfigurationRequest]) (*connect.Response[papayahoistv1.FetchConfigurationResponse], error)
 	Cancel(context.Context, *connect.Request[papayahoistv1.CancelRequest]) (*connect.Response[papayahoistv1.CancelResponse], error)
 	Invite(context.Context, *connect.Request[papayahoistv1.InviteRequest]) (*connect.Response[papayahoistv1.InviteResponse], error)
 }
@@ -80,6 +86,12 @@
 			connect.WithSchema(workServiceMethods.ByName("Share")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchConfiguration: connect.NewClient[papayahoistv1.FetchConfigurationRequest, papayahoistv1.FetchConfigurationResponse](
+			httpClient,
+			baseURL+WorkServiceFetchConfigurationProcedure,
+			connect.WithSchema(workServiceMethods.ByName("FetchConfiguration")),
+			connect.WithClientOptions(opts...),
+		),
 		cancel: connect.NewClient[papayahoistv1.CancelRequest, papayahoistv1.CancelResponse](
 			httpClient,
 			baseURL+WorkServiceCancelProcedure,
@@ -97,10 +109,11 @@
 
 // workServiceClient implements WorkServiceClient.
 type workServiceClient struct {
-	attach *connect.Client[papayahoistv1.WorkerFrame, papayahoistv1.OrderFrame]
-	share  *connect.Client[papayahoistv1.ShareRequest, papayahoistv1.ShareResponse]
-	cancel *connect.Client[papayahoistv1.CancelRequest, papayahoistv1.CancelResponse]
-	invite *connect.Client[papayahoistv1.InviteRequest, papayahoistv1.InviteResponse]
+	attach             *connect.Client[papayahoistv1.WorkerFrame, papayahoistv1.OrderFrame]
+	share              *connect.Client[papayahoistv1.ShareRequest, papayahoistv1.ShareResponse]
+	fetchConfiguration *connect.Client[papayahoistv1.FetchConfigurationRequest, papayahoistv1.FetchConfigurationResponse]
+	cancel             *connect.Client[papayahoistv1.CancelRequest, papayahoistv1.CancelResponse]
+	invite             *connect.Client[papayahoistv1.InviteRequest, papayahoistv1.InviteResponse]
 }
 
 // Attach calls papayahoist.v1.WorkService.Attach.
@@ -113,6 +126,11 @@
 	return c.share.CallUnary(ctx, req)
 }
 
+// FetchConfiguration calls papayahoist.v1.WorkService.FetchConfiguration.
+func (c *workServiceClient) FetchConfiguration(ctx context.Context, req *connect.Request[papayahoistv1.FetchConfigurationRequest]) (*connect.Response[papayahoistv1.FetchConfigurationResponse], error) {
+	return c.fetchConfiguration.CallUnary(ctx, req)
+}
+
 // Cancel calls papayahoist.v1.WorkService.Cancel.
 func (c *workServiceClient) Cancel(ctx context.Context, req *connect.Request[papayahoistv1.CancelRequest]) (*connect.Response[papayahoistv1.CancelResponse], error) {
 	return c.cancel.CallUnary(ctx, req)
@@ -129,6 +147,9 @@
 	Attach(context.Context, *connect.BidiStream[papayahoistv1.WorkerFrame, papayahoistv1.OrderFrame]) error
 	// Share exchanges the states of two entries.
 	Share(context.Context, *connect.Request[papayahoistv1.ShareRequest]) (*connect.Response[papayahoistv1.ShareResponse], error)
+	// FetchConfiguration fails with resource_exhausted while too many transfers are in
+	// progress; the caller should then ask another entry.
+	FetchConfiguration(context.Context, *connect.Request[papayahoistv1.FetchConfigurationRequest]) (*connect.Response[papayahoistv1.FetchConfigurationResponse], error)
 	Cancel(context.Context, *connect.Request[papayahoistv1.CancelRequest]) (*connect.Response[papayahoistv1.CancelResponse], error)
 	Invite(context.Context, *connect.Request[papayahoistv1.InviteRequest]) (*connect.Response[papayahoistv1.InviteResponse], error)
 }
@@ -152,6 +173,12 @@
 		connect.WithSchema(workServiceMethods.ByName("Share")),
 		connect.WithHandlerOptions(opts...),
 	)
+	workServiceFetchConfigurationHandler := connect.NewUnaryHandler(
+		WorkServiceFetchConfigurationProcedure,
+		svc.FetchConfiguration,
+		connect.WithSchema(workServiceMethods.ByName("FetchConfiguration")),
+		connect.WithHandlerOptions(opts...),
+	)
 	workServiceCancelHandler := connect.NewUnaryHandler(
 		WorkServiceCancelProcedure,
 		svc.Cancel,
@@ -170,6 +197,8 @@
 			workServiceAttachHandler.ServeHTTP(w, r)
 		case WorkServiceShareProcedure:
 			workServiceShareHandler.ServeHTTP(w, r)
+		case WorkServiceFetchConfigurationProcedure:
+			workServiceFetchConfigurationHandler.ServeHTTP(w, r)
 		case WorkServiceCancelProcedure:
 			workServiceCancelHandler.ServeHTTP(w, r)
 		case WorkServiceInviteProcedure:
@@ -191,6 +220,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayahoist.v1.WorkService.Share is not implemented"))
 }
 
+func (UnimplementedWorkServiceHandler) FetchConfiguration(context.Context, *connect.Request[papayahoistv1.FetchConfigurationRequest]) (*connect.Response[papayahoistv1.FetchConfigurationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayahoist.v1.WorkService.FetchConfiguration is not implemented"))
+}
+
 func (UnimplementedWorkServiceHandler) Cancel(context.Context, *connect.Request[papayahoistv1.CancelRequest]) (*connect.Response[papayahoistv1.CancelResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("papayahoist.v1.WorkService.Cancel is not implemented"))
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -39,17 +39,22 @@
 	// Seeds are the nodes' addresses of entries to start with. They may be out of date.
 	Seeds []string
 	Core  dispatcher.Options
-	// OnFrame, if not nil, is called with each frame queued for an agent, OnFrameSent with
-	// the time from then until the frame was passed to its connection, and OnExchange with
-	// each exchange that this entry has started, when it has ended.
+	// StoreDelivering, if not nil, reports whether the platform's store is delivering a change.
+	// A configuration isn't fetched from another entry meanwhile.
+	StoreDelivering func() bool
+	// OnFrame, if not nil, is called with each frame queued for an agent, and OnFrameSent with
+	// the time from then until the frame was passed to its connection. OnExchange is called
+	// with each exchange with another entry that this one has started, and OnFetch with each
+	// fetch of a configuration, when it has ended.
 	OnFrame     func(*pb.OrderFrame)
 	OnFrameSent func(wait time.Duration)
-	OnExchange  func(Exchange)
+	OnExchange  func(Transfer)
+	OnFetch     func(Transfer)
 	Logger      *slog.Logger
 }
 
-// Exchange describes an exchange with another entry that has ended.
-type Exchange struct {
+// Transfer describes a call to another entry that has ended.
+type Transfer struct {
 	// Sent and Received are the bytes of the two messages, as far as they were transferred.
 	Sent, Received int64
 	Err            error
@@ -83,7 +88,13 @@
 		o.OnFrameSent = func(time.Duration) {}
 	}
 	if o.OnExchange == nil {
-		o.OnExchange = func(Exchange) {}
+		o.OnExchange = func(Transfer) {}
+	}
+	if o.OnFetch == nil {
+		o.OnFetch = func(Transfer) {}
+	}
+	if o.StoreDelivering == nil {
+		o.StoreDelivering = func() bool { return false }
 	}
 	l, err := net.Listen("tcp", o.NodesListen)
 	if err != nil {
@@ -102,7 +113,7 @@
 	d.peers = newPeers(d)
 	r := chi.NewRouter()
 	path, h := papayahoistv1connect.NewWorkServiceHandler(&service{d: d}, rpc.NoCompression)
-	r.Mount(path, h)
+	r.Mount(path, limitTransfers(h))
 	d.server = rpc.NewServer(r, nil)
 	return d, nil
 }
@@ -220,7 +231,7 @@
 }
 
 // SetConfiguration applies a configuration if it is newer than the one in force, and
-// forwards it to the other entries then. Source is where it was received from.
+// announces it to the other entries then. Source is where it was received from.
 func (d *Dispatcher) SetConfiguration(c *pb.Configuration, source string) {
 	newer := false
 	d.decide(func(time.Time) {
--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -15,8 +15,9 @@
 
 // The traffic of an entry must not grow with the number of entries. An entry therefore
 // exchanges only with its partners (package gossip), once for each pair, whichever of the
-// two starts it. Records of entries are sent only if the two views differ, and the
-// configuration only to those that lack it.
+// two starts it. Records of entries are sent only if the two views differ. The configuration
+// is not sent: entries fetch it (package catchup). Only entries of an earlier version, which
+// don't, are sent it if they lack it.
 const (
 	// exchangeInterval is the shortest time between two exchanges of a pair.
 	exchangeInterval = 500 * time.Millisecond
@@ -31,7 +32,7 @@
 	// exchangeTimeout is a few round trips of the slowest link to another entry. An
 	// unresponsive connection is abandoned after it.
 	exchangeTimeout = 400 * time.Millisecond
-	// pushDelay is the time after which an entry sends a new configuration to those not
+	// pushDelay is the time after which an entry announces a new configuration to those not
 	// known to have it, plus jitter of up to the same time. Usually the store notifies
 	// them sooner.
 	pushDelay = 100 * time.Millisecond
@@ -117,23 +118,29 @@
 }
 
 // exchange performs one exchange, and a second one if the other entry's response shows
-// that it lacks the configuration in force here.
+// that it lacks the configuration in force here and can't fetch it.
 func (p *peers) exchange(ctx context.Context, x *peer) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	theirs, ok := p.exchangeOnce(ctx, x, false)
-	if ok && theirs < p.d.Configuration().GetVersion() {
+	if ok && theirs < p.d.Configuration().GetVersion() && !p.fetches(x) {
 		p.exchangeOnce(ctx, x, true)
 	}
 }
 
+func (p *peers) fetches(x *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return x.fetches
+}
+
 // request returns the state that this entry sends to another one, with the configuration
 // if withConfiguration is set.
 func (p *peers) request(x *peer, withConfiguration bool) *pb.ShareRequest {
 	c := p.d.Configuration()
 	req := &pb.ShareRequest{
 		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Address: p.d.opts.Address, Version: c.GetVersion(),
-		Evacuations: p.d.Evacuations(),
+		Evacuations: p.d.Evacuations(), FetchesConfiguration: true,
 	}
 	if withConfiguration {
 		req.Configuration = c
@@ -154,7 +161,7 @@
 	ctx, call := progress.Start(ctx, progress.Limits{Response: exchangeTimeout, Stall: exchangeTimeout})
 	defer call.End()
 	resp, err := x.client.Share(ctx, connect.NewRequest(p.request(x, withConfiguration)))
-	p.d.opts.OnExchange(Exchange{Sent: call.Sent(), Received: call.Received(), Err: err})
+	p.d.opts.OnExchange(Transfer{Sent: call.Sent(), Received: call.Received(), Err: err})
 	p.mu.Lock()
 	wasFailing := x.failing
 	x.failing = err != nil
@@ -169,7 +176,7 @@
 		return 0, false
 	}
 	m := resp.Msg
-	p.received(x, peerState{m.Incarnation, m.Version, m.EntriesDigest, m.Entries, m.Records, m.Evacuations.GetRevision()})
+	p.received(x, peerState{m.Incarnation, m.Version, m.FetchesConfiguration, m.EntriesDigest, m.Entries, m.Records, m.Evacuations.GetRevision()})
 	// Precedes the configuration of the same message: an entry that admits jobs must
 	// have both.
 	p.d.SetEvacuations(m.Evacuations)
@@ -184,6 +191,7 @@
 type peerState struct {
 	incarnation string
 	version     uint64
+	fetches     bool
 	digest      uint64
 	entries     []string
 	records     []*pb.EntryRecord
@@ -196,8 +204,9 @@
 			p.d.opts.Logger.Info("entry_found", "entry", x.address, "incarnation", s.incarnation, "version", s.version)
 		}
 		x.incarnation, x.lastReceived, x.digest = s.incarnation, now, s.digest
-		x.version, x.evacuations = s.version, s.evacuations
-		p.versions.SetOther(now, s.version)
+		x.version, x.evacuations, x.fetches = s.version, s.evacuations, s.fetches
+		p.versions.SetOther(now, x.address, s.version, s.fetches)
+		p.startFetch()
 		p.view.RecordContact(now, x.address)
 		if len(s.records) == 0 {
 			// An entry of an earlier version sends addresses only.
@@ -239,14 +248,14 @@
 	x := p.all[req.Address]
 	p.mu.Unlock()
 	if x != nil {
-		p.received(x, peerState{req.Incarnation, req.Version, req.EntriesDigest, req.Entries, req.Records, req.Evacuations.GetRevision()})
+		p.received(x, peerState{req.Incarnation, req.Version, req.FetchesConfiguration, req.EntriesDigest, req.Entries, req.Records, req.Evacuations.GetRevision()})
 	}
 	c := p.d.Configuration()
 	resp := &pb.ShareResponse{
 		Entry: p.d.opts.Core.Entry, Incarnation: p.d.opts.Core.Incarnation, Version: c.GetVersion(),
-		Evacuations: p.d.Evacuations(),
+		Evacuations: p.d.Evacuations(), FetchesConfiguration: true,
 	}
-	if req.Version < c.GetVersion() {
+	if req.Version < c.GetVersion() && !req.FetchesConfiguration {
 		resp.Configuration = c
 	}
 	p.mu.Lock()
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -45,11 +45,13 @@
 	evacuations  uint64 // revision of the evacuations known there
 	tally        uint64 // tally.View.Changes when it was last sent the tally
 	failing      bool   // the last exchange that this entry started has failed
+	fetches      bool   // it fetches configurations, and none is sent to it
 }
 
 // peers holds the other entries. With its partners among them, this entry exchanges the
-// configuration in force, the evacuations, the live entries and the counts of waiting
-// jobs. An entry that can't reach the platform's store stays up to date this way.
+// version of the configuration in force, the evacuations, the live entries and the counts of
+// waiting jobs, and it fetches the configuration from one that has a newer version. An entry
+// that can't reach the platform's store stays up to date this way.
 type peers struct {
 	d       *Dispatcher
 	ctx     context.Context
@@ -64,17 +66,25 @@
 	tally       *tally.View
 	pushing     bool // a push to partners is scheduled
 
-	versions       catchup.Tracker
+	versions       *catchup.Tracker
+	fetchTimer     *time.Timer
 	reportedBehind uint64 // newest version at the last report of being behind
 }
 
 func newPeers(d *Dispatcher) *peers {
 	fixed := slices.DeleteFunc(slices.Clone(d.opts.Seeds), func(a string) bool { return a == d.opts.Address })
 	startMs := uint64(time.Now().UnixMilli())
-	return &peers{
+	p := &peers{
 		d: d, changed: make(chan struct{}, 1), all: make(map[string]*peer),
 		view: gossip.New(d.opts.Address, startMs, fixed), tally: tally.New(d.opts.Address, startMs),
+		versions: newVersionTracker(),
 	}
+	p.fetchTimer = time.AfterFunc(time.Hour, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.startFetch()
+	})
+	return p
 }
 
 // run adds the seeds, and updates the view and notifies agents of it until the context
@@ -173,6 +183,7 @@
 		return false
 	}
 	delete(p.all, x.address)
+	p.versions.Remove(x.address)
 	return true
 }
 
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -111,6 +111,7 @@
 	e.dispatcher, err = dispatcher.New(dispatcher.Options{
 		NodesListen: s.NodesListen, Address: s.AdvertisedAddress(), Seeds: s.Seeds, Logger: e.logger,
 		OnFrame: e.metrics.countOrderFrame, OnFrameSent: e.metrics.observeFrameWait, OnExchange: e.metrics.countExchange,
+		OnFetch: e.metrics.countFetch, StoreDelivering: func() bool { return e.store.Delivering() },
 		Core: coredispatcher.Options{
 			Entry: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Timeouts: times, Link: leasedLinkOptions(times),
 			RemoteFactor: s.Bounds.RemoteFactor, ReportsPerSecond: reportsPerCore * s.ProcessorShare,
--- a/node/process/leased_metrics.go
+++ b/node/process/leased_metrics.go
@@ -28,8 +28,10 @@
 	frames     *prometheus.CounterVec
 	frameWaits prometheus.Histogram
 	exchanges  *prometheus.CounterVec
-	// exchangeBytes counts parts of messages, too, whose exchange has failed.
+	// exchangeBytes and fetchedBytes count parts of messages, too, if the call has failed.
 	exchangeBytes *prometheus.CounterVec
+	fetches       *prometheus.CounterVec
+	fetchedBytes  *prometheus.CounterVec
 }
 
 // durationBuckets are in seconds, around the latency objectives of sub-second tasks.
@@ -68,8 +70,14 @@
 		exchangeBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "papayahoist_exchange_bytes_total", Help: "Bytes of the messages of these exchanges, by direction and result.",
 		}, []string{"direction", "result"}),
+		fetches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayahoist_configuration_fetches_total", Help: "Fetches of a configuration from another entry, by result.",
+		}, []string{"result"}),
+		fetchedBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "papayahoist_configuration_fetched_bytes_total", Help: "Bytes received by these fetches, by result.",
+		}, []string{"result"}),
 	}
-	m.registry.MustRegister(m.decisions, m.jobs, m.orderWaits, m.runs, m.storeCalls, m.storeBytes, m.frames, m.frameWaits, m.exchanges, m.exchangeBytes, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.decisions, m.jobs, m.orderWaits, m.runs, m.storeCalls, m.storeBytes, m.frames, m.frameWaits, m.exchanges, m.exchangeBytes, m.fetches, m.fetchedBytes, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -102,11 +110,17 @@
 	m.storeBytes.WithLabelValues(c.Kind, result).Add(float64(c.Received))
 }
 
-func (m *leasedMetrics) countExchange(x dispatcher.Exchange) {
-	result := callResult(x.Err)
+func (m *leasedMetrics) countExchange(t dispatcher.Transfer) {
+	result := callResult(t.Err)
 	m.exchanges.WithLabelValues(result).Inc()
-	m.exchangeBytes.WithLabelValues("sent", result).Add(float64(x.Sent))
-	m.exchangeBytes.WithLabelValues("received", result).Add(float64(x.Received))
+	m.exchangeBytes.WithLabelValues("sent", result).Add(float64(t.Sent))
+	m.exchangeBytes.WithLabelValues("received", result).Add(float64(t.Received))
+}
+
+func (m *leasedMetrics) countFetch(t dispatcher.Transfer) {
+	result := callResult(t.Err)
+	m.fetches.WithLabelValues(result).Inc()
+	m.fetchedBytes.WithLabelValues(result).Add(float64(t.Received))
 }
 
 // Kinds of frames. A frame with several kinds of content counts as the first of them
