--- a/node/process/store.go
+++ b/node/process/store.go
@@ -48,8 +48,8 @@
 		r.URL.Host, r.Host = address, ""
 	}
 	response, err := f.next.RoundTrip(r)
-	// A call that timed out counts as failed, one that its caller cancelled doesn't.
-	if err != nil && !errors.Is(r.Context().Err(), context.Canceled) {
+	// A call without progress counts as failed, one that its caller cancelled doesn't.
+	if err != nil && !errors.Is(context.Cause(r.Context()), context.Canceled) {
 		f.current.CompareAndSwap(index, index+1)
 	}
 	return response, err
