soak: large versions of the configuration, and an entry with a small link

Why the soak missed the incident: its configurations had five queues, and all links were as fast as loopback. Now half of the new versions have 1,000 or 5,000 more queues (0.9 MB), chosen by a source of their own so that a seed's actions stay as they were (TestRefusalsLeaveOtherActionsUnchanged), and the last entry's relays share a link of 19 Mbit/s, the smallest of the site files.

--- a/cmd/internal/soak/cluster.go
+++ b/cmd/internal/soak/cluster.go
@@ -70,6 +70,7 @@
 	*daemon
 	ip       string
 	relays   map[Path]*site.Relay
+	link     *site.Link  // nil: not limited
 	stopping atomic.Bool // a planned stop is under way
 }
 
@@ -160,12 +161,29 @@
 		return "", err
 	}
 	r.SetBackend(backend)
+	if n.link != nil {
+		r.SetLink(n.link, inbound(path))
+	}
 	n.relays[path] = r
 	return r.Address(), nil
 }
 
+// smallLink is the bandwidth of the last entry, in bytes per second: 19 Mbit/s.
+const smallLink = 19e6 / 8
+
+// inbound returns the direction in which a path leads to an entry.
+func inbound(p Path) site.Direction {
+	if p == ProcessToStore {
+		return site.FromBackend
+	}
+	return site.ToBackend
+}
+
 func (c *cluster) newEntry(daemon string, i int, seeds []string) (*node, error) {
 	n := &node{ip: c.ip(1 + i), relays: map[Path]*site.Relay{}}
+	if i == c.size.Entries-1 {
+		n.link = site.NewLink(smallLink)
+	}
 	if _, err := n.relay(CallersToEntry, callersRelayPort, hostPort(n.ip, callersPort)); err != nil {
 		return nil, err
 	}
--- a/cmd/internal/soak/operator.go
+++ b/cmd/internal/soak/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -32,6 +33,8 @@
 
 	mu      sync.Mutex
 	version int
+	further int // queues in addition to the usual ones
+	random  *rand.Rand
 	written time.Duration
 	seen    map[string]seenVersion // by entry
 }
@@ -39,8 +42,15 @@
 // seenVersion is the newest version that an incarnation of an entry has shown.
 type seenVersion struct{ incarnation, version int }
 
-func newOperator(c *cluster) *operator {
-	return &operator{c: c, client: &http.Client{Timeout: requestTimeout}, seen: map[string]seenVersion{}}
+// furtherQueues are the numbers of further queues. With the largest, a version is near the size
+// of the largest value that the store accepts.
+var furtherQueues = []int{0, 0, 1000, 5000}
+
+// firstVersions are written before the processes serve.
+const firstVersions = 2
+
+func newOperator(c *cluster, seed uint64) *operator {
+	return &operator{c: c, random: rand.New(rand.NewPCG(seed, 5)), client: &http.Client{Timeout: requestTimeout}, seen: map[string]seenVersion{}}
 }
 
 const (
@@ -48,7 +58,8 @@
 	pollInterval   = 150 * time.Millisecond
 )
 
-func manifest(version int) []byte {
+// manifest returns a version with a number of further queues, which no job uses.
+func manifest(version, further int) []byte {
 	var routes []map[string]any
 	add := func(prefix string) {
 		routes = append(routes, map[string]any{
@@ -63,15 +74,21 @@
 		add(droppableQueue)
 	}
 	add(versionQueue(version))
+	for i := range further {
+		add(fmt.Sprintf("/further%05d/", i))
+	}
 	text, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": service}}})
 	return text
 }
 
-// write stores the next version.
+// write stores the next version. It and later ones have a random number of further queues.
 func (o *operator) write() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.version++
+	if o.version > firstVersions {
+		o.further = furtherQueues[o.random.IntN(len(furtherQueues))]
+	}
 	o.put(o.version)
 }
 
@@ -104,7 +121,7 @@
 }
 
 func (o *operator) put(version int) {
-	o.c.store.Put(adapter.ConfigurationKey, manifest(version))
+	o.c.store.Put(adapter.ConfigurationKey, manifest(version, o.further))
 	if version < o.version {
 		return
 	}
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -86,7 +86,7 @@
 		return nil, err
 	}
 	defer c.close()
-	p := &execution{o: o, c: c, operator: newOperator(c), report: &Report{
+	p := &execution{o: o, c: c, operator: newOperator(c, plan.Seed), report: &Report{
 		Seed: plan.Seed, Size: plan.Size, Duration: plan.Duration.String(), Actions: map[Kind]int{}, Idle: map[Kind]int{},
 	}}
 	p.callers = newCallers(c, plan)
