dispatcher: a fetched configuration comes with the evacuations

Found on reading the change: an entry that starts could fetch a configuration, and admit jobs, before it had the list of evacuated domains of the same entry; before, both were in one message. Now the fetch carries the list, it is applied first, and an exchange applies it before a fetch may begin. An entry that is lost is no longer chosen for a fetch. TestConfigurationIsNotSentUnasked checks the list.

--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -176,10 +176,9 @@
 		return 0, false
 	}
 	m := resp.Msg
-	p.received(x, peerState{m.Incarnation, m.Version, m.FetchesConfiguration, m.EntriesDigest, m.Entries, m.Records, m.Evacuations.GetRevision()})
-	// Precedes the configuration of the same message: an entry that admits jobs must
-	// have both.
+	// Precedes the configuration: an entry that admits jobs must have both.
 	p.d.SetEvacuations(m.Evacuations)
+	p.received(x, peerState{m.Incarnation, m.Version, m.FetchesConfiguration, m.EntriesDigest, m.Entries, m.Records, m.Evacuations.GetRevision()})
 	p.mergeWaiting(m.WaitingRecords)
 	if m.Configuration != nil {
 		p.d.SetConfiguration(m.Configuration, x.address)
--- a/node/dispatcher/fetch.go
+++ b/node/dispatcher/fetch.go
@@ -59,6 +59,7 @@
 	p.d.opts.OnFetch(Transfer{Sent: call.Sent(), Received: call.Received(), Err: err})
 	ok := err == nil && resp.Msg.Configuration != nil
 	if ok {
+		p.d.SetEvacuations(resp.Msg.Evacuations)
 		p.d.SetConfiguration(resp.Msg.Configuration, x.address)
 	} else {
 		p.d.opts.Logger.Warn("configuration_not_fetched", "entry", x.address, "elapsed_ms", clock.Now().Sub(began).Milliseconds(),
@@ -72,7 +73,7 @@
 
 // FetchConfiguration serves another entry's fetch.
 func (s *service) FetchConfiguration(_ context.Context, req *connect.Request[pb.FetchConfigurationRequest]) (*connect.Response[pb.FetchConfigurationResponse], error) {
-	resp := &pb.FetchConfigurationResponse{}
+	resp := &pb.FetchConfigurationResponse{Evacuations: s.d.Evacuations()}
 	if c := s.d.Configuration(); c.GetVersion() > req.Msg.NewerThan {
 		resp.Configuration = c
 	}
--- a/node/dispatcher/fetch_test.go
+++ b/node/dispatcher/fetch_test.go
@@ -23,12 +23,16 @@
 	if resp.Configuration != nil || resp.Version != 7 || !resp.FetchesConfiguration {
 		t.Errorf("answered with %v, want the version only", resp)
 	}
+	d.SetEvacuations(&pb.Evacuations{Revision: 5, Domains: []string{"shed"}})
 	s := &service{d: d}
 	for newerThan, want := range map[uint64]uint64{0: 7, 6: 7, 7: 0, 8: 0} {
 		got, err := s.FetchConfiguration(t.Context(), connect.NewRequest(&pb.FetchConfigurationRequest{NewerThan: newerThan}))
 		if err != nil || got.Msg.Configuration.GetVersion() != want {
 			t.Errorf("newer than %d: version %d, %v; want %d", newerThan, got.Msg.Configuration.GetVersion(), err, want)
 		}
+		if got.Msg.Evacuations.GetRevision() != 5 {
+			t.Errorf("fetched with evacuations %v, want those at revision 5", got.Msg.Evacuations)
+		}
 	}
 }
 
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -123,6 +123,9 @@
 		p.addPeer(a)
 	}
 	for _, x := range p.all {
+		if !p.view.IsAlive(x.address) {
+			p.versions.Remove(x.address)
+		}
 		x.signal() // it may have become a partner or ceased to be one
 	}
 	select {
