--- a/node/dispatcher/fetch.go
+++ b/node/dispatcher/fetch.go
@@ -63,7 +63,7 @@
 		p.d.SetConfiguration(resp.Msg.Configuration, x.address)
 	} else {
 		p.d.opts.Logger.Warn("configuration_not_fetched", "entry", x.address, "elapsed_ms", clock.Now().Sub(began).Milliseconds(),
-			"transferred", call.String(), "err", err)
+			"transferred", call.String(), "err", progress.Cause(ctx, err))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
