--- a/node/dispatcher/fetch_test.go
+++ b/node/dispatcher/fetch_test.go
@@ -39,7 +39,6 @@
 // earlierEntry is an entry of an earlier version, which sends and is sent configurations.
 type earlierEntry struct {
 	papayahoistv1connect.UnimplementedWorkServiceHandler
-	address  string
 	received chan uint64 // versions
 	own      *pb.Configuration
 }
