--- a/dispatch/catchup/catchup_test.go
+++ b/dispatch/catchup/catchup_test.go
@@ -238,7 +238,7 @@
 func TestLargeConfigurationSpreadsWithinSeconds(t *testing.T) {
 	const (
 		mbit    = 1e6 / 8
-		size    = 700e3 // of a message with as many queues as the store's largest value holds
+		size    = 700e3 // above that of a message with the queues of the store's largest value
 		bound   = 3 * time.Second
 		changes = 5
 	)
--- a/node/dispatcher/exchange.go
+++ b/node/dispatcher/exchange.go
@@ -158,7 +158,7 @@
 // exchangeOnce returns the version of the configuration in force at the other entry.
 func (p *peers) exchangeOnce(ctx context.Context, x *peer, withConfiguration bool) (theirs uint64, ok bool) {
 	began := clock.Now()
-	// Only counts: the deadline of the context is not later.
+	// Counts the bytes; the deadline of ctx ends the call first.
 	ctx, call := progress.Start(ctx, progress.Limits{Response: exchangeTimeout, Stall: exchangeTimeout})
 	defer call.End()
 	resp, err := x.client.Share(ctx, connect.NewRequest(p.request(x, withConfiguration)))
--- a/node/dispatcher/fetch.go
+++ b/node/dispatcher/fetch.go
@@ -20,8 +20,8 @@
 	fetchDelay      = 100 * time.Millisecond
 	fetchRetryDelay = 100 * time.Millisecond
 	fetchMaxHold    = time.Second
-	// fetchStall is the time without progress after which a fetch fails. It exceeds the
-	// time for which a burst of callers fills a link.
+	// fetchStall is the time without progress after which a fetch fails. Callers' requests
+	// may fill the link for a part of it.
 	fetchStall = 800 * time.Millisecond
 	// maxTransfers bounds the fetches that an entry serves at a time, so that each of them
 	// gets a fair part of a small link, and the entry's callers do, too.
