runner: the log says what an answer lacked, which call was misdirected, and suspensions

From one agent's log H1 (an incomplete answer to a poll taken for an empty one) could not be told from runs that had ended, H2 (a 421 while the incarnation lives) not from an answer with another start time, and H3 (suspended machine) left nothing.

Now: poll_incomplete with what is missing; "not listed any more" with the number of runs and ends that were listed (after the colon, so the metric's label stays); "answered as misdirected" of a poll and of a start; stalled, with the part for which the machine was suspended. No decision changes.

--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -101,6 +102,12 @@
 	Clock       time.Duration
 	Running     []ListedRun
 	Ended       []End
+	// Missing says what the answer lacks; empty if it is complete.
+	Missing string
+}
+
+func (s PollAnswer) String() string {
+	return fmt.Sprintf("%d running, %d ended", len(s.Running), len(s.Ended))
 }
 
 // workerNow returns the time on the worker's clock. It is never ahead of that clock by more
@@ -181,6 +188,9 @@
 		return
 	}
 	r.candidate = nil
+	if s.Missing != "" {
+		r.logDecision(now, Decision{Event: "poll_incomplete", Reason: s.Missing})
+	}
 	r.updateClock(now, s.Clock)
 	r.polledAt = now
 	recovered := r.unresponsive || !r.polled
@@ -315,7 +325,7 @@
 		case x.phase == stopping && (x.stopAnswered || x.orphaned):
 			r.end(now, x, pb.OrderState_ORDER_STATE_STOPPED, "")
 		case x.phase == running:
-			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, "not listed any more")
+			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, "not listed any more: "+s.String())
 		}
 	}
 }
@@ -327,7 +337,7 @@
 		r.candidate, r.ready.Poll = nil, true
 	}
 	if r.isCurrent(l.Worker) {
-		r.handleCrash(now, "another life of the worker answers")
+		r.handleCrash(now, "a poll was answered as misdirected")
 	}
 }
 
--- a/dispatch/runner/start.go
+++ b/dispatch/runner/start.go
@@ -60,7 +60,7 @@
 	case Started:
 		r.runStarted(now, x)
 	case OtherIncarnation:
-		r.handleSuperseded(now, "another life of the worker answers")
+		r.handleSuperseded(now, "a start was answered as misdirected")
 	case Unanswered:
 		r.startUnanswered(now, x)
 	default:
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -57,6 +57,7 @@
 	core  *runner.Runner
 	links map[string]*link // by entry incarnation
 	timer *rpc.Timer
+	stall stallMeter
 }
 
 // New returns a Runner. Run starts it.
@@ -122,6 +123,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := clock.Now()
+	if elapsed, suspended := r.stall.observe(now, clock.Monotonic()); elapsed > 0 {
+		r.opts.Logger.Info("stalled", "elapsed_ms", elapsed.Milliseconds(), "suspended_ms", suspended.Milliseconds())
+	}
 	input(now)
 	ready := r.core.Ready(now)
 	for _, s := range ready.Starts {
