--- a/dispatch/leasedcheck/signs.go
+++ b/dispatch/leasedcheck/signs.go
@@ -16,6 +16,11 @@
 	LateReports
 	// EarlyLeave: a worker that leaves says so while runs are left, which go on for a while.
 	EarlyLeave
+	// IncompleteAnswers: answers to polls of a worker lack its lists for a while.
+	IncompleteAnswers
+	// Misdirected: calls to a worker are answered as if another incarnation were at its address,
+	// whether they have been carried out or not.
+	Misdirected
 )
 
 func (m Misleading) has(x Misleading) bool { return m&x != 0 }
@@ -37,6 +42,12 @@
 	if w.o.Misleading.has(EarlyLeave) && a.worker.up {
 		signs = append(signs, a.worker.leave)
 	}
+	if w.o.Misleading.has(IncompleteAnswers) && a.worker.up {
+		signs = append(signs, func() { a.worker.incompleteUntil = w.now.Add(20*time.Millisecond + w.jitter(400*time.Millisecond)) })
+	}
+	if w.o.Misleading.has(Misdirected) && a.worker.up {
+		signs = append(signs, func() { a.worker.misdirectedUntil = w.now.Add(20*time.Millisecond + w.jitter(400*time.Millisecond)) })
+	}
 	if len(signs) > 0 {
 		signs[w.rand.IntN(len(signs))]()
 	}
@@ -64,6 +75,19 @@
 
 func (s *simWorker) refuses() bool { return s.w.now.Before(s.refusesUntil) }
 
+// answersIncompletely draws whether the answer to a poll lacks its lists.
+func (s *simWorker) answersIncompletely() bool {
+	return s.w.now.Before(s.incompleteUntil) && s.w.chance(0.5)
+}
+
+// misdirects draws whether a call is answered as misdirected, and whether it is carried out.
+func (s *simWorker) misdirects() (answered, carriedOut bool) {
+	if !s.w.now.Before(s.misdirectedUntil) || s.w.chance(0.5) {
+		return false, true
+	}
+	return true, s.w.chance(0.5)
+}
+
 // onReset registers what the caller does when the connection of a call is reset.
 func (s *simWorker) onReset(f func()) {
 	if s.w.o.Misleading.has(RefusedByWorkers) {
--- a/dispatch/leasedcheck/signs_test.go
+++ b/dispatch/leasedcheck/signs_test.go
@@ -37,6 +37,16 @@
 	misleadingSigns(t, EarlyLeave)
 }
 
+// Answers to polls lack the lists of runs and ends. Guards against an agent that takes what such an
+// answer doesn't list for ended.
+func TestPromisesHoldWithIncompleteAnswers(t *testing.T) { misleadingSigns(t, IncompleteAnswers) }
+
+// Calls are answered as misdirected while the worker's incarnation lives. Guards against an agent
+// that takes it for ended before another one has answered.
+func TestPromisesHoldWhenCallsAreAnsweredAsMisdirected(t *testing.T) {
+	misleadingSigns(t, Misdirected)
+}
+
 const allSigns = RefusedByWorkers | RefusedByEntries | LateReports | EarlyLeave
 
 // All misleading signs occur together, beside faults of all kinds and under each variant of the model.
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -40,6 +40,8 @@
 	lossyUntil       time.Time // calls are lost or late until then
 	silentUntil      time.Time // all calls are lost until then
 	refusesUntil     time.Time // connections are refused until then
+	incompleteUntil  time.Time // answers to polls may lack their lists
+	misdirectedUntil time.Time // calls may be answered as misdirected
 	resets           []func()  // what callers do when their connections are reset
 	reportSequence   uint64
 }
@@ -262,7 +264,13 @@
 		a.decide(func(now time.Time) { a.core.StartAnswered(now, c, verdict, clock, "") })
 	}
 	s.call(a, 40*time.Millisecond, func(to *simWorker) func() {
-		verdict, clock = to.start(c), to.clock()
+		misdirected, carriedOut := to.misdirects()
+		if carriedOut {
+			verdict, clock = to.start(c), to.clock()
+		}
+		if misdirected {
+			verdict, clock = runner.OtherIncarnation, 0
+		}
 		return done
 	}, func(refused bool) {
 		verdict = runner.Unanswered
@@ -325,7 +333,13 @@
 		}
 		to.token = c.Token
 		clock = to.clock()
-		to.stop(c)
+		misdirected, carriedOut := to.misdirects()
+		if carriedOut {
+			to.stop(c)
+		}
+		if misdirected {
+			return nil
+		}
 		return func() { a.decide(func(now time.Time) { a.core.StopAnswered(now, c, clock) }) }
 	}, func(bool) {})
 }
@@ -369,6 +383,9 @@
 			percent := int(100 * s.w.now.Sub(r.startedAt) / r.runTime)
 			seen.Running = append(seen.Running, runner.ListedRun{Task: task, Run: r.run, Percent: min(percent, 99)})
 		}
+		if s.answersIncompletely() {
+			seen = runner.PollAnswer{StartUnixMs: seen.StartUnixMs, Missing: "no list of runs"}
+		}
 		lost := s.w.now.Before(s.lossyUntil) && s.w.chance(0.2)
 		s.w.schedule(s.w.jitter(time.Millisecond), func() {
 			if lost {
@@ -402,6 +419,7 @@
 	}
 	s.w.schedule(delay, func() {
 		s := s.receiver()
+		misdirected, carriedOut := s.misdirects()
 		switch {
 		case s.w.now.Before(s.silentUntil):
 			return
@@ -413,12 +431,17 @@
 		case l.Worker.ID != s.identity().ID:
 			fail(func(now time.Time) { a.core.PollSuperseded(now, l) })
 			return
+		case misdirected:
+			fail(func(now time.Time) { a.core.PollSuperseded(now, l) })
 		case l.Token < s.token:
 			fail(func(now time.Time) { a.core.PollFenced(now, l, s.clock()) })
 			return
 		}
+		if !carriedOut {
+			return
+		}
 		s.onReset(func() { fail(func(now time.Time) { a.core.PollFailed(now, l, false) }) })
-		s.token = l.Token
+		s.token = max(s.token, l.Token)
 		s.extendLease(l.Until)
 		for len(s.ends) > 0 && s.ends[0].Number <= l.LastEnd {
 			s.ends = s.ends[1:]
