runner: a run that an incomplete answer doesn't list goes on

Callers saw: a task run twice at a time, on workers that were up. All runs of one worker were ordered elsewhere in the same millisecond.

Cause: an answer to a poll with status 200 but without the two lists (an empty body, {}, one list, rows that can't be read) was handled as one that lists nothing, so every run on the worker was reported as lost and its entry ordered the task elsewhere at once. The same for an earlier process's runs: the worker counted as idle. Class: what an answer doesn't say, taken for proof of an end.

--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -179,8 +179,14 @@
 	return slices.ContainsFunc(r.runList, func(x *run) bool { return x.orphaned })
 }
 
-// PollAnswered handles the answer to a poll.
+// PollAnswered handles the answer to a poll. One that isn't complete is handled like none: a run
+// that it doesn't list may go on.
 func (r *Runner) PollAnswered(now time.Time, l Poll, s PollAnswer) {
+	if s.Missing != "" {
+		r.logDecision(now, Decision{Event: "poll_incomplete", Reason: s.Missing})
+		r.PollFailed(now, l, false)
+		return
+	}
 	if r.isCandidate(l.Worker) {
 		r.handleSuperseded(now, "a new life of the worker answers")
 	}
@@ -188,9 +194,6 @@
 		return
 	}
 	r.candidate = nil
-	if s.Missing != "" {
-		r.logDecision(now, Decision{Event: "poll_incomplete", Reason: s.Missing})
-	}
 	r.updateClock(now, s.Clock)
 	r.polledAt = now
 	recovered := r.unresponsive || !r.polled
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -725,3 +725,38 @@
 		t.Error("an entry without link or runs is remembered for ever")
 	}
 }
+
+// An answer to a poll lacks its lists. Guards against an agent that takes the runs that it doesn't
+// list for ended, so that their tasks are started elsewhere beside them.
+func TestIncompleteAnswerEndsNoRun(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t1", 1000)
+	for range 2 * maxFailedPolls {
+		l, _ := h.r.NextPoll(h.now, true)
+		h.r.PollAnswered(h.now, l, PollAnswer{Clock: h.clock(), Missing: "no list of runs"})
+		h.ready()
+		h.wait(10 * time.Millisecond)
+	}
+	h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, pb.OrderState_ORDER_STATE_STOPPED)
+	if l, _ := h.r.NextPoll(h.now, true); l.Until != 0 {
+		t.Errorf("lease until %v requested of a worker that gives no complete answer", l.Until)
+	}
+	h.order("e1", "t2", 1000)
+	h.wantNews("e1", 2, pb.OrderState_ORDER_STATE_REFUSED, ReasonNotAccepting)
+	h.end("t1", EndedDone)
+	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_DONE, "")
+}
+
+// An earlier process's runs go on, and the first answer to the next process lacks its lists. Guards
+// against an agent that says that no run is left.
+func TestIncompleteAnswerShowsNoIdleWorker(t *testing.T) {
+	h := newRecalledHarness(t, "e1")
+	l, _ := h.r.NextPoll(h.now, false)
+	h.r.PollAnswered(h.now, l, PollAnswer{Missing: "no list of runs"})
+	h.ready()
+	h.order("e1", "t1", 1000)
+	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED, ReasonNotAccepting)
+	if h.states["e1"].Clean {
+		t.Error("the worker counts as idle")
+	}
+}
