runner: a misdirected call doesn't end an incarnation

Callers saw: a task run twice at a time, on workers that were up; all runs of one worker were ordered elsewhere in the same millisecond.

Cause: one answer 421, to a poll or to a start, was taken for the end of the incarnation that the call named, and its runs were reported as lost at once. Until the worker's next report, up to 1.5 s, it wasn't polled, so that nothing showed the mistake.

Now: nothing more starts on such a worker and no lease is renewed. Its runs have ended once another incarnation has reported itself and answered a poll that names it, or once their lease has expired. A start answered so is in doubt, like an unanswered one.

--- a/dispatch/runner/crash.go
+++ b/dispatch/runner/crash.go
@@ -26,19 +26,13 @@
 	maxCrashes = 256
 )
 
-// handleCrash handles an unrequested end of the worker's current incarnation, and of its runs, when
-// a poll of it has reached another one.
-func (r *Runner) handleCrash(now time.Time, how string) { r.endAfterCrash(now, how, unanswered) }
-
-// handleSuperseded is like handleCrash, but the answers to earlier calls may be those of the
-// incarnation that has taken its place.
-func (r *Runner) handleSuperseded(now time.Time, how string) { r.endAfterCrash(now, how, unlisted) }
-
-func (r *Runner) endAfterCrash(now time.Time, how string, unresolved func(*run) bool) {
+// handleSuperseded handles the end of the worker's current incarnation, and of its runs, when another
+// one has taken its place. The answers to earlier calls may be those of that one.
+func (r *Runner) handleSuperseded(now time.Time, how string) {
 	if r.known && !r.worker.Draining {
 		r.recordCrashes(now)
 	}
-	r.workerGone(now, how, unresolved, func(x *run) string {
+	r.workerGone(now, how, unlisted, func(x *run) string {
 		switch {
 		case r.worker.Draining:
 			return how
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -61,7 +61,8 @@
 	// PollRefused means that the connection was refused, so that the call had no effect.
 	PollRefused
 	PollFenced
-	PollOtherIncarnation
+	// PollMisdirected means that the answer says that the call was meant for another incarnation.
+	PollMisdirected
 )
 
 // ListedRun is one run in the worker's list.
@@ -333,26 +334,35 @@
 	}
 }
 
-// PollSuperseded handles a poll that another incarnation of the worker has answered.
-func (r *Runner) PollSuperseded(now time.Time, l Poll) {
+// PollMisdirected handles a poll that was answered as meant for another incarnation. The current one
+// may live all the same: it is known to have ended once another one has answered a call that names it.
+func (r *Runner) PollMisdirected(now time.Time, l Poll) {
 	if r.isCandidate(l.Worker) {
 		// The report was late: its incarnation has ended.
 		r.candidate, r.ready.Poll = nil, true
 	}
-	if r.isCurrent(l.Worker) {
-		r.handleCrash(now, "a poll was answered as misdirected")
-	}
+	r.pollFailed(now, l, "a poll was answered as misdirected")
 }
 
 // PollFailed handles a poll without an answer. If refused is set, the connection was refused. A
 // live worker may do that, too, so its runs count as going on until their lease has expired.
 func (r *Runner) PollFailed(now time.Time, l Poll, refused bool) {
+	if refused {
+		r.pollFailed(now, l, "it refuses connections")
+		return
+	}
+	r.pollFailed(now, l, "")
+}
+
+// pollFailed handles a poll that the current incarnation has not answered. With a reason the worker
+// counts as unresponsive at once, otherwise after some such polls.
+func (r *Runner) pollFailed(now time.Time, l Poll, reason string) {
 	if !r.isCurrent(l.Worker) || l.sent.Before(r.answeredPollSent) {
 		return // the worker has answered a later one
 	}
 	r.failedPolls++
-	if refused {
-		r.handleUnresponsive(now, "it refuses connections")
+	if reason != "" {
+		r.handleUnresponsive(now, reason)
 		return
 	}
 	r.lossyUntil = now.Add(lossyPeriod)
--- a/dispatch/runner/start.go
+++ b/dispatch/runner/start.go
@@ -23,8 +23,8 @@
 	OldRun
 	// Fenced: another process used a higher token.
 	Fenced
-	// OtherIncarnation: another incarnation of the worker answered.
-	OtherIncarnation
+	// Misdirected: the answer says that the call was meant for another incarnation of the worker.
+	Misdirected
 	// Unanswered: the run may have been started, or may be started later.
 	Unanswered
 	// Unsent: the call can't have reached the worker.
@@ -59,8 +59,9 @@
 	switch v {
 	case Started:
 		r.runStarted(now, x)
-	case OtherIncarnation:
-		r.handleSuperseded(now, "a start was answered as misdirected")
+	case Misdirected:
+		r.handleUnresponsive(now, "a start was answered as misdirected")
+		r.markInDoubt(x)
 	case Unanswered:
 		r.startUnanswered(now, x)
 	default:
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -38,8 +38,8 @@
 
 const (
 	// pollRetryDelay keeps failing polls from using up the processor. It rises to
-	// maxPollRetryDelay, a fraction of a lease, while the worker refuses connections: that costs
-	// no wait by itself and may last as long as a machine is without a worker.
+	// maxPollRetryDelay, a fraction of a lease, while the worker refuses connections or another
+	// incarnation answers: that costs no wait by itself and may last until the next report.
 	pollRetryDelay    = 20 * time.Millisecond
 	maxPollRetryDelay = 100 * time.Millisecond
 	idlePollInterval  = 50 * time.Millisecond
@@ -176,7 +176,7 @@
 		switch r.poll(true) {
 		case runner.PollAnswered:
 			delay = pollRetryDelay
-		case runner.PollRefused:
+		case runner.PollRefused, runner.PollMisdirected:
 			r.pause(delay)
 			delay = min(2*delay, maxPollRetryDelay)
 		default:
@@ -218,8 +218,8 @@
 			r.core.PollAnswered(now, l, seen)
 		case runner.PollFenced:
 			r.core.PollFenced(now, l, seen.Clock)
-		case runner.PollOtherIncarnation:
-			r.core.PollSuperseded(now, l)
+		case runner.PollMisdirected:
+			r.core.PollMisdirected(now, l)
 		default:
 			r.core.PollFailed(now, l, v == runner.PollRefused)
 		}
