dispatcher: an order that arrived after the greeting isn't taken for lost

Callers saw: a task run twice at a time, on workers that were up. Tasks of several jobs were freed in the same millisecond, their first runs on one worker, neither stopped, both ended done.

Cause: when a link is opened, the entry compared its orders with those that the agent's greeting names, and ordered the rest anew at once ("lost with its link"). That holds if the agent has closed its earlier link to the entry before it wrote the greeting. It closes the link of the same address only. If it knows the entry by two addresses, the other link is still up: an order that arrives on it after the greeting is started, and the entry takes it for lost. The same if the answers to two greetings arrive in the opposite order. Class: a message that may be older than what it is compared with, taken for proof that something never arrived.

Unit tests of both sides fail before.

Now: the entry compares with the number in the agent's first frame on the new link. The agent ignores all earlier links by then, and refuses to use a link whose greeting is older than that of one it has used.

In the deploy file of this repository an entry has one address, which seeds name as well, so this needs other settings.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -245,7 +245,7 @@
 // Step handles a frame of the link with the given epoch.
 func (d *Dispatcher) Step(now time.Time, incarnation string, epoch uint64, f *pb.WorkerFrame) {
 	if g, ok := d.handshakes[incarnation]; ok && g.Epoch == epoch {
-		d.completeHandshake(now, g)
+		d.completeHandshake(now, g, f)
 	}
 	a := d.agent(incarnation)
 	if a == nil || !a.session.IsUp() || a.session.Epoch() != epoch {
--- a/dispatch/dispatcher/handshake_test.go
+++ b/dispatch/dispatcher/handshake_test.go
@@ -112,3 +112,30 @@
 		t.Error("the link is refused though nothing is left there")
 	}
 }
+
+// An agent asks for another link while the earlier one still delivers orders to it: it knows the
+// entry by two addresses. Guards against an entry that takes an order for lost with its link because
+// the greeting, which was sent before, leaves it out.
+func TestOrderThatArrivesAfterTheGreetingIsNotTakenForLost(t *testing.T) {
+	b := newFixture(t, "a", "other")
+	b.mustSubmit(tasks(1, 3000, time.Second))
+	o := b.orders()[0]
+	at := b.holder(o)
+	link := func(seen uint64) {
+		at.epoch++
+		b.d.LinkUp(b.now, &pb.AgentGreeting{
+			Agent: at.name, Incarnation: at.incarnation, FailureDomain: "hall", Epoch: at.epoch,
+			Met: []*pb.MetEntry{{Incarnation: "e1", SeenOrder: o.Number - 1}},
+		})
+		at.seq, at.ack, at.seen = 0, 0, seen
+		b.report(at)
+	}
+	link(o.Number)
+	if n := len(b.orders()); n != 1 {
+		t.Fatalf("%d orders of a task that runs", n)
+	}
+	link(o.Number - 1)
+	if n := len(b.orders()); n != 2 {
+		t.Errorf("%d orders, want another one: the first has not arrived by the agent's first frame", n)
+	}
+}
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -45,9 +45,9 @@
 	}
 }
 
-// completeHandshake records that the agent has confirmed the link. Any earlier process of
-// the same agent has ended.
-func (d *Dispatcher) completeHandshake(now time.Time, g handshake) {
+// completeHandshake records that the agent has confirmed the link with its first frame. Any earlier
+// process of the same agent has ended.
+func (d *Dispatcher) completeHandshake(now time.Time, g handshake, first *pb.WorkerFrame) {
 	delete(d.handshakes, g.Incarnation)
 	for _, other := range d.agents {
 		if other.name == g.Agent && other.incarnation != g.Incarnation && other.handshakeAt.After(g.at) {
@@ -89,7 +89,7 @@
 	d.updateEntries(a)
 	d.touch(a)
 	d.opts.OnDecision(Decision{Event: "agent_linked", Agent: a.name, Waiting: len(a.live), Age: now.Sub(g.at)})
-	d.reconcile(now, a, g.AgentGreeting)
+	d.reconcile(now, a, max(g.seenOrder(d.opts.Incarnation), first.State.GetSeenOrder()))
 }
 
 // expireHandshakes closes links that their agents haven't confirmed in time.
@@ -118,16 +118,21 @@
 	return slices.ContainsFunc(g.Met, func(m *pb.MetEntry) bool { return m.Incarnation == d.opts.Incarnation })
 }
 
-// reconcile compares the orders of an earlier link with what the agent says it has
-// received: an order that did not arrive never will, since the agent has closed that
-// link. Run ends that were lost with the link are reported again.
-func (d *Dispatcher) reconcile(now time.Time, a *agent, g *pb.AgentGreeting) {
-	seen := uint64(0)
+// seenOrder returns the last order of an entry that the agent had received when it asked for the link.
+func (g handshake) seenOrder(incarnation string) uint64 {
 	for _, m := range g.Met {
-		if m.Incarnation == d.opts.Incarnation {
-			seen = m.SeenOrder
+		if m.Incarnation == incarnation {
+			return m.SeenOrder
 		}
 	}
+	return 0
+}
+
+// reconcile compares the orders of earlier links with the last one that the agent had received when
+// it sent its first frame on the new link: from then on it ignores all earlier links, so an order
+// beyond that one never arrives. The greeting may be older, and an order may have arrived after it
+// on a link that was still open. Run ends that were lost with a link are reported again.
+func (d *Dispatcher) reconcile(now time.Time, a *agent, seen uint64) {
 	for _, o := range slices.Clone(a.live) {
 		switch {
 		case o.number > seen:
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -109,7 +109,8 @@
 
 // LinkUp handles the entry's answer on a new link whose opening began at requested. It returns
 // false if the link can't be used: the answer took so long, because the process was frozen or
-// the connection cut, that the delay of the frames behind it can't be bounded.
+// the connection cut, that the delay of the frames behind it can't be bounded, or a later link is
+// known to the entry, which sends nothing more on this one.
 func (r *Runner) LinkUp(now, requested time.Time, g *pb.EntryGreeting, epoch uint64, sentNs int64) bool {
 	if now.Sub(requested) > r.opts.Timeouts.MaxOrderDelay {
 		return false
@@ -119,6 +120,9 @@
 		e = &entry{name: g.Entry, incarnation: g.Incarnation, reportInterval: defaultReportInterval, lastReceived: requested}
 		r.entries = append(r.entries, e)
 	}
+	if epoch < e.session.Epoch() {
+		return false
+	}
 	e.session.Up(now, epoch, r.opts.Link)
 	e.retiring = false
 	e.delay = frameDelay{probedAt: now}
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -760,3 +760,22 @@
 		t.Error("the worker counts as idle")
 	}
 }
+
+// The answers to two requests for a link arrive in the opposite order: the agent knows the entry by
+// two addresses. Guards against orders that start on the earlier link after the entry has been told
+// on the later one which orders have arrived.
+func TestEarlierLinkIsNotUsedAfterALaterOne(t *testing.T) {
+	h := newHarness(t, "e1")
+	greeting := &pb.EntryGreeting{Entry: "e1", Incarnation: "e1"}
+	if !h.r.LinkUp(h.now, h.now, greeting, 3, h.now.UnixNano()) {
+		t.Fatal("the later link is not used")
+	}
+	h.ready()
+	if h.r.LinkUp(h.now, h.now, greeting, 2, h.now.UnixNano()) {
+		t.Error("the earlier link is used")
+	}
+	h.r.LinkDown(h.now, "e1", 3)
+	if h.r.LinkUp(h.now, h.now, greeting, 2, h.now.UnixNano()) {
+		t.Error("the earlier link is used once the later one is lost")
+	}
+}
