node/runner: one link to an entry that is known by two addresses

Callers saw: work refused and late, as orders are lost with their links.

Cause: an agent kept a link for each address. An entry keeps one link with an agent, so each new one replaced the other, for ever.

Now an address is left out while another one of the same process is linked. The test fails before (22 links within a second, and going on). The entry of these tests keeps one link with an agent now, as real ones do.

--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -163,11 +163,27 @@
 	}
 }
 
+// isAlias reports whether the target is a further address of an entry that is linked. A second link
+// would take the place of the first one at the entry. The caller holds e.mu.
+func (e *entries) isAlias(t *target) bool {
+	if t.incarnation == "" || t.linked {
+		return false
+	}
+	for _, other := range e.known {
+		if other.linked && other.incarnation == t.incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // choose returns the targets to maintain links to. The caller holds e.mu.
 func (e *entries) choose() []*target {
 	addresses := make([]string, 0, len(e.known))
-	for address := range e.known {
-		addresses = append(addresses, address)
+	for address, t := range e.known {
+		if !e.isAlias(t) {
+			addresses = append(addresses, address)
+		}
 	}
 	ranked := subset.Rank(e.r.opts.Core.Agent, addresses)
 	var out []*target
--- a/node/runner/links_test.go
+++ b/node/runner/links_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,19 +22,37 @@
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
-// fakeEntry orders one task from an agent that takes orders.
+// fakeEntry orders one task from an agent that takes orders. It keeps one link.
 type fakeEntry struct {
 	papayahoistv1connect.UnimplementedWorkServiceHandler
 	incarnation string
 	idle        bool // it orders nothing
 	// news, if not nil, receives what the agent says of the order.
 	news chan *pb.OrderNews
+	// attached counts the links that were opened.
+	attached atomic.Int64
+
+	mu       sync.Mutex
+	replaced chan struct{} // closed when another link takes the place of the open one
+}
+
+// replaceLink ends the open link, if any. It returns a channel that is closed when the new one is
+// replaced in turn.
+func (e *fakeEntry) replaceLink() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.replaced != nil {
+		close(e.replaced)
+	}
+	e.replaced = make(chan struct{})
+	return e.replaced
 }
 
 func (e *fakeEntry) Attach(_ context.Context, stream *connect.BidiStream[pb.WorkerFrame, pb.OrderFrame]) error {
 	if _, err := stream.Receive(); err != nil {
 		return err
 	}
+	e.attached.Add(1)
 	hello := &pb.OrderFrame{Hello: &pb.EntryGreeting{Entry: "e", Incarnation: e.incarnation}, SentNs: time.Now().UnixNano()}
 	if err := stream.Send(hello); err != nil {
 		return err
@@ -44,10 +63,25 @@
 		f.Seq, f.SentNs = seq, time.Now().UnixNano()
 		return stream.Send(f)
 	}
+	replaced, frames := e.replaceLink(), make(chan *pb.WorkerFrame)
+	go func() {
+		defer close(frames)
+		for f, err := stream.Receive(); err == nil; f, err = stream.Receive() {
+			select {
+			case frames <- f:
+			case <-replaced:
+				return
+			}
+		}
+	}()
 	for ordered := e.idle; ; {
-		f, err := stream.Receive()
-		if err != nil {
-			return err
+		var f *pb.WorkerFrame
+		select {
+		case f = <-frames:
+		case <-replaced:
+		}
+		if f == nil {
+			return nil
 		}
 		if err := send(&pb.OrderFrame{Ack: f.Seq}); err != nil {
 			return err
@@ -135,13 +169,15 @@
 
 // runAgent runs an agent beside a worker, linked to the entry at the address. The entry timeout is
 // minutes.
-func runAgent(t *testing.T, address string, w Worker) {
+func runAgent(t *testing.T, address string, w Worker) { runAgentWith(t, []string{address}, w) }
+
+func runAgentWith(t *testing.T, addresses []string, w Worker) {
 	times, err := bounds.Derive(bounds.Params{ResendAfter: 10 * time.Minute, MaxLease: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := New(Options{
-		Entries: []string{address}, Worker: w, Logger: slog.New(slog.DiscardHandler),
+		Entries: addresses, Worker: w, Logger: slog.New(slog.DiscardHandler),
 		Core: runner.Options{Agent: "a", Incarnation: "a1", Timeouts: times, Link: dispatchlink.Options{}.WithDefaults(), Token: 1},
 	})
 	go r.Run()
@@ -194,3 +230,22 @@
 		t.Error("the run was stopped")
 	}
 }
+
+// An agent is told two addresses of one entry, which keeps one link with an agent. Guards against
+// links that replace each other for ever, so that orders are lost with them.
+func TestEntryWithTwoAddressesKeepsOneLink(t *testing.T) {
+	e := &fakeEntry{incarnation: "e1", idle: true}
+	first, _ := e.serve(t, "127.0.0.2:0")
+	second, _ := e.serve(t, "127.0.0.3:0")
+	runAgentWith(t, []string{first, second}, newFakeWorker())
+	settled := int64(0)
+	for quiet := 0; quiet < 5; time.Sleep(100 * time.Millisecond) {
+		n := e.attached.Load()
+		if quiet++; n != settled || n == 0 {
+			quiet, settled = 0, n
+		}
+		if n > 20 {
+			t.Fatalf("%d links opened so far", n)
+		}
+	}
+}
