runner: a new link doesn't hide that its entry was silent for too long

Callers saw: a task run twice at a time, by workers whose machine had been suspended: the first run went on for up to half a second after the resume, with no stop, and ended done.

Cause: an agent stops the runs of an entry from which it has heard nothing for EntryTimeout (585 ms). Only Tick looked for that. When a machine resumes, the links were open again within 3 ms, before any timer fired, and the first frame on the new link counted as news of the entry. That entry had ordered the tasks elsewhere after RunsEndedAfter, and doesn't stop what it has given up. Class: silence that is looked for at times, and not before it is ended.

The test fails before.

Now the silence is judged before a link is used.

--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -123,6 +123,11 @@
 	if epoch < e.session.Epoch() {
 		return false
 	}
+	if r.timedOut(now, e) && r.hasWantedRuns(e) {
+		// Tick may be late. Frames on the new link would hide the silence, in which the entry has
+		// taken these runs for ended.
+		r.stopRunsOf(now, e, "no word from the entry")
+	}
 	e.session.Up(now, epoch, r.opts.Link)
 	e.retiring = false
 	e.delay = frameDelay{probedAt: now}
--- a/dispatch/runner/lease_test.go
+++ b/dispatch/runner/lease_test.go
@@ -107,3 +107,17 @@
 		t.Errorf("the run was stopped %v after the last frame, want %v", got, h.times.EntryTimeout)
 	}
 }
+
+// A machine is suspended, and when it resumes the entry's link is open again before any timer has
+// fired. Guards against runs that go on, since the new link hides the silence during which the entry
+// has taken them for ended and ordered their tasks elsewhere.
+func TestLinkAfterSilenceDoesNotKeepRunsAlive(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t1", 1000)
+	h.now = h.now.Add(h.times.EntryTimeout)
+	h.r.LinkUp(h.now, h.now, &pb.EntryGreeting{Entry: "e1", Incarnation: "e1"}, 2, h.now.UnixNano())
+	h.ready()
+	if len(h.last.Stops) != 1 || h.last.Stops[0].Task != "t1" {
+		t.Errorf("stops %v, want one of t1", h.last.Stops)
+	}
+}
