rpc: an overdue call of a timer isn't put off by each input

Cause: Timer.Set scheduled an overdue call anew, a millisecond later, with each input. A process that handles a backlog gets an input more often than that, so Tick, which looks for silent entries, silent links and expired leases, was not called before the backlog had ended.

Now a call that is due within the shortest delay stays scheduled.

--- a/node/rpc/timer.go
+++ b/node/rpc/timer.go
@@ -11,6 +11,8 @@
 type Timer struct {
 	t  *time.Timer
 	at time.Time
+	// fires is when the scheduled call is made; zero if none is.
+	fires time.Time
 }
 
 // NewTimer returns a timer that calls f in its own goroutine. No call is scheduled
@@ -29,10 +31,16 @@
 	}
 	t.at = at
 	if at.IsZero() {
+		t.fires = time.Time{}
 		t.t.Stop()
 		return
 	}
-	t.t.Reset(max(minDelay, at.Sub(now)))
+	delay := max(minDelay, at.Sub(now))
+	if delay == minDelay && now.Before(t.fires) && t.fires.Sub(now) <= delay {
+		return // putting it off would keep an overdue call from ever being made
+	}
+	t.fires = now.Add(delay)
+	t.t.Reset(delay)
 }
 
 // Stop cancels the scheduled call.
