--- a/node/rpc/timer_test.go
+++ b/node/rpc/timer_test.go
@@ -1,6 +1,8 @@
 package rpc
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,15 +12,15 @@
 // overdue and put off with each of them, so that no time-out is noticed while a process is busy.
 func TestOverdueCallIsNotPutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		calls := 0
-		timer := NewTimer(func() { calls++ })
+		var calls atomic.Int64
+		timer := NewTimer(func() { calls.Add(1) })
 		due := time.Now()
 		for range 10 {
 			time.Sleep(minDelay / 2)
 			timer.Set(time.Now(), due)
 			synctest.Wait()
 		}
-		if calls == 0 {
+		if calls.Load() == 0 {
 			t.Error("no call in five times the shortest delay")
 		}
 		timer.Stop()
@@ -28,16 +30,21 @@
 // An overdue call is due again and again. Guards against one that is made once only.
 func TestOverdueCallIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		calls := 0
+		var mu sync.Mutex
+		calls, due := 0, time.Now()
 		var timer *Timer
-		due := time.Now()
 		timer = NewTimer(func() {
+			mu.Lock()
+			defer mu.Unlock()
 			calls++
 			timer.Set(time.Now(), due)
 		})
+		mu.Lock()
 		timer.Set(time.Now(), due)
+		mu.Unlock()
 		time.Sleep(5*minDelay + minDelay/2)
-		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
 		if calls != 5 {
 			t.Errorf("%d calls in five times the shortest delay", calls)
 		}
