runner: a run that isn't listed is stopped before it counts as ended

Now the run is stopped, and counts as ended when the worker lists its end, or when it is still not listed StopTime after the stop was answered. The last holds for runs that are stopped at their entry's request, too. Logged as run_unlisted.

The test fails before ("no end follows": lost at once; the others: lost at once, with the end ignored).

--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -303,9 +303,10 @@
 	r.logDecision(now, Decision{Event: "run_stalled", Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order, Elapsed: elapsed})
 }
 
-// handleUnlisted handles the runs that a poll does not list although it began after their start
-// or stop was answered. Such a run has ended, and its end was recorded before, or it never
-// began.
+// handleUnlisted handles the runs that a poll lists neither as running nor as ended although it began
+// after their start or stop was answered. A start without an answer that is stopped then never
+// begins. A run that was started must be listed until its end has been marked as seen, so it may go
+// on: it counts as ended once a stop has had the time to end it.
 func (r *Runner) handleUnlisted(now time.Time, l Poll, s PollAnswer) {
 	for _, x := range slices.Clone(r.runList) {
 		if x.phase == queued || x.phase == starting || r.runs[x.task] != x || l.callSeq < x.callSeq {
@@ -326,10 +327,17 @@
 				reason = ReasonStopped
 			}
 			r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, reason)
-		case x.phase == stopping && (x.stopAnswered || x.orphaned):
-			r.end(now, x, pb.OrderState_ORDER_STATE_STOPPED, "")
+		case x.phase == stopping && (x.orphaned || x.stopAnswered && l.sent.Sub(x.stopAnsweredAt) >= r.opts.Timeouts.StopTime):
+			state, reason := pb.OrderState_ORDER_STATE_STOPPED, ""
+			if x.wanted && !x.orphaned {
+				state, reason = pb.OrderState_ORDER_STATE_LOST, reasonUnlisted
+			}
+			r.end(now, x, state, reason)
 		case x.phase == running:
-			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, "not listed any more: "+s.String())
+			r.logDecision(now, Decision{
+				Event: "run_unlisted", Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order, Reason: "the answer lists: " + s.String(),
+			})
+			r.stopNow(now, x)
 		}
 	}
 }
--- a/dispatch/runner/run.go
+++ b/dispatch/runner/run.go
@@ -58,9 +58,11 @@
 	unwantedSince time.Time
 	listed        bool // the current incarnation has listed it
 	stopAnswered  bool // the worker has answered a stop
-	orphaned      bool
-	lostReason    string    // why an unfenced run is lost
-	unfencedUntil time.Time // when an unfenced run is considered lost
+	// stopAnsweredAt is when it first did.
+	stopAnsweredAt time.Time
+	orphaned       bool
+	lostReason     string    // why an unfenced run is lost
+	unfencedUntil  time.Time // when an unfenced run is considered lost
 }
 
 // lastWanted returns when its entry, which isn't nil, is last known to have wanted the run.
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -779,3 +779,43 @@
 		t.Error("the earlier link is used once the later one is lost")
 	}
 }
+
+// listEnd has the worker list the end of a run that it doesn't list as running.
+func (h *harness) listEnd(task string, how Ending) {
+	h.running[task] = 1
+	h.end(task, how)
+}
+
+// A worker's answer lists a run neither as running nor as ended. Guards against an agent that takes it
+// for ended, so that its task is started elsewhere beside it.
+func TestRunThatIsNotListedIsStoppedBeforeItCountsAsEnded(t *testing.T) {
+	const lost, stopped = pb.OrderState_ORDER_STATE_LOST, pb.OrderState_ORDER_STATE_STOPPED
+	for name, c := range map[string]struct {
+		then func(h *harness)
+		want pb.OrderState
+	}{
+		"its end as stopped follows": {func(h *harness) { h.listEnd("t1", EndedStopped) }, stopped},
+		"its end as done follows":    {func(h *harness) { h.listEnd("t1", EndedDone) }, pb.OrderState_ORDER_STATE_DONE},
+		"no end follows": {func(h *harness) {
+			h.poll()
+			h.wantNoNews("e1", 1, lost, stopped)
+			h.wait(h.times.StopTime)
+			h.poll()
+		}, lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "e1")
+			h.begin("e1", "t1", 1000)
+			delete(h.running, "t1")
+			h.poll()
+			h.wantNoNews("e1", 1, lost, stopped)
+			if len(h.last.Stops) != 1 {
+				t.Fatalf("stops %v, want one of t1", h.last.Stops)
+			}
+			h.r.StopAnswered(h.now, h.last.Stops[0], h.clock())
+			h.ready()
+			c.then(h)
+			h.wantNews("e1", 1, c.want, "")
+		})
+	}
+}
--- a/dispatch/runner/start.go
+++ b/dispatch/runner/start.go
@@ -174,6 +174,8 @@
 	}
 	r.callSeq++
 	x.callSeq = r.callSeq
-	x.stopAnswered = true
+	if !x.stopAnswered {
+		x.stopAnswered, x.stopAnsweredAt = true, now
+	}
 	r.ready.Poll = true
 }
