soak: workers that answer oddly

Why the soak missed the incident: its workers lose calls before or after they are carried out, and an answer that arrives is always the worker's own and complete. Now they answer with success without a body, or with 421, for spans of up to 0.4 s (half of the calls, all of which are carried out). The spans have a source of random numbers of their own, so that the other actions of a seed stay: the digest of TestRefusalsLeaveOtherActionsUnchanged is as before, without the new kind.

--- a/cmd/internal/soak/inject.go
+++ b/cmd/internal/soak/inject.go
@@ -30,7 +30,7 @@
 	switch a.Kind {
 	case StopProcess, KillProcess, PauseProcess, KillAll:
 		return i.processes(a)
-	case CrashWorker, DrainWorker, FailRuns, StallRuns, LoseCalls, ResizeWorker:
+	case CrashWorker, DrainWorker, FailRuns, StallRuns, LoseCalls, AnswerOddly, ResizeWorker:
 		return i.worker(a, i.c.hosts[a.Worker])
 	case HoldLink, ResetLink, SlowLink, RefuseLink:
 		return i.link(a)
@@ -111,6 +111,9 @@
 	case LoseCalls:
 		h.lossy.Add(1)
 		defer h.lossy.Add(-1)
+	case AnswerOddly:
+		h.oddAnswers.Store(int32(a.Arg))
+		defer h.oddAnswers.Store(0)
 	}
 	time.Sleep(a.For)
 	return true
--- a/cmd/internal/soak/schedule.go
+++ b/cmd/internal/soak/schedule.go
@@ -62,6 +62,9 @@
 	StallRuns   Kind = "stall_runs"   // runs start and don't end
 	LoseCalls   Kind = "lose_calls"   // calls to the worker, or their responses, are lost
 
+	// AnswerOddly has a worker answer calls that it has carried out in the form that Arg selects.
+	AnswerOddly Kind = "answer_oddly"
+
 	ResizeWorker Kind = "resize_worker" // its capacity is halved for a while
 
 	StoreFails    Kind = "store_fails" // Arg selects the fault
@@ -92,8 +95,12 @@
 	WorkerToAgent  Path = "worker_agent"
 )
 
-// storeFaults is the number of faults that the stand-in store supports.
-const storeFaults = 3
+// storeFaults is the number of faults that the stand-in store supports, and oddAnswers that of the
+// odd answers of a stand-in worker.
+const (
+	storeFaults = 3
+	oddAnswers  = 2
+)
 
 // Action is a fault or an operator's action.
 type Action struct {
@@ -105,7 +112,7 @@
 	Process int  `json:"process,omitempty"`
 	Worker  int  `json:"worker,omitempty"`
 	Path    Path `json:"path,omitempty"`
-	// Arg is the fault of the store, or the direction that is held.
+	// Arg is the fault of the store, the form of answers, or the direction that is held.
 	Arg int `json:"arg,omitempty"`
 	// Every n-th connection of a link is affected.
 	Every int `json:"every,omitempty"`
@@ -148,6 +155,10 @@
 	// minRefusalLength and maxRefusalLength bound how long a link refuses connections.
 	minRefusalLength = 25 * time.Millisecond
 	maxRefusalLength = 2 * time.Second
+	// meanOddAnswersGap is the mean time between two spans of odd answers at the usual size, and
+	// maxOddAnswersLength bounds their length.
+	meanOddAnswersGap   = 1500 * time.Millisecond
+	maxOddAnswersLength = 400 * time.Millisecond
 	// meanRefusalGap is the mean time between two series of refusals at the usual size.
 	meanRefusalGap = 1500 * time.Millisecond
 	// meanSeriesGap is the mean time between two series of faults at the usual size.
@@ -165,7 +176,7 @@
 	if least := warmUp + faultPeriodLength/2 + calmSpanLength; duration < least {
 		return Schedule{}, ErrOptions.New("duration %v; the minimum is %v", duration, least)
 	}
-	p := planner{rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4)), size, Schedule{Seed: seed, Duration: duration, Size: size.Name}}
+	p := planner{rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5)), size, Schedule{Seed: seed, Duration: duration, Size: size.Name}}
 	at := warmUp
 	for at+faultPeriodLength/2+calmSpanLength <= duration {
 		length := faultPeriodLength/2 + p.randomDuration(faultPeriodLength/2)
@@ -191,6 +202,8 @@
 	resizes *rand.Rand
 	// refusals has its own source for the same reason.
 	refusals *rand.Rand
+	// answers has its own source for the same reason.
+	answers  *rand.Rand
 	size     Size
 	schedule Schedule
 }
@@ -223,6 +236,7 @@
 		p.evacuate(at, to-at, false)
 	}
 	p.refuseLinks(from, to)
+	p.answerOddly(from, to)
 }
 
 // seriesGap scales the mean time between two series of faults to the size.
@@ -253,6 +267,19 @@
 	}
 }
 
+// answerOddly adds spans in which a worker's answers are odd; they may overlap.
+func (p *planner) answerOddly(from, to time.Duration) {
+	r, gap := p.answers, float64(p.seriesGap(meanOddAnswersGap))
+	for at := from; ; {
+		at += time.Duration(r.ExpFloat64() * gap)
+		if at >= to {
+			return
+		}
+		length := time.Millisecond + time.Duration(r.Int64N(int64(maxOddAnswersLength)))
+		p.add(Action{At: at, For: min(length, max(to-at, time.Millisecond)), Kind: AnswerOddly, Worker: r.IntN(p.size.Workers), Arg: 1 + r.IntN(oddAnswers)})
+	}
+}
+
 // refusalLength returns a length whose logarithm is uniformly distributed, so most
 // are short.
 func (p *planner) refusalLength() time.Duration {
--- a/cmd/internal/soak/schedule_test.go
+++ b/cmd/internal/soak/schedule_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// A finding names its seed: refusals must leave the seed's other actions as they
-// were, or the finding can't be reproduced.
+// A finding names its seed: refusals and odd answers must leave the seed's other actions as
+// they were, or the finding can't be reproduced.
 func TestRefusalsLeaveOtherActionsUnchanged(t *testing.T) {
 	const want = "16192d95469b8c481c61437da4e4194234bc5dca821d4e997c6097674a05ca90"
 	sum := sha256.New()
@@ -70,7 +70,7 @@
 				t.Fatal(err)
 			}
 			for _, a := range s.Actions {
-				if a.Kind != RefuseLink {
+				if a.Kind != RefuseLink && a.Kind != AnswerOddly {
 					_ = out.Encode(a)
 				}
 			}
--- a/cmd/internal/soak/workers.go
+++ b/cmd/internal/soak/workers.go
@@ -22,6 +22,8 @@
 	// lostCallsDivisor is n where a lossy worker loses one in n calls, before or
 	// after it has executed them.
 	lostCallsDivisor = 4
+	// oddAnswersDivisor is n where one in n answers is odd.
+	oddAnswersDivisor = 2
 )
 
 // specification is what a caller sends for each task, and what the worker executes.
@@ -56,6 +58,7 @@
 	lossy        atomic.Int32
 	fails        atomic.Int32
 	stalls       atomic.Int32
+	oddAnswers   atomic.Int32 // a standin.Answer
 	calls        atomic.Uint64
 
 	current atomic.Pointer[standin.Worker]
@@ -91,7 +94,7 @@
 	}
 	w := standin.NewWorker(standin.WorkerOptions{
 		ID: id, Born: born, Service: service, CPU: workerCPU, Memory: workerMemory, Agent: h.agentAddress, ReportInterval: reportEvery, ClockRate: h.clockRate,
-		MaxLease: maxLease, RunTime: h.runLength, Fails: h.runFails, LoseCall: h.losesCall,
+		MaxLease: maxLease, RunTime: h.runLength, Fails: h.runFails, LoseCall: h.losesCall, Answer: h.answer,
 		Crashes: func(text string) bool { return parseSpecification(text).Crashes }, Crash: h.crashByTask,
 		OnStart: func(task string, run uint32, text string) {
 			checker.RunStarted(since(), l, task, run, parseSpecification(text))
@@ -198,3 +201,11 @@
 	}
 	return false, false
 }
+
+// answer decides how a call is answered.
+func (h *host) answer(string) standin.Answer {
+	if h.calls.Load()%oddAnswersDivisor == 0 {
+		return standin.Answer(h.oddAnswers.Load())
+	}
+	return standin.CompleteAnswer
+}
