rpc: a call that moves within the shortest delay isn't lost

An overdue call was scheduled a millisecond later, then Next moved to a time within that millisecond: Set kept the earlier call, which found nothing due, and then took the new one for scheduled. No call followed before the next input.

--- a/node/rpc/timer.go
+++ b/node/rpc/timer.go
@@ -36,7 +36,7 @@
 		return
 	}
 	delay := max(minDelay, at.Sub(now))
-	if delay == minDelay && now.Before(t.fires) && t.fires.Sub(now) <= delay {
+	if now.Before(t.fires) && !at.After(t.fires) && t.fires.Sub(now) <= minDelay {
 		return // putting it off would keep an overdue call from ever being made
 	}
 	t.fires = now.Add(delay)
--- a/node/rpc/timer_test.go
+++ b/node/rpc/timer_test.go
@@ -51,3 +51,37 @@
 		timer.Stop()
 	})
 }
+
+// A call moves to a later time within the shortest delay. Guards against one that is left to an earlier
+// call, which finds nothing due, and is then never made.
+func TestCallThatMovesWithinTheShortestDelayIsMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		start := time.Now()
+		due, made := start, false
+		var timer *Timer
+		timer = NewTimer(func() {
+			mu.Lock()
+			defer mu.Unlock()
+			if now := time.Now(); !now.Before(due) {
+				made, due = true, time.Time{}
+			}
+			timer.Set(time.Now(), due)
+		})
+		mu.Lock()
+		timer.Set(start, due)
+		mu.Unlock()
+		time.Sleep(minDelay / 2)
+		mu.Lock()
+		due = start.Add(minDelay * 5 / 4)
+		timer.Set(time.Now(), due)
+		mu.Unlock()
+		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		if !made {
+			t.Error("the call is never made")
+		}
+		timer.Stop()
+	})
+}
