--- a/node/runner/refusal_test.go
+++ b/node/runner/refusal_test.go
@@ -1,12 +1,15 @@
 package runner
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/runner"
 	"github.com/papayahoist/papayahoist/platform/adapter"
 	"github.com/papayahoist/papayahoist/platform/adapter/standin"
 )
@@ -65,3 +68,26 @@
 		t.Errorf("the agent reports %v, want the end as done", n)
 	}
 }
+
+// incompleteWorker answers each poll at once and incompletely.
+type incompleteWorker struct {
+	*fakeWorker
+	polls atomic.Int64
+}
+
+func (w *incompleteWorker) Poll(context.Context, runner.Poll) (runner.PollAnswer, runner.PollVerdict) {
+	w.polls.Add(1)
+	return runner.PollAnswer{Missing: "no clock"}, runner.PollAnswered
+}
+
+// A worker answers incompletely for a while. Guards against polls without a pause, each with a line in
+// the log.
+func TestIncompleteAnswersArePaced(t *testing.T) {
+	address, _ := (&fakeEntry{incarnation: "e1", idle: true}).serve(t, "127.0.0.2:0")
+	w := &incompleteWorker{fakeWorker: newFakeWorker()}
+	runAgent(t, address, w)
+	time.Sleep(500 * time.Millisecond)
+	if n := w.polls.Load(); n > 60 {
+		t.Errorf("%d polls in 500 ms", n)
+	}
+}
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -197,7 +197,8 @@
 	}
 }
 
-// poll polls the worker. While no worker is known it only waits.
+// poll polls the worker and returns by which verdict to pace the next poll. While no worker is known
+// it only waits.
 func (r *Runner) poll(waiting bool) runner.PollVerdict {
 	var l runner.Poll
 	var ok bool
@@ -212,6 +213,10 @@
 	if r.ctx.Err() != nil {
 		return v
 	}
+	paced := v
+	if seen.Missing != "" {
+		paced = runner.PollUnanswered // the next poll may wait for nothing, either
+	}
 	r.decide(func(now time.Time) {
 		switch v {
 		case runner.PollAnswered:
@@ -224,7 +229,7 @@
 			r.core.PollFailed(now, l, v == runner.PollRefused)
 		}
 	})
-	return v
+	return paced
 }
 
 func (r *Runner) pause(d time.Duration) {
