--- a/node/runner/entries.go
+++ b/node/runner/entries.go
@@ -43,6 +43,9 @@
 	// invitationTime is how long a link is kept that an entry has asked for. Bursts that
 	// make entries ask for links last some seconds.
 	invitationTime = 10 * time.Second
+	// aliasRetryInterval is how often a further address of a linked entry is tried: another process
+	// may answer there by then.
+	aliasRetryInterval = time.Minute
 	// maxTargets bounds the addresses that an agent remembers, to a multiple of those
 	// advertised to it. The ones listed most recently are kept.
 	maxTargets = 4 * subset.Advertised
@@ -62,7 +65,8 @@
 // target is the address of an entry, present or past.
 type target struct {
 	address     string
-	incarnation string // of the entry at the last handshake; empty if its process has ended
+	incarnation string    // of the entry at the last handshake; empty if its process has ended
+	answeredAt  time.Time // when that link was opened
 	lastListed  time.Time
 	linked      bool
 	// down reports that the last attempt to open a link failed.
@@ -166,7 +170,7 @@
 // isAlias reports whether the target is a further address of an entry that is linked. A second link
 // would take the place of the first one at the entry. The caller holds e.mu.
 func (e *entries) isAlias(t *target) bool {
-	if t.incarnation == "" || t.linked {
+	if t.incarnation == "" || t.linked || clock.Now().Sub(t.answeredAt) >= aliasRetryInterval {
 		return false
 	}
 	for _, other := range e.known {
@@ -271,13 +275,13 @@
 		} else if e.linkFailed(t) {
 			return
 		}
-		if e.deactivate(t) {
-			return
-		}
 		if clock.Now().Sub(began) < maxRedialPause {
 			e.r.pause(min(pause, e.maxPause()))
 			pause = min(2*pause, maxRedialPause)
 		}
+		if e.deactivate(t) {
+			return
+		}
 	}
 }
 
@@ -315,7 +319,7 @@
 	t.linked = linked
 	t.lastListed = clock.Now()
 	if linked {
-		t.incarnation, t.down, e.linkedOnce = incarnation, false, true
+		t.incarnation, t.answeredAt, t.down, e.linkedOnce = incarnation, clock.Now(), false, true
 	}
 	e.mu.Unlock()
 	if linked {
