runner: a stop needs its time before a run counts as never begun, or as an orphan's end

A start without an answer counted as never begun, and a run of an earlier process as ended, as soon as one answer didn't list it, without the time that a stop takes and, for the orphan, without an answer to the stop.

Now both wait for StopTime after the stop was answered.

--- a/dispatch/runner/evacuate_test.go
+++ b/dispatch/runner/evacuate_test.go
@@ -90,6 +90,9 @@
 		t.Fatalf("%d stops, want the one that fences the start", len(h.last.Stops))
 	}
 	h.r.StopAnswered(h.now, h.last.Stops[0], h.clock())
+	h.now = h.now.Add(h.times.StopTime - time.Millisecond)
+	h.poll()
+	h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED)
 	h.now = h.now.Add(time.Millisecond)
 	h.poll()
 	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED, ReasonUnanswered)
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -242,9 +242,11 @@
 	}
 }
 
-// logLostRun logs a run that has been reported as lost, although the worker says otherwise.
+// logLostRun logs a run that has been reported as lost or never begun, although the worker says
+// otherwise.
 func (r *Runner) logLostRun(now time.Time, task string, run uint32, what string) {
-	if e := r.recentRuns[task]; e.run == run && e.state == pb.OrderState_ORDER_STATE_LOST {
+	e := r.recentRuns[task]
+	if e.run == run && (e.state == pb.OrderState_ORDER_STATE_LOST || e.state == pb.OrderState_ORDER_STATE_REFUSED) {
 		r.logDecision(now, Decision{Event: "lost_run_found", Task: task, Run: run, Reason: what})
 	}
 }
@@ -306,7 +308,7 @@
 // handleUnlisted handles the runs that a poll lists neither as running nor as ended although it began
 // after their start or stop was answered. A start without an answer that is stopped then never
 // begins. A run that was started must be listed until its end has been marked as seen, so it may go
-// on: it counts as ended once a stop has had the time to end it.
+// on. Either is certain once a stop has had the time to end a run.
 func (r *Runner) handleUnlisted(now time.Time, l Poll, s PollAnswer) {
 	for _, x := range slices.Clone(r.runList) {
 		if x.phase == queued || x.phase == starting || r.runs[x.task] != x || l.callSeq < x.callSeq {
@@ -315,19 +317,20 @@
 		if slices.ContainsFunc(s.Running, func(row ListedRun) bool { return row.Task == x.task && row.Run == x.run }) {
 			continue
 		}
+		stopped := x.stopAnswered && l.sent.Sub(x.stopAnsweredAt) >= r.opts.Timeouts.StopTime
 		switch {
 		case x.phase == unfenced:
 			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, x.lostReason)
 		case x.phase == inDoubt:
 			x.phase = fencing
 			r.sendStop(now, x)
-		case x.phase == fencing && x.stopAnswered:
+		case x.phase == fencing && stopped:
 			reason := ReasonUnanswered
 			if !x.wanted {
 				reason = ReasonStopped
 			}
 			r.end(now, x, pb.OrderState_ORDER_STATE_REFUSED, reason)
-		case x.phase == stopping && (x.orphaned || x.stopAnswered && l.sent.Sub(x.stopAnsweredAt) >= r.opts.Timeouts.StopTime):
+		case x.phase == stopping && stopped:
 			state, reason := pb.OrderState_ORDER_STATE_STOPPED, ""
 			if x.wanted && !x.orphaned {
 				state, reason = pb.OrderState_ORDER_STATE_LOST, reasonUnlisted
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -243,6 +243,10 @@
 	h.poll()
 	h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED)
 	h.r.StopAnswered(h.now, stopOf(s), h.clock())
+	h.now = h.now.Add(h.times.StopTime - time.Millisecond)
+	h.poll()
+	h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED)
+	h.now = h.now.Add(time.Millisecond)
 	h.poll()
 	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED, ReasonUnanswered)
 }
@@ -819,3 +823,49 @@
 		})
 	}
 }
+
+// A start without an answer was carried out, its stop is answered and takes its time, and one answer
+// doesn't list the run. Guards against an agent that says that it never began.
+func TestFencedRunThatIsNotListedMayStillBeStopping(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.order("e1", "t1", 1000)
+	s := h.last.Starts[0]
+	h.unanswered(s)
+	h.poll()
+	if len(h.last.Stops) != 1 {
+		t.Fatalf("stops %v, want one of t1", h.last.Stops)
+	}
+	h.r.StopAnswered(h.now, h.last.Stops[0], h.clock())
+	h.ready()
+	h.wait(h.times.StopTime - time.Millisecond)
+	h.poll()
+	h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED, pb.OrderState_ORDER_STATE_LOST)
+	h.wait(time.Millisecond)
+	h.poll()
+	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_REFUSED, ReasonUnanswered)
+}
+
+// A restarted agent stops a run of the process before it, and an answer doesn't list that run. Guards
+// against an agent that says that no run is left.
+func TestOrphanedRunThatIsNotListedMayStillBeStopping(t *testing.T) {
+	h := newRecalledHarness(t, "e1")
+	h.running["t1"] = 1
+	h.poll()
+	if len(h.last.Stops) != 1 {
+		t.Fatalf("stops %v, want one of t1", h.last.Stops)
+	}
+	stop := h.last.Stops[0]
+	delete(h.running, "t1")
+	clean := func() bool { return h.r.state(h.now, h.r.entries[0]).Clean }
+	h.poll()
+	if clean() {
+		t.Error("the worker counts as idle before the stop was answered")
+	}
+	h.r.StopAnswered(h.now, stop, h.clock())
+	h.ready()
+	h.wait(h.times.StopTime)
+	h.poll()
+	if !clean() {
+		t.Error("the worker doesn't count as idle after the stop")
+	}
+}
