runner, dispatcher: the log says how long a lost run's lease could still last

An agent's run_lost gave a reason, but not whether the worker's lease could still hold, and an entry's run_lost not how long ago its last frame was, so that one process's log didn't show whether a task was freed too early. run_lost now has lease_left_ms at agents and age_ms at entries. No decision changes: the lease's expiry is named once and used in the two places that reckoned it.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -237,7 +237,10 @@
 		d.removeOrder(o)
 		// The run may have begun without a report.
 		o.task.job.started = true
-		d.opts.OnDecision(Decision{Event: "run_lost", Job: o.task.job.ID, Task: o.task.name(), Run: o.run, Agent: a.name, Order: o.number, Reason: reason})
+		d.opts.OnDecision(Decision{
+			Event: "run_lost", Job: o.task.job.ID, Task: o.task.name(), Run: o.run, Agent: a.name, Order: o.number, Reason: reason,
+			Age: now.Sub(a.lastSent),
+		})
 		d.requeue(o.task.job, o.task)
 	}
 }
--- a/dispatch/runner/messages.go
+++ b/dispatch/runner/messages.go
@@ -19,7 +19,9 @@
 	// based.
 	PollAge time.Duration
 	// Elapsed is how long the run lasted.
-	Elapsed      time.Duration
+	Elapsed time.Duration
+	// LeaseLeft is how long the worker's lease may still last when a run is lost.
+	LeaseLeft    time.Duration
 	FreeCapacity size.Size
 }
 
--- a/dispatch/runner/run.go
+++ b/dispatch/runner/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
@@ -122,12 +123,21 @@
 	if x.entry != nil {
 		x.entry.notify(&pb.OrderNews{Number: x.order, State: state, RunMs: uint32(elapsed.Milliseconds()), Reason: reason})
 	}
-	r.logDecision(now, Decision{
+	d := Decision{
 		Event: "run_" + eventName(state), Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order, Reason: reason, Elapsed: elapsed,
-	})
+	}
+	if state == pb.OrderState_ORDER_STATE_LOST {
+		d.LeaseLeft = max(0, r.leaseExpiry().Sub(now))
+	}
+	r.logDecision(now, d)
 	r.startQueued(now)
 }
 
+// leaseExpiry returns when the lease that was last requested has certainly ended.
+func (r *Runner) leaseExpiry() time.Time {
+	return r.leaseRenewedAt.Add(bounds.LeaseExpiry(r.opts.Timeouts.Lease))
+}
+
 func eventName(s pb.OrderState) string {
 	switch s {
 	case pb.OrderState_ORDER_STATE_REFUSED:
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -150,7 +150,7 @@
 	for _, x := range slices.Clone(r.runList) {
 		r.tickRun(now, x)
 	}
-	if r.unresponsive && r.Running() > 0 && now.After(r.leaseRenewedAt.Add(bounds.LeaseExpiry(r.opts.Timeouts.Lease)+bounds.Slack)) {
+	if r.unresponsive && r.Running() > 0 && now.After(r.leaseExpiry().Add(bounds.Slack)) {
 		r.handleLeaseExpired(now)
 	}
 }
@@ -185,7 +185,7 @@
 		}
 	}
 	if r.unresponsive && r.Running() > 0 {
-		next = link.Earlier(next, r.leaseRenewedAt.Add(bounds.LeaseExpiry(r.opts.Timeouts.Lease)+bounds.Slack+time.Millisecond))
+		next = link.Earlier(next, r.leaseExpiry().Add(bounds.Slack+time.Millisecond))
 	}
 	return next
 }
--- a/node/process/leased_log.go
+++ b/node/process/leased_log.go
@@ -96,6 +96,7 @@
 		a.text("reason", d.Reason)
 		a.millis("age_ms", d.PollAge)
 		a.millis("elapsed_ms", d.Elapsed)
+		a.millis("lease_left_ms", d.LeaseLeft)
 		a.freeCapacity(d.FreeCapacity)
 		l.Add(decisionlog.Line{At: time.Now(), Event: d.Event, Attrs: a}, routineEvents[d.Event])
 	}
