runner: failing tests of runs that outlive their worker's succession

Callers would see a task run twice at a time: when another incarnation answers at a worker's address, the agent reports all runs of the earlier one as lost in one go, although that one's process may go on with them until its lease expires.

--- a/dispatch/leasedcheck/signs.go
+++ b/dispatch/leasedcheck/signs.go
@@ -21,6 +21,9 @@
 	// Misdirected: calls to a worker are answered as if another incarnation were at its address,
 	// whether they have been carried out or not.
 	Misdirected
+	// Succeeded: another incarnation answers at a worker's address while the runs of the earlier one
+	// go on, until they end or its lease expires.
+	Succeeded
 )
 
 func (m Misleading) has(x Misleading) bool { return m&x != 0 }
@@ -48,6 +51,9 @@
 	if w.o.Misleading.has(Misdirected) && a.worker.up {
 		signs = append(signs, func() { a.worker.misdirectedUntil = w.now.Add(20*time.Millisecond + w.jitter(400*time.Millisecond)) })
 	}
+	if w.o.Misleading.has(Succeeded) && a.worker.up {
+		signs = append(signs, func() { a.worker.succeed(w.jitter(time.Second)) })
+	}
 	if len(signs) > 0 {
 		signs[w.rand.IntN(len(signs))]()
 	}
@@ -62,6 +68,24 @@
 	})
 }
 
+// succeed lets the worker's next incarnation answer at its address after it has been silent for a
+// while. It isn't reached any more, and goes on with its runs.
+func (s *simWorker) succeed(silence time.Duration) {
+	if s.w.chance(0.5) {
+		silence = 0
+	}
+	s.silentUntil = s.w.now.Add(silence)
+	s.w.schedule(silence, func() {
+		if !s.up || s.a.worker != s {
+			return
+		}
+		s.a.worker = newSimWorker(s.w, s.a, s.incarnation+1)
+		s.w.trace("%s answers instead of %s, which has %d runs", s.a.worker.id(), s.id(), len(s.runs))
+	})
+}
+
+func (s *simWorker) isSucceeded() bool { return s.a.worker != s }
+
 // refuse resets all connections and refuses new ones for a while. Runs go on.
 func (s *simWorker) refuse(d time.Duration) {
 	s.w.trace("%s refuses connections for %v", s.id(), d)
--- a/dispatch/leasedcheck/signs_test.go
+++ b/dispatch/leasedcheck/signs_test.go
@@ -47,6 +47,26 @@
 	misleadingSigns(t, Misdirected)
 }
 
+// Another incarnation answers at a worker's address and the earlier one's runs go on. Guards against an
+// agent that takes them for ended before their lease has expired.
+func TestPromisesHoldWhenWorkersRunOnAfterTheirSuccessorsAnswer(t *testing.T) {
+	for name, variant := range map[string]func(o *Options){
+		"usual":                    func(*Options) {},
+		"slowest workers":          func(o *Options) { o.SlowestWorkers = true },
+		"workers keep identifiers": func(o *Options) { o.WorkerRestarts = true },
+		"workers leave":            func(o *Options) { o.Misleading |= EarlyLeave },
+	} {
+		t.Run(name, func(t *testing.T) {
+			promisesHold(t, func(seed uint64) Options {
+				o := options(seed)
+				o.Faults, o.Misleading, o.Signs = int(seed%10), Succeeded, 4+int(seed%57)
+				variant(&o)
+				return o
+			})
+		})
+	}
+}
+
 const allSigns = RefusedByWorkers | RefusedByEntries | LateReports | EarlyLeave
 
 // All misleading signs occur together, beside faults of all kinds and under each variant of the model.
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -115,7 +115,7 @@
 
 // report sends the worker's heartbeat to its agent.
 func (s *simWorker) report() {
-	if !s.up {
+	if !s.up || s.isSucceeded() {
 		return
 	}
 	s.reportSequence++
@@ -156,6 +156,9 @@
 	}
 	s.up = false
 	s.runs = map[string]*simRun{}
+	if s.isSucceeded() {
+		return
+	}
 	s.w.schedule(downtime, func() { s.a.worker = newSimWorker(s.w, s.a, s.incarnation+1) })
 }
 
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -759,3 +759,100 @@
 	misdirect(60 * time.Millisecond)
 	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, "the lease has lapsed")
 }
+
+// waitLinked lets time pass while the entries go on sending frames.
+func (h *harness) waitLinked(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		for _, e := range h.r.entries {
+			h.frame(e.incarnation, &pb.OrderFrame{})
+		}
+		h.wait(min(pollInterval, end.Sub(h.now)))
+	}
+}
+
+// newSupersededHarness returns a harness with t1 on a worker whose lease was just renewed, and whose next
+// incarnation has answered then.
+func newSupersededHarness(t *testing.T, keepsID bool, before func(h *harness)) *harness {
+	h, id := newHarness(t, "e1", "e2"), "w2"
+	if keepsID {
+		h, id = newIncarnationHarness(t, "e1", "e2"), "w1"
+	}
+	h.begin("e1", "t1", 3000)
+	h.poll()
+	if before != nil {
+		before(h)
+	}
+	l, ok := h.r.NextPoll(h.now, true)
+	if ok {
+		h.r.PollMisdirected(h.now, l)
+	}
+	h.supersede(id)
+	h.poll()
+	return h
+}
+
+// Another incarnation answers while runs of the earlier one go on. Guards against an agent that takes
+// them for ended before their lease has expired, so that their tasks are started elsewhere beside them.
+func TestRunsOfASupersededIncarnationAreKeptUntilTheirLeaseExpires(t *testing.T) {
+	const lost = pb.OrderState_ORDER_STATE_LOST
+	for name, c := range map[string]struct {
+		keepsID bool
+		before  func(h *harness)
+	}{
+		"new identifier":  {},
+		"same identifier": {keepsID: true},
+		"it has drained": {before: func(h *harness) {
+			h.r.HandleReport(h.now, reportOf("w1", 2, true))
+			h.poll()
+		}},
+		"it has announced its end": {before: func(h *harness) { h.r.HandleLeave(h.now, "w1") }},
+		"same identifier, it has drained": {keepsID: true, before: func(h *harness) {
+			h.r.HandleReport(h.now, worker(startMs, func(w *Worker) { w.Sequence, w.Draining = 2, true }))
+			h.poll()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newSupersededHarness(t, c.keepsID, c.before)
+			h.waitLinked(h.leaseExpiry() - 20*time.Millisecond)
+			h.wantNoNews("e1", 1, lost)
+			h.order("e2", "t1", 1000)
+			h.wantNews("e2", 1, pb.OrderState_ORDER_STATE_REFUSED, ReasonAlreadyRunning)
+			h.waitLinked(40 * time.Millisecond)
+			h.wantNews("e1", 1, lost, "")
+			h.begin("e2", "t1", 1000)
+		})
+	}
+}
+
+// A run on an earlier incarnation is stopped by its entry. Guards against a run that is reported as
+// ended though nothing can stop it, and against a stop that is sent to the next incarnation.
+func TestStoppedRunOfASupersededIncarnationEndsWithItsLease(t *testing.T) {
+	h := newSupersededHarness(t, false, nil)
+	h.frame("e1", &pb.OrderFrame{Stops: []uint64{1}})
+	h.waitLinked(h.leaseExpiry() - 20*time.Millisecond)
+	h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, pb.OrderState_ORDER_STATE_STOPPED)
+	if len(h.last.Stops) > 0 {
+		t.Errorf("stops %v", h.last.Stops)
+	}
+	h.waitLinked(40 * time.Millisecond)
+	h.wantNews("e1", 1, pb.OrderState_ORDER_STATE_LOST, "")
+}
+
+// An agent finds a run of its predecessor, and then another incarnation answers. Guards against entries
+// that are told that nothing of the predecessor's is left while the run goes on.
+func TestOrphanedRunOfASupersededIncarnationIsLeftUntilItsLeaseExpires(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.running["t9"] = 1
+	h.poll()
+	h.supersede("w2")
+	h.failPolls()
+	h.supersede("w3")
+	h.waitLinked(h.leaseExpiry() - 40*time.Millisecond)
+	if h.states["e1"].Clean {
+		t.Error("reported as clean")
+	}
+	h.waitLinked(60*time.Millisecond + defaultReportInterval)
+	if !h.states["e1"].Clean {
+		t.Error("not reported as clean after the lease")
+	}
+}
