dispatcher, leasedcheck: failing tests for runs of an agent's earlier processes

An agent's next process reports that it has found no run of an earlier one. The entry then takes all orders of all earlier processes of the agent's name for ended, whichever worker they were for.

The model's checker also compares each run that an entry takes for ended with what is active at the worker, where only one entry has had the job.

The agents of the dispatcher's tests report one worker for all processes of an agent: an agent's next process is beside the same one. They reported another one for each process, which no test meant.

--- a/dispatch/dispatcher/dispatcher_test.go
+++ b/dispatch/dispatcher/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -28,6 +29,7 @@
 
 type fakeAgent struct {
 	name, incarnation string
+	worker            string // empty: one that all processes of the agent are beside
 	epoch, seq, ack   uint64
 	capacity, used    int64
 	orders            []*pb.Order // received and not ended
@@ -91,7 +93,7 @@
 // currentState returns the state that the agent reports.
 func (a *fakeAgent) currentState() *pb.WorkerState {
 	s := &pb.WorkerState{
-		Worker: "w-" + a.incarnation, Service: "s", Accepting: a.held == "", Held: a.held, Clean: a.clean, SeenOrder: a.seen, Labels: a.labels,
+		Worker: cmp.Or(a.worker, "w-"+a.name), Service: "s", Accepting: a.held == "", Held: a.held, Clean: a.clean, SeenOrder: a.seen, Labels: a.labels,
 		Capacity: &pb.Size{CpuMillis: uint32(a.capacity), MemoryMb: 1000},
 		Room:     &pb.Room{CpuMillis: int32(a.capacity - a.used), MemoryMb: 1000},
 	}
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -48,6 +48,9 @@
 			if l := e.w.load; l != nil {
 				l.onDecision(d)
 			}
+			if d.Event == "run_lost" {
+				e.w.checker.runFreed(d.Task, d.Run, d.Agent)
+			}
 			e.w.trace("%s %s job %s task %s run %d at %s: %s %s", e.name, d.Event, d.Job, d.Task, d.Run, d.Agent, d.Outcome, d.Reason)
 		},
 	})
--- a/dispatch/leasedcheck/signs.go
+++ b/dispatch/leasedcheck/signs.go
@@ -24,6 +24,9 @@
 	// Succeeded: another incarnation answers at a worker's address while the runs of the earlier one
 	// go on, until they end or its lease expires.
 	Succeeded
+	// ReusedNames: a machine is removed and another one gets its name, with a worker of its own. The
+	// removed agent's worker is out of reach and goes on.
+	ReusedNames
 )
 
 func (m Misleading) has(x Misleading) bool { return m&x != 0 }
@@ -54,6 +57,9 @@
 	if w.o.Misleading.has(Succeeded) && a.worker.up {
 		signs = append(signs, func() { a.worker.succeed(w.jitter(time.Second)) })
 	}
+	if w.o.Misleading.has(ReusedNames) && a.up && a.worker.up {
+		signs = append(signs, a.replaceMachine)
+	}
 	if len(signs) > 0 {
 		signs[w.rand.IntN(len(signs))]()
 	}
@@ -86,6 +92,13 @@
 
 func (s *simWorker) isSucceeded() bool { return s.a.worker != s }
 
+// replaceMachine ends the agent, whose next process runs beside another worker.
+func (a *agentNode) replaceMachine() {
+	a.w.trace("%s gets another machine than that of %s", a.name, a.worker.id())
+	a.kill()
+	a.worker = newSimWorker(a.w, a, a.worker.incarnation+1)
+}
+
 // refuse resets all connections and refuses new ones for a while. Runs go on.
 func (s *simWorker) refuse(d time.Duration) {
 	s.w.trace("%s refuses connections for %v", s.id(), d)
--- a/dispatch/leasedcheck/signs_test.go
+++ b/dispatch/leasedcheck/signs_test.go
@@ -67,6 +67,10 @@
 	}
 }
 
+// A machine gets the name of one that was removed while that one's worker goes on. Guards against an
+// entry that takes what isn't on the new machine's worker for ended.
+func TestPromisesHoldWhenMachinesReuseNames(t *testing.T) { misleadingSigns(t, ReusedNames) }
+
 const allSigns = RefusedByWorkers | RefusedByEntries | LateReports | EarlyLeave
 
 // All misleading signs occur together, beside faults of all kinds and under each variant of the model.
