dispatcher: an earlier process's runs end only at their own worker

What callers would see: when an agent's name passes to a process beside another worker, all tasks that the earlier process had started are started again at once, beside their first runs, which go on until they are done or their lease ends. Nobody reads these ends, and no stop is sent.

Cause: the next process reports that it has found no run of an earlier one, at whatever worker it has polled. The entry took that for the end of all orders of all earlier processes of that name.

Each order now names the incarnation of the worker that its agent reported when it was made, and loses it when the agent reports another one, since the run may be on either. Only the same incarnation's answer frees the order. Others wait until their runs have ended in any case, as for an agent that can't be reached, and the entry logs orders_kept.

Ruled out as a cause: an agent that is killed or stopped and started again beside the same worker, also with worker calls that hang, workers that crash, drain and leave, suspended processes (SIGSTOP), and two processes beside each other while the earlier one drains: no pair of runs at a time before or after.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -233,7 +233,16 @@
 
 // loseOrders records that all orders at an agent have ended without a result.
 func (d *Dispatcher) loseOrders(now time.Time, a *agent, reason string) {
+	d.loseOrdersIf(now, a, reason, func(*order) bool { return true })
+}
+
+// loseOrdersIf records that the orders at an agent for which ended returns true have ended without
+// a result.
+func (d *Dispatcher) loseOrdersIf(now time.Time, a *agent, reason string, ended func(*order) bool) {
 	for _, o := range slices.Clone(a.live) {
+		if !ended(o) {
+			continue
+		}
 		d.removeOrder(o)
 		// The run may have begun without a report.
 		o.task.job.started = true
@@ -283,6 +292,9 @@
 		a.slowness = 1
 		d.speeds.Remove(a.incarnation)
 		d.setSpeed(a, 1)
+		for _, o := range a.live {
+			o.worker = ""
+		}
 	}
 	a.state, a.stateAt, a.capacity = s, now, size.FromMessage(s.Capacity)
 	a.recomputeFree()
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -154,14 +154,21 @@
 	d.opts.OnDecision(Decision{Event: "agent_replaced", Agent: a.name, Waiting: len(a.live)})
 }
 
-// settlePredecessors records that no run started by an agent's earlier processes is left.
+// settlePredecessors records that no run started by an agent's earlier processes is left on its
+// worker. Runs that may be on another one are waited for like those of an agent that can't be
+// reached.
 func (d *Dispatcher) settlePredecessors(now time.Time, a *agent) {
 	a.hasPredecessor = false
 	for _, old := range slices.Clone(d.agents) {
-		if old.name == a.name && old.replaced {
-			d.loseOrders(now, old, "the agent was restarted")
+		if old.name != a.name || !old.replaced {
+			continue
+		}
+		d.loseOrdersIf(now, old, "the agent was restarted", func(o *order) bool { return o.worker == a.state.Worker })
+		if len(old.live) == 0 {
 			d.remove(old)
+			continue
 		}
+		d.opts.OnDecision(Decision{Event: "orders_kept", Agent: a.name, Reason: "their worker may be another one", Outcome: a.state.Worker, Waiting: len(old.live)})
 	}
 }
 
--- a/dispatch/dispatcher/orders.go
+++ b/dispatch/dispatcher/orders.go
@@ -18,6 +18,9 @@
 	task   *task
 	run    uint32
 	agent  *agent
+	// worker is the incarnation that the agent reported when the order was made; empty once it has
+	// reported another one, as the run may be on either.
+	worker string
 	size   size.Size
 	sentAt time.Time
 	// nominal is the predicted run time on a healthy worker of speed 1, and expected the one
@@ -57,7 +60,7 @@
 	t.lastRun++
 	t.job.highestRun = max(t.job.highestRun, t.lastRun)
 	o := &order{
-		number: d.lastOrder, task: t, run: t.lastRun, agent: a, size: s.Size, sentAt: now,
+		number: d.lastOrder, task: t, run: t.lastRun, agent: a, worker: a.state.GetWorker(), size: s.Size, sentAt: now,
 		nominal: s.expected, expected: a.expectedRun(s.expected),
 	}
 	if d.suspected(t) {
