dispatcher: a live process of an agent doesn't settle its own orders

What callers would see: two live processes bear one agent's name, each links again when it notices that it isn't heard, and with each of these links all tasks of one of them are started again beside their first runs. The entry forgets that process, whose link stays open and is ignored.

Cause: a process that had been replaced stayed marked so when it linked again. Its next report that it has found no run of an earlier process settled all processes with that mark, itself included. A report that rests on polls made before the other process's latest link says nothing of what that one has started since, either.

Links are numbered. A process that links is no longer taken for replaced, and it settles only those whose latest link came before its own first one. The orders of others wait until their runs have ended in any case.

TestResumedProcessDoesNotSettleItsSuccessor failed before, with and without the numbers.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -40,6 +40,8 @@
 	forgetful bool // a greeting has left out this entry while orders were live
 	// handshakeAt is when the handshake of its link arrived.
 	handshakeAt time.Time
+	// firstLink and latestLink number its links among those of all agents.
+	firstLink, latestLink uint64
 
 	pending     pb.OrderFrame // content of the next frame
 	dirty       bool
--- a/dispatch/dispatcher/links.go
+++ b/dispatch/dispatcher/links.go
@@ -80,8 +80,13 @@
 		d.byIncarnation[a.incarnation] = a
 		d.health.Add(a.incarnation)
 	}
+	d.lastLink++
+	if a.firstLink == 0 {
+		a.firstLink = d.lastLink
+	}
+	a.latestLink = d.lastLink
 	a.session.Up(now, g.Epoch, d.opts.Link)
-	a.lastSent, a.abandoned, a.forgetful, a.handshakeAt, a.hasPredecessor = now, false, false, g.at, hasPredecessor
+	a.lastSent, a.abandoned, a.replaced, a.forgetful, a.handshakeAt, a.hasPredecessor = now, false, false, false, g.at, hasPredecessor
 	a.pending = pb.OrderFrame{}
 	a.entries, a.sendEntries, a.dirty = g.entries, false, true
 	d.recordExpedite(a, false)
@@ -163,12 +168,16 @@
 		if old.name != a.name || !old.replaced {
 			continue
 		}
-		d.loseOrdersIf(now, old, "the agent was restarted", func(o *order) bool { return o.worker == a.state.Worker })
-		if len(old.live) == 0 {
-			d.remove(old)
-			continue
+		reason := "their worker may be another one"
+		if old.latestLink > a.firstLink {
+			reason = "their process has linked after this one"
+		} else {
+			d.loseOrdersIf(now, old, "the agent was restarted", func(o *order) bool { return o.worker == a.state.Worker })
+		}
+		// The process is remembered for a while: it may have stood still, and link again.
+		if len(old.live) > 0 {
+			d.opts.OnDecision(Decision{Event: "orders_kept", Agent: a.name, Reason: reason, Outcome: a.state.Worker, Waiting: len(old.live)})
 		}
-		d.opts.OnDecision(Decision{Event: "orders_kept", Agent: a.name, Reason: "their worker may be another one", Outcome: a.state.Worker, Waiting: len(old.live)})
 	}
 }
 
--- a/dispatch/dispatcher/replaced_test.go
+++ b/dispatch/dispatcher/replaced_test.go
@@ -80,3 +80,20 @@
 		t.Error("the end of the run isn't taken")
 	}
 }
+
+// A process that stood still goes on after its next one has taken over, and links again. Guards
+// against taking it for the next one's successor.
+func TestResumedProcessDoesNotSettleItsSuccessor(t *testing.T) {
+	b := newFixture(t, "a")
+	first := b.agents["a-1"]
+	second := b.replace(first, "")
+	b.beginLongRun()
+	if len(second.orders) != 1 {
+		t.Fatalf("%d orders at the second process, want 1", len(second.orders))
+	}
+	b.attach(first.name, first.incarnation)
+	b.advance(20 * time.Millisecond)
+	if got := len(b.orders()); got != 1 {
+		t.Errorf("%d orders of one task whose run goes on", got)
+	}
+}
