runner: a successor's answer doesn't end the earlier incarnation's runs

Callers would see a task run twice at a time. When another incarnation of a worker answered, the agent reported all runs of the earlier one as lost in the same millisecond, and their entries ordered the tasks elsewhere, while the earlier process could go on with them: no stop reached it, no poll read its ends, and its lease ran out up to 0.7 s later.

Cause: the answer was taken as proof that the earlier incarnation's process has ended. It only shows who gets the calls now.

Such runs are superseded now: they count as going on until the lease that was renewed last has certainly expired, or until that incarnation itself lists their end. The phase takes in the unfenced runs, which have a second limit. The new incarnation gets work at once and up to its whole capacity, since mostly the earlier one has crashed; its leases aren't limited by superseded runs. An order of such a task is refused here. An entry's stop is kept: the run ends with its lease and is reported then. What an agent process finds of its predecessor's is waited for likewise before it says that nothing is left. Crash reports go out with the successor's answer, as before.

Ruled out: waiting for the earlier incarnation's announced end (it may end later, or its message be late); keeping its capacity back (each crash would cost up to 0.9 s of a worker).

The three tests of package runner failed before.

Nine tests asserted that runs are lost at once when another incarnation answers, which is the fault. They now assert that they are lost once the lease has expired, with the same reasons and crash reports, and six of them also that nothing is reported up to 20 ms before.

--- a/dispatch/runner/crash.go
+++ b/dispatch/runner/crash.go
@@ -26,8 +26,8 @@
 	maxCrashes = 256
 )
 
-// handleSuperseded handles the end of the worker's current incarnation, and of its runs, when another
-// one has taken its place. The answers to earlier calls may be those of that one.
+// handleSuperseded handles that another incarnation has taken the place of the worker's current one,
+// which has mostly crashed. The answers to earlier calls may be those of the other one.
 func (r *Runner) handleSuperseded(now time.Time, how string) {
 	if r.known && !r.worker.Draining {
 		r.recordCrashes(now)
@@ -67,7 +67,7 @@
 func (r *Runner) crashReports() []*pb.TaskCrash {
 	var reports, recent, unconfirmed []*pb.TaskCrash
 	for _, x := range r.runList {
-		if x.phase == queued || x.phase == unfenced || x.orphaned {
+		if x.phase == queued || x.phase == superseded || x.orphaned {
 			continue
 		}
 		m := &pb.TaskCrash{Task: x.task, Worker: r.worker.Incarnation.String(), AtStart: r.crashedAtStart(x)}
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -377,7 +377,7 @@
 func (r *Runner) state(now time.Time, e *entry) *pb.WorkerState {
 	s := &pb.WorkerState{SeenOrder: e.lastOrder, Held: r.heldReasonFor(e)}
 	s.Accepting = s.Held == HeldNone
-	s.Clean = r.known && r.polled && !r.hasOrphaned()
+	s.Clean = r.known && r.polled && !slices.ContainsFunc(r.runList, func(x *run) bool { return x.orphaned })
 	if r.known {
 		s.Worker, s.Service, s.Labels = r.worker.Incarnation.String(), r.worker.Service, r.worker.Labels
 		s.Capacity, s.Room = r.worker.Capacity.Message(), r.freeCapacity().RoomMessage()
--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
@@ -167,7 +168,9 @@
 		r.fenceEarlierCalls()
 	} else {
 		// Delayed calls carry the old identifier, so this incarnation refuses them.
-		r.endUnfenced(now)
+		for _, x := range slices.Clone(r.runList) {
+			r.fence(now, x)
+		}
 	}
 	r.ready.Poll = true
 	r.markChanged()
@@ -181,7 +184,7 @@
 	r.callSeq++
 	r.recentRuns, r.recentTasks = make(map[string]endedRun), nil
 	for _, x := range r.runList {
-		if x.phase == unfenced {
+		if x.phase == superseded {
 			x.callSeq = r.callSeq
 		}
 	}
@@ -227,8 +230,8 @@
 
 const reasonLeft = "the worker left"
 
-// workerGone handles the end of the current incarnation. The function unresolved selects the
-// runs that a later incarnation may have started, or may still start; see mayStartLater.
+// workerGone handles that the current incarnation has ended or is superseded. The function unresolved
+// selects the runs that a later incarnation may have started, or may still start; see mayStartLater.
 func (r *Runner) workerGone(now time.Time, how string, unresolved func(*run) bool, why func(*run) string) {
 	if !r.known {
 		return
@@ -244,17 +247,26 @@
 	}
 }
 
-// loseRuns ends all runs, since nothing runs on the worker any more.
+// loseRuns supersedes all runs on the worker. Those whose lease has expired are lost at once.
 func (r *Runner) loseRuns(now time.Time, unresolved func(*run) bool, why func(*run) string) {
 	for _, x := range slices.Clone(r.runList) {
-		switch {
-		case x.phase == queued || x.phase == unfenced:
-		case r.mayStartLater(x) && (unresolved(x) || x.sends > 1):
-			// Of a start that was sent twice, one may still be on its way.
-			r.markUnfenced(now, x, why(x))
-		default:
-			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, why(x))
+		if x.phase == queued || x.phase == superseded {
+			continue
+		}
+		reason := why(x)
+		// Of a start that was sent twice, one may still be on its way.
+		unfenced := r.mayStartLater(x) && (unresolved(x) || x.sends > 1)
+		r.callSeq++
+		x.phase, x.lostReason, x.leaseExpiresAt, x.unfencedUntil = superseded, reason, r.leaseExpiresAt(), now.Add(unfencedTimeout)
+		x.callSeq, x.listed, x.stopAnswered = r.callSeq, false, false
+		if unfenced {
+			r.logDecision(now, Decision{Event: "run_unfenced", Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order, Reason: reason})
+			continue
+		}
+		if now.Before(x.leaseExpiresAt) {
+			r.logDecision(now, Decision{Event: "run_superseded", Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order, Reason: reason})
 		}
+		r.fence(now, x)
 	}
 }
 
@@ -277,18 +289,25 @@
 // spare.
 const unfencedTimeout = 30 * time.Second
 
-func (r *Runner) markUnfenced(now time.Time, x *run, why string) {
-	x.phase, x.lostReason, x.unfencedUntil = unfenced, why, now.Add(unfencedTimeout)
-	r.callSeq++
-	x.callSeq = r.callSeq
-	r.logDecision(now, Decision{Event: "run_unfenced", Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order, Reason: why})
+// fence records that nothing can start an unfenced run any more. The current incarnation's capacity
+// isn't reduced by what an earlier one may go on with.
+func (r *Runner) fence(now time.Time, x *run) {
+	if !x.unfenced() {
+		return
+	}
+	x.unfencedUntil = time.Time{}
+	r.used = r.used.Minus(x.size)
+	r.endIfLost(now, x)
 }
 
-// endUnfenced ends the unfenced runs once nothing can start them any more.
-func (r *Runner) endUnfenced(now time.Time) {
-	for _, x := range slices.Clone(r.runList) {
-		if x.phase == unfenced {
-			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, x.lostReason)
-		}
+// endIfLost ends a superseded run once it can neither go on nor begin any more.
+func (r *Runner) endIfLost(now time.Time, x *run) {
+	if !now.Before(x.lostAt()) {
+		r.end(now, x, pb.OrderState_ORDER_STATE_LOST, x.lostReason)
 	}
 }
+
+// leaseExpiresAt returns when the lease of the runs on the worker has certainly expired.
+func (r *Runner) leaseExpiresAt() time.Time {
+	return r.leaseRenewedAt.Add(bounds.LeaseExpiry(r.opts.Timeouts.Lease) + bounds.Slack)
+}
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -121,7 +121,7 @@
 func (r *Runner) leaseEnd(now time.Time) time.Duration {
 	silence := time.Duration(0)
 	for _, x := range r.runList {
-		if x.entry != nil {
+		if x.entry != nil && x.concernsWorker() {
 			silence = max(silence, now.Sub(x.lastWanted()))
 		}
 	}
@@ -176,8 +176,9 @@
 	return l, true
 }
 
+// hasOrphaned reports whether the current incarnation has an orphaned run.
 func (r *Runner) hasOrphaned() bool {
-	return slices.ContainsFunc(r.runList, func(x *run) bool { return x.orphaned })
+	return slices.ContainsFunc(r.runList, func(x *run) bool { return x.orphaned && x.concernsWorker() })
 }
 
 // PollAnswered handles the answer to a poll. One that isn't complete is handled like none: a run
@@ -275,7 +276,10 @@
 		r.markChanged()
 	case x.run != row.Run:
 		// The end of the run that is listed comes with a later answer.
-	case (x.phase == inDoubt || x.phase == unfenced) && l.callSeq >= x.callSeq:
+	case (x.phase == inDoubt || x.phase == superseded) && l.callSeq >= x.callSeq:
+		if !x.concernsWorker() {
+			r.used = r.used.Plus(x.size)
+		}
 		r.runStarted(now, x)
 	case x.phase == running && row.Percent >= 0:
 		r.checkProgress(now, x, row.Percent)
@@ -319,8 +323,8 @@
 		}
 		stopped := x.stopAnswered && l.sent.Sub(x.stopAnsweredAt) >= r.opts.Timeouts.StopTime
 		switch {
-		case x.phase == unfenced:
-			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, x.lostReason)
+		case x.phase == superseded:
+			r.fence(now, x)
 		case x.phase == inDoubt:
 			x.phase = fencing
 			r.sendStop(now, x)
--- a/dispatch/runner/queue.go
+++ b/dispatch/runner/queue.go
@@ -60,7 +60,7 @@
 func (r *Runner) releaseForecast(now time.Time) *forecast.Releases {
 	var f forecast.Releases
 	for _, x := range r.runList {
-		if x.phase == queued || x.phase == unfenced || x.orphaned {
+		if x.phase == queued || x.phase == superseded || x.orphaned {
 			continue
 		}
 		total := x.estimatedTotal
--- a/dispatch/runner/reasons.go
+++ b/dispatch/runner/reasons.go
@@ -66,10 +66,8 @@
 	case !r.polled:
 		return HeldNotPolled
 	}
-	for _, x := range r.runList {
-		if x.orphaned {
-			return HeldOrphaned
-		}
+	if r.hasOrphaned() {
+		return HeldOrphaned
 	}
 	return HeldNone
 }
--- a/dispatch/runner/run.go
+++ b/dispatch/runner/run.go
@@ -5,7 +5,6 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
-	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
@@ -21,9 +20,10 @@
 	// begins, or ends it.
 	fencing
 	stopping
-	// unfenced: the start was not answered, and it may still be carried out later: by the
-	// worker's next incarnation, or by the current one once it can be reached.
-	unfenced
+	// superseded: another incarnation has taken the worker's place, or the lease has expired. The run
+	// may go on until its lease has expired, since the earlier incarnation's process may live, and if
+	// it is unfenced, its start may still be carried out later.
+	superseded
 )
 
 type run struct {
@@ -57,13 +57,29 @@
 	// unwantedSince is when the last frame was received whose entry wanted the run; set once it is
 	// no longer wanted.
 	unwantedSince time.Time
-	listed        bool // the current incarnation has listed it
+	listed        bool // the incarnation that it was started on has listed it
 	stopAnswered  bool // the worker has answered a stop
 	// stopAnsweredAt is when it first did.
 	stopAnsweredAt time.Time
 	orphaned       bool
-	lostReason     string    // why an unfenced run is lost
-	unfencedUntil  time.Time // when an unfenced run is considered lost
+	lostReason     string    // why a superseded run is lost
+	leaseExpiresAt time.Time // when the lease of a superseded run has certainly expired
+	// unfencedUntil is until when the unanswered start of a superseded run may be carried out, by the
+	// worker's next incarnation or by the current one once it can be reached. Zero if it can't.
+	unfencedUntil time.Time
+}
+
+func (x *run) unfenced() bool { return x.phase == superseded && !x.unfencedUntil.IsZero() }
+
+// concernsWorker reports whether the run is, or may come to be, on the current incarnation.
+func (x *run) concernsWorker() bool { return x.phase != superseded || x.unfenced() }
+
+// lostAt returns when a superseded run is considered lost.
+func (x *run) lostAt() time.Time {
+	if x.unfencedUntil.After(x.leaseExpiresAt) {
+		return x.unfencedUntil
+	}
+	return x.leaseExpiresAt
 }
 
 // lastWanted returns when its entry, which isn't nil, is last known to have wanted the run.
@@ -100,9 +116,10 @@
 }
 
 func (r *Runner) remove(x *run) {
-	if x.phase == queued {
+	switch {
+	case x.phase == queued:
 		r.queue = slices.DeleteFunc(r.queue, func(y *run) bool { return y == x })
-	} else {
+	case x.concernsWorker():
 		r.used = r.used.Minus(x.size)
 	}
 	delete(r.runs, x.task)
@@ -127,17 +144,16 @@
 		Event: "run_" + eventName(state), Task: x.task, Run: x.run, Entry: x.entryName(), Order: x.order, Reason: reason, Elapsed: elapsed,
 	}
 	if state == pb.OrderState_ORDER_STATE_LOST {
-		d.LeaseLeft = max(0, r.leaseExpiry().Sub(now))
+		expires := r.leaseExpiresAt()
+		if x.phase == superseded {
+			expires = x.leaseExpiresAt
+		}
+		d.LeaseLeft = max(0, expires.Sub(now))
 	}
 	r.logDecision(now, d)
 	r.startQueued(now)
 }
 
-// leaseExpiry returns when the lease that was last requested has certainly ended.
-func (r *Runner) leaseExpiry() time.Time {
-	return r.leaseRenewedAt.Add(bounds.LeaseExpiry(r.opts.Timeouts.Lease))
-}
-
 func eventName(s pb.OrderState) string {
 	switch s {
 	case pb.OrderState_ORDER_STATE_REFUSED:
@@ -179,9 +195,7 @@
 		if !x.stopAnswered && !now.Before(x.sentAt.Add(stopResendAfter)) {
 			r.sendStop(now, x)
 		}
-	case unfenced:
-		if !now.Before(x.unfencedUntil) {
-			r.end(now, x, pb.OrderState_ORDER_STATE_LOST, x.lostReason)
-		}
+	case superseded:
+		r.endIfLost(now, x)
 	}
 }
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -93,14 +93,17 @@
 	r.markChanged()
 }
 
-// Drained reports whether no order is queued or running.
-func (r *Runner) Drained() bool { return len(r.queue) == 0 && r.Running() == 0 }
+// Drained reports whether no order is queued or running, also on an earlier incarnation.
+func (r *Runner) Drained() bool {
+	return !slices.ContainsFunc(r.runList, func(x *run) bool { return !x.unfenced() })
+}
 
-// Running returns the number of runs that are, or may be, on the worker.
+// Running returns the number of runs that are, or may be, on the current incarnation, apart from
+// superseded ones.
 func (r *Runner) Running() int {
 	n := 0
 	for _, x := range r.runList {
-		if x.phase != queued && x.phase != unfenced {
+		if x.phase != queued && x.phase != superseded {
 			n++
 		}
 	}
@@ -150,7 +153,7 @@
 	for _, x := range slices.Clone(r.runList) {
 		r.tickRun(now, x)
 	}
-	if r.unresponsive && r.Running() > 0 && now.After(r.leaseExpiry().Add(bounds.Slack)) {
+	if r.unresponsive && r.Running() > 0 && now.After(r.leaseExpiresAt()) {
 		r.handleLeaseExpired(now)
 	}
 }
@@ -180,12 +183,12 @@
 			if !x.stopAnswered {
 				next = link.Earlier(next, x.sentAt.Add(stopResendAfter))
 			}
-		case unfenced:
-			next = link.Earlier(next, x.unfencedUntil)
+		case superseded:
+			next = link.Earlier(next, x.lostAt())
 		}
 	}
 	if r.unresponsive && r.Running() > 0 {
-		next = link.Earlier(next, r.leaseExpiry().Add(bounds.Slack+time.Millisecond))
+		next = link.Earlier(next, r.leaseExpiresAt().Add(time.Millisecond))
 	}
 	return next
 }
