agent: a lapse that the worker lists has a reason of its own

Both it and a run that is freed because the worker was out of reach for longer than its lease lasts were logged as "the lease has lapsed". The first is the worker's own word, the second a conclusion from elapsed time, and only the second can be wrong. The reason of the second is unchanged.

--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -239,7 +239,7 @@
 	case EndedStopped:
 		r.end(now, x, pb.OrderState_ORDER_STATE_STOPPED, "")
 	default:
-		r.end(now, x, pb.OrderState_ORDER_STATE_LOST, "the lease has lapsed")
+		r.end(now, x, pb.OrderState_ORDER_STATE_LOST, "the worker lists it as lapsed")
 	}
 }
 
--- a/dispatch/runner/reasons.go
+++ b/dispatch/runner/reasons.go
@@ -28,6 +28,8 @@
 	ReasonCrashedAtStart = "worker crashed at the start"
 	// ReasonCrashedLater: the worker crashed after the run had gone on for a while.
 	ReasonCrashedLater = "worker crashed"
+	// ReasonLeaseLapsed: the worker was out of reach for longer than its lease lasts.
+	ReasonLeaseLapsed = "the lease has lapsed"
 	// reasonUnlisted: the worker stopped listing the run without an end.
 	reasonUnlisted = "not listed any more"
 )
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -162,7 +162,7 @@
 // lasts: it has crashed, or has ended them by itself.
 func (r *Runner) handleLeaseExpired(now time.Time) {
 	r.suspects = append(r.suspects, r.crashReports()...)
-	r.loseRuns(now, unanswered, func(*run) string { return "the lease has lapsed" })
+	r.loseRuns(now, unanswered, func(*run) string { return ReasonLeaseLapsed })
 	if r.candidate != nil {
 		r.handleSuperseded(now, "a new life of the worker reports")
 	}
