leasedcheck: a task that is freed must not run, and by how much it hadn't

Whenever an agent or an entry reports a run as lost, the model checks that it doesn't go on, also where no second run follows. For the two conclusions from elapsed time alone (the agent: the lease has lapsed; the entry: the agent can't be reached) it records the least time between the latest moment at which the worker could have ended the run (its lease, or a stop) and the conclusion, and the tests print it.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -214,7 +214,7 @@
 	}
 	if len(a.live) > 0 && !now.Before(a.lastSent.Add(d.opts.Timeouts.RunsEndedAfter)) {
 		// No run ordered there can still be alive; see package bounds.
-		d.loseOrders(now, a, "the agent can't be reached")
+		d.loseOrders(now, a, ReasonRunsEnded)
 	}
 	if len(a.live) == 0 && !now.Before(a.downAt.Add(agentRetention)) {
 		d.remove(a)
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -151,6 +151,9 @@
 	ReasonCancelled    = "cancelled"
 )
 
+// ReasonRunsEnded: the runs at an agent that can't be reached must have ended by now.
+const ReasonRunsEnded = "the agent can't be reached"
+
 // OutgoingFrame is a frame to be sent to an agent.
 type OutgoingFrame struct {
 	Agent string // incarnation
--- a/dispatch/leasedcheck/check.go
+++ b/dispatch/leasedcheck/check.go
@@ -92,19 +92,6 @@
 	delete(c.running[task], s)
 }
 
-// runFreed verifies that a run which an entry takes for ended isn't active. Callers that have sent
-// their job again are left out: the active run may be that of another entry.
-func (c *checker) runFreed(task string, run uint32, agent string) {
-	if c.w.load != nil || c.w.callers[callerIndex(task)].attempts > 1 {
-		return
-	}
-	for s, active := range c.running[task] {
-		if active == run && s.a.name == agent {
-			c.violated("%s run %d is taken for ended and active on %s", task, run, s.id())
-		}
-	}
-}
-
 func (c *checker) result() Result {
 	for _, x := range c.w.callers {
 		if !x.finished {
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"slices"
 	"testing"
+	"time"
 )
 
 var (
@@ -87,6 +88,7 @@
 func promisesHold(t *testing.T, options func(seed uint64) Options) {
 	t.Parallel()
 	var total Result
+	margins := map[string]time.Duration{}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
 		o := options(seed)
 		if *trace {
@@ -100,11 +102,16 @@
 		total.NotRun += r.NotRun
 		total.Other += r.Other
 		total.Starts += r.Starts
+		for reason, d := range r.Margins {
+			if least, ok := margins[reason]; !ok || d < least {
+				margins[reason] = d
+			}
+		}
 		if t.Failed() && seed > *first+20 {
 			break
 		}
 	}
-	t.Logf("%d jobs completed, %d not run, %d otherwise; %d starts", total.Completed, total.NotRun, total.Other, total.Starts)
+	t.Logf("%d jobs completed, %d not run, %d otherwise; %d starts; least margins: %v", total.Completed, total.NotRun, total.Other, total.Starts, margins)
 }
 
 // Without faults every accepted job is completed, except those whose tasks fail by
--- a/dispatch/leasedcheck/nodes.go
+++ b/dispatch/leasedcheck/nodes.go
@@ -48,9 +48,7 @@
 			if l := e.w.load; l != nil {
 				l.onDecision(d)
 			}
-			if d.Event == "run_lost" {
-				e.w.checker.runFreed(d.Task, d.Run, d.Agent)
-			}
+			e.w.checker.checkEntryDecision(d)
 			e.w.trace("%s %s job %s task %s run %d at %s: %s %s", e.name, d.Event, d.Job, d.Task, d.Run, d.Agent, d.Outcome, d.Reason)
 		},
 	})
@@ -191,11 +189,12 @@
 	recordedWorker runner.Worker
 	partitions     []time.Time
 	token          uint64
+	runEnds        map[runKey]runEnd
 }
 
 func newAgentNode(w *World, i int) *agentNode {
 	n := len(w.entries)
-	a := &agentNode{process: process{w: w, name: fmt.Sprintf("agent-%d", i)}, index: i, partitions: make([]time.Time, n)}
+	a := &agentNode{process: process{w: w, name: fmt.Sprintf("agent-%d", i)}, index: i, partitions: make([]time.Time, n), runEnds: map[runKey]runEnd{}}
 	a.worker = newSimWorker(w, a, 0)
 	a.start()
 	return a
@@ -215,6 +214,7 @@
 	a.core = runner.New(runner.Options{
 		Agent: a.name, Incarnation: a.incarnationName(a.incarnation), FailureDomain: domain, Timeouts: a.w.times, Link: a.w.link, Token: a.token, Disabled: a.w.o.Disabled,
 		OnDecision: func(d runner.Decision) {
+			a.w.checker.checkAgentDecision(a, d)
 			a.w.trace("%s %s task %s run %d of %s: %s", a.name, d.Event, d.Task, d.Run, d.Entry, d.Reason)
 		},
 	})
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -152,6 +152,7 @@
 func (s *simWorker) crashFor(downtime time.Duration) {
 	s.w.trace("%s crashes", s.id())
 	for _, task := range sortedKeys(s.runs) {
+		s.recordEnd(task, false)
 		s.w.checker.runEnded(s, task)
 	}
 	s.up = false
@@ -244,6 +245,7 @@
 }
 
 func (s *simWorker) finish(task string, how runner.Ending) {
+	s.recordEnd(task, how != runner.EndedDone && how != runner.EndedFailed)
 	r := s.runs[task]
 	delete(s.runs, task)
 	s.highestRun[task] = max(s.highestRun[task], r.run)
@@ -260,6 +262,10 @@
 	}
 }
 
+func (s *simWorker) recordEnd(task string, forced bool) {
+	s.a.runEnds[runKey{task, s.runs[task].run}] = runEnd{worker: s, at: s.w.now, forced: forced}
+}
+
 func (s *simWorker) callStart(a *agentNode, c runner.Start) {
 	var verdict runner.StartVerdict
 	var clock time.Duration
@@ -307,6 +313,7 @@
 		r.runTime = s.w.load.runTime(s.a.index, r.runTime)
 	}
 	s.runs[c.Task] = r
+	s.a.runEnds[runKey{r.task, r.run}] = runEnd{worker: s}
 	s.w.checker.runStarted(s, r)
 	if crashesWorker(c.Payload) {
 		s.w.schedule(time.Millisecond, func() {
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -61,6 +61,9 @@
 	Starts     int
 	// Crashes counts the worker crashes that tasks caused.
 	Crashes int
+	// Margins holds, for each reason to conclude from elapsed time that a run has ended, the least
+	// time by which the run had ended before.
+	Margins map[string]time.Duration
 }
 
 // World is the simulated system of one run. It is not safe for concurrent use.
