--- a/dispatch/leasedcheck/faults.go
+++ b/dispatch/leasedcheck/faults.go
@@ -14,6 +14,10 @@
 		w.injectWorkerFault(a)
 		return
 	}
+	if w.o.WorkerStalls && w.chance(0.4) {
+		w.stallWorker(a)
+		return
+	}
 	switch w.rand.IntN(kinds) {
 	case 0:
 		if e.up {
@@ -99,3 +103,32 @@
 	w.trace("%s and %s are partitioned", a.name, e.name)
 	a.partitions[e.index] = w.now.Add(100*time.Millisecond + w.jitter(3*time.Second))
 }
+
+// stallWorker lets a worker get no CPU several times, mostly while no call reaches it, and sometimes
+// while no entry reaches its agent either.
+func (w *World) stallWorker(a *agentNode) {
+	s := a.worker
+	w.trace("%s stalls", s.id())
+	if w.chance(0.8) {
+		s.silentUntil = w.now.Add(500*time.Millisecond + w.jitter(2*time.Second))
+	}
+	if w.chance(0.3) {
+		for _, e := range w.entries {
+			w.partition(a, e)
+		}
+	}
+	end := w.now.Add(2 * time.Second)
+	var stall func()
+	stall = func() {
+		if w.now.After(end) {
+			return
+		}
+		d := w.jitter(maxWorkerStall)
+		s.stalledUntil = w.now.Add(d)
+		w.schedule(d+20*time.Millisecond+w.jitter(200*time.Millisecond), stall)
+	}
+	stall()
+}
+
+// maxWorkerStall is the longest time for which a worker gets no CPU.
+const maxWorkerStall = 200 * time.Millisecond
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -33,6 +33,16 @@
 	})
 }
 
+// Workers get no CPU for a while, also when nothing else reaches them, so that leases end late. Guards
+// against tasks that are started again when the lease should have ended, and hasn't yet.
+func TestPromisesHoldWithStalledWorkers(t *testing.T) {
+	promisesHold(t, func(seed uint64) Options {
+		o := options(seed)
+		o.Faults, o.WorkerStalls, o.SlowestWorkers = 4+int(seed%16), true, seed%2 == 0
+		return o
+	})
+}
+
 // In a fleet an agent is linked to a subset of the entries, and replaces one of them while
 // jobs run and faults occur. An order in flight on a link that is closed must neither run
 // without its entry's knowledge nor be reported as not run.
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -42,6 +42,7 @@
 	refusesUntil     time.Time // connections are refused until then
 	incompleteUntil  time.Time // answers to polls may lack their lists
 	misdirectedUntil time.Time // calls may be answered as misdirected
+	stalledUntil     time.Time // it gets no CPU until then
 	resets           []func()  // what callers do when their connections are reset
 	reportSequence   uint64
 }
@@ -182,11 +183,15 @@
 			}
 		})
 	}
-	execute := func(respond bool) {
+	var execute func(respond bool)
+	execute = func(respond bool) {
 		to := s.receiver()
 		if s.w.now.Before(to.silentUntil) {
 			return
 		}
+		if to.putOff(func() { execute(respond) }) {
+			return
+		}
 		if !to.up {
 			if respond && s.w.chance(0.7) {
 				fail(true)
@@ -236,7 +241,7 @@
 }
 
 func (s *simWorker) expireLease() {
-	if !s.up || s.w.now.Before(s.leaseEnd) {
+	if !s.up || s.w.now.Before(s.leaseEnd) || s.putOff(s.expireLease) {
 		return
 	}
 	for _, task := range sortedKeys(s.runs) {
@@ -323,18 +328,22 @@
 			}
 		})
 	}
-	s.w.schedule(r.runTime, func() {
-		if s.up && s.runs[c.Task] == r && !r.stopping {
-			how := runner.EndedDone
-			if s.w.chance(0.03) {
-				how = runner.EndedFailed
-			}
-			s.finish(c.Task, how)
-		}
-	})
+	s.w.schedule(r.runTime, func() { s.complete(r) })
 	return runner.Started
 }
 
+// complete ends a run whose work is done.
+func (s *simWorker) complete(r *simRun) {
+	if !s.up || s.runs[r.task] != r || r.stopping || s.putOff(func() { s.complete(r) }) {
+		return
+	}
+	how := runner.EndedDone
+	if s.w.chance(0.03) {
+		how = runner.EndedFailed
+	}
+	s.finish(r.task, how)
+}
+
 func (s *simWorker) callStop(a *agentNode, c runner.Stop) {
 	var clock time.Duration
 	s.call(a, 40*time.Millisecond, func(to *simWorker) func() {
@@ -368,11 +377,22 @@
 	if !s.w.o.SlowestWorkers {
 		takes = s.w.jitter(takes)
 	}
-	s.w.schedule(takes, func() {
-		if s.up && s.runs[c.Task] == r {
-			s.finish(c.Task, runner.EndedStopped)
-		}
-	})
+	s.w.schedule(takes, func() { s.completeStop(r) })
+}
+
+func (s *simWorker) completeStop(r *simRun) {
+	if s.up && s.runs[r.task] == r && !s.putOff(func() { s.completeStop(r) }) {
+		s.finish(r.task, runner.EndedStopped)
+	}
+}
+
+// putOff has f called once the worker gets CPU again. It returns false if it has CPU.
+func (s *simWorker) putOff(f func()) bool {
+	if !s.w.now.Before(s.stalledUntil) {
+		return false
+	}
+	s.w.schedule(s.stalledUntil.Sub(s.w.now), f)
+	return true
 }
 
 func (s *simWorker) callPoll(a *agentNode, l runner.Poll, waiting bool) {
@@ -382,8 +402,9 @@
 		}
 	}
 	incarnation, responded := a.incarnation, false
-	respond := func(s *simWorker) {
-		if responded || !s.up {
+	var respond func(s *simWorker)
+	respond = func(s *simWorker) {
+		if responded || !s.up || s.putOff(func() { respond(s) }) {
 			return
 		}
 		responded = true
@@ -427,8 +448,12 @@
 	if s.w.o.WorkerRestarts && s.w.now.Before(s.lossyUntil) && s.w.chance(0.1) {
 		delay = s.w.jitter(3 * time.Second)
 	}
-	s.w.schedule(delay, func() {
+	var arrive func()
+	arrive = func() {
 		s := s.receiver()
+		if s.up && !s.w.now.Before(s.silentUntil) && s.putOff(arrive) {
+			return
+		}
 		misdirected, carriedOut := s.misdirects()
 		switch {
 		case s.w.now.Before(s.silentUntil):
@@ -462,7 +487,8 @@
 		}
 		s.pollWaiters = append(s.pollWaiters, func() { respond(s) })
 		s.w.schedule(l.Wait, func() { respond(s) })
-	})
+	}
+	s.w.schedule(delay, arrive)
 }
 
 // claimPoll reports whether the response or timeout of a poll may be handled, which is so
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -40,6 +40,9 @@
 	MaxPerWorker int
 	// SlowestWorkers makes workers' clocks as slow, and stops as long, as is allowed.
 	SlowestWorkers bool
+	// WorkerStalls makes workers get no CPU for a while, also when their agent can't call them: calls
+	// are handled and leases end late, while the runs go on.
+	WorkerStalls bool
 	// Misleading is the set of misleading signs that occur while jobs arrive, and Signs their number.
 	Misleading Misleading
 	Signs      int
