bounds: a worker that gets no CPU ends its runs later than its lease

Callers saw a task run twice at a time: a worker couldn't be called, and its process got no CPU when its lease ended, so its runs went on for that long; the agent freed them 150 ms after the end of the lease, and the entry ordered them elsewhere. Slack covers one pause of a quota (100 ms) and late timers, not two pauses.

Agents and entries now wait for WorkerStall (200 ms) more before they take runs for ended because of the time that has passed: LeaseEndedAfter and RunsEndedAfter. MaxStall and all that must fit into ResendAfter are unchanged. The tests of the bounds ask for Slack and WorkerStall on top of every end. The runner's tests take the new time from Timeouts; one waits for lease and timeout instead of a fixed second over the timeout.

Cost: a task of a worker or an agent out of reach waits 200 ms longer.

It isn't the users' case, as far as their record goes: there the runs ended done at their own times, 24 ms apart, and the lease ran out later, so the worker wasn't stalled at that time.

--- a/dispatch/bounds/bounds.go
+++ b/dispatch/bounds/bounds.go
@@ -31,6 +31,15 @@
 // of a silent one, they must also satisfy
 //
 //	EntryTimeout + StopTime <= RenewalLimit.
+//
+// A worker that gets no CPU when its lease expires ends its runs later, by up to WorkerStall. The system
+// waits for that before it orders a task again whose run it takes for ended because of the time that
+// has passed:
+//
+//	Lease*(1+ClockError) + Slack + WorkerStall <= LeaseEndedAfter,
+//	RenewalLimit + Slack + WorkerStall <= RunsEndedAfter.
+//
+// A caller doesn't wait for it before it sends its job again.
 package bounds
 
 import (
@@ -74,6 +83,9 @@
 	// must be below EntryTimeout, so that a stale order does not start after its entry
 	// has timed out.
 	MaxOrderDelay time.Duration
+	// LeaseEndedAfter is how long after the last request for a lease the runs of a worker that can't
+	// be reached have ended.
+	LeaseEndedAfter time.Duration
 	// RunsEndedAfter is how long after an entry's last frame to an unreachable agent all
 	// runs that the entry ordered there have ended.
 	RunsEndedAfter time.Duration
@@ -89,6 +101,9 @@
 	// Slack covers timers that fire late, messages in flight, and CPU throttling: a
 	// process that has used up its CPU quota is paused for up to 100 ms.
 	Slack = 150 * time.Millisecond
+	// WorkerStall is how long a worker may get no CPU when its lease expires: its share of the CPU
+	// may be used up in two periods in a row.
+	WorkerStall = 200 * time.Millisecond
 	// entryTimeoutFraction is EntryTimeout as a fraction of ResendAfter. It leaves time for StopTime
 	// and a lease after it, and is long enough to establish a new connection.
 	entryTimeoutFraction = 0.45
@@ -119,8 +134,9 @@
 	t.RenewalLimit = min(max(scale(resend, renewalFraction), t.EntryTimeout+t.StopTime), resend-Slack)
 	t.MaxOrderDelay = scale(t.EntryTimeout, orderDelayFraction)
 	t.Lease = min(cmp.Or(g.MaxLease, defaultLease), withinExpiry(t.RenewalLimit-t.MaxOrderDelay))
-	t.RunsEndedAfter = t.RenewalLimit + Slack
-	t.MaxStall = resend - t.RunsEndedAfter
+	t.LeaseEndedAfter = LeaseExpiry(t.Lease) + Slack + WorkerStall
+	t.RunsEndedAfter = t.RenewalLimit + Slack + WorkerStall
+	t.MaxStall = resend - t.RenewalLimit - Slack
 	if t.EntryTimeout+t.StopTime > t.RenewalLimit {
 		return t, ErrUnsatisfiable.New("a resend after %v leaves too little time to end runs with a stop time of %v and a lease of %v", resend, t.StopTime, t.Lease)
 	}
--- a/dispatch/bounds/bounds_test.go
+++ b/dispatch/bounds/bounds_test.go
@@ -68,10 +68,13 @@
 			if end+times.MaxStall+Slack > resend {
 				t.Errorf("%+v: when %s, runs may last %v after a stall of %v, but the job is sent again after %v", g, failure, end, times.MaxStall, resend)
 			}
-			if end > times.RunsEndedAfter {
+			if end+Slack+WorkerStall > times.RunsEndedAfter {
 				t.Errorf("%+v: when %s, runs may last %v, but are considered ended after %v", g, failure, end, times.RunsEndedAfter)
 			}
 		}
+		if end := LeaseExpiry(times.Lease) + Slack + WorkerStall; end > times.LeaseEndedAfter {
+			t.Errorf("%+v: runs of a worker out of reach may last %v, but are considered ended after %v", g, end, times.LeaseEndedAfter)
+		}
 		if times.MaxStall < 0 {
 			t.Errorf("%+v: MaxStall is %v", g, times.MaxStall)
 		}
--- a/dispatch/leasedcheck/faults.go
+++ b/dispatch/leasedcheck/faults.go
@@ -1,6 +1,10 @@
 package leasedcheck
 
-import "time"
+import (
+	"time"
+
+	"github.com/papayahoist/papayahoist/dispatch/bounds"
+)
 
 // injectFault injects one random fault.
 func (w *World) injectFault() {
@@ -123,12 +127,9 @@
 		if w.now.After(end) {
 			return
 		}
-		d := w.jitter(maxWorkerStall)
+		d := w.jitter(bounds.WorkerStall)
 		s.stalledUntil = w.now.Add(d)
 		w.schedule(d+20*time.Millisecond+w.jitter(200*time.Millisecond), stall)
 	}
 	stall()
 }
-
-// maxWorkerStall is the longest time for which a worker gets no CPU.
-const maxWorkerStall = 200 * time.Millisecond
--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -7,7 +7,6 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
-	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
@@ -309,5 +308,5 @@
 
 // leaseExpiresAt returns when the lease of the runs on the worker has certainly expired.
 func (r *Runner) leaseExpiresAt() time.Time {
-	return r.leaseRenewedAt.Add(bounds.LeaseExpiry(r.opts.Timeouts.Lease) + bounds.Slack)
+	return r.leaseRenewedAt.Add(r.opts.Timeouts.LeaseEndedAfter)
 }
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
-	"github.com/papayahoist/papayahoist/dispatch/bounds"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 )
 
@@ -227,7 +226,7 @@
 
 // leaseExpiry returns how long after a call the runs on a worker that can't be reached may go on.
 func (h *harness) leaseExpiry() time.Duration {
-	return bounds.LeaseExpiry(h.times.Lease) + bounds.Slack
+	return h.times.LeaseEndedAfter
 }
 
 // A worker with a new identifier in each incarnation refuses delayed calls to an earlier one,
@@ -300,7 +299,7 @@
 	h.order("e1", "t1", 1000)
 	l, _ := h.r.NextPoll(h.now, true)
 	h.r.PollFailed(h.now, l, true)
-	h.wait(unfencedTimeout + time.Second)
+	h.wait(h.leaseExpiry() + unfencedTimeout + 10*time.Millisecond)
 	if len(h.r.runs) > 0 {
 		t.Error("the run is still held")
 	}
