--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "invalid settings")
 	}
-	client := adapter.NewStore(s.StoreAddress, adapter.StoreOptions{OnCall: a.metrics.countStoreCall})
+	client := adapter.NewStore(s.StoreAddress, adapter.StoreOptions{OnCall: a.metrics.countStoreCall, Logger: a.logger})
 	a.runner = runner.New(runner.Options{
 		Entries: s.Seeds, Worker: adapter.NewWorker(s.WorkerAddress, int(s.Connections)), Logger: a.logger,
 		OnFrame:     a.metrics.countWorkerFrame,
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -128,8 +128,8 @@
 		return nil, ErrStart.Wrap(err, "listen for readiness checks")
 	}
 	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{
-		MaxValueBytes: int64(s.StoreValueBytes),
-		OnCall:        e.metrics.countStoreCall, WatchWait: func() time.Duration { return watchWait(len(e.dispatcher.Entries()), rand.Float64()) },
+		MaxValueBytes: int64(s.StoreValueBytes), Logger: e.logger,
+		OnCall: e.metrics.countStoreCall, WatchWait: func() time.Duration { return watchWait(len(e.dispatcher.Entries()), rand.Float64()) },
 	})
 	e.roster = roster.New(roster.Options{
 		Store: e.store, Name: s.Name, Address: s.AdvertisedAddress(), Logger: e.logger,
