Keys among those of entries are used only if they hold an address

Callers would see jobs end with 504 though nothing had failed: the list of entries in the store was used as it was. Where another program left 0.0.0.0 or a host name with the port of a live entry, entries found "another" entry there, told every agent of it, and agents linked to it: each such link ends the one before to the same entry, and the orders on it are lost. Other values did less: none ended a process or a list, but an address of 1 MB was written to the log whole, three times a line.

The list is read with the check of addresses in the settings, now settings.ParseAddress. A key that doesn't pass is skipped and logged once (roster_entry_unreadable) until it is written again. The addresses passed on have one spelling.

--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -64,7 +64,7 @@
 	a.runner = runner.New(runner.Options{
 		Entries: s.Seeds, Worker: adapter.NewWorker(s.WorkerAddress, int(s.Connections)), Logger: a.logger,
 		OnFrame:     a.metrics.countWorkerFrame,
-		FindEntries: func(ctx context.Context) ([]string, error) { return roster.Find(ctx, client) },
+		FindEntries: roster.NewFinder(client, a.logger).Find,
 		Core: corerunner.Options{
 			Agent: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Timeouts: times, Link: leasedLinkOptions(times),
 			// The start time is the fencing token: a later process beside the same worker
--- a/node/process/leased_test.go
+++ b/node/process/leased_test.go
@@ -27,6 +27,25 @@
 	agents  []*leasedProcess
 	workers []*standin.Worker
 	tracker runTracker
+	log     logBuffer
+}
+
+// logBuffer collects the lines of all processes.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) count(what string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.text.String(), what)
 }
 
 // leasedProcess is one running entry or agent.
@@ -120,7 +139,7 @@
 
 func (s *leasedSite) entry(name, nodes string, seeds []string, storeAddress string) {
 	p := &leasedProcess{callers: freeAddress(s.t), ready: freeAddress(s.t)}
-	e, err := process.NewLeasedEntry(process.LeasedEntryOptions{Out: io.Discard, Settings: settings.LeasedEntry{
+	e, err := process.NewLeasedEntry(process.LeasedEntryOptions{Out: &s.log, Settings: settings.LeasedEntry{
 		Name: name, FailureDomain: "hall", CallersListen: p.callers, ReadyListen: p.ready, NodesListen: nodes,
 		StoreAddress: storeAddress, Seeds: seeds, Bounds: leasedBounds, ProcessorShare: 1,
 	}})
@@ -146,7 +165,7 @@
 	s.t.Cleanup(server.Close)
 	s.workers = append(s.workers, w)
 	p := &leasedProcess{}
-	a, err := process.NewLeasedAgent(process.LeasedAgentOptions{Out: io.Discard, Settings: settings.LeasedAgent{
+	a, err := process.NewLeasedAgent(process.LeasedAgentOptions{Out: &s.log, Settings: settings.LeasedAgent{
 		Name: fmt.Sprintf("agent-%d", i), FailureDomain: domainOf(i), ReportsListen: reports, Connections: 8,
 		WorkerAddress: strings.TrimPrefix(server.URL, "http://"), StoreAddress: storeAddress, Seeds: seeds, Bounds: leasedBounds,
 	}})
@@ -344,3 +363,40 @@
 		t.Error("something was started on a draining worker")
 	}
 }
+
+// Another program has left keys among those of entries that name an entry in another way, or none.
+// Agents would open further links to an entry, each of which ends the one before with its runs.
+func TestOddKeysAmongEntries(t *testing.T) {
+	s := &leasedSite{t: t, store: standin.NewStore(), tracker: runTracker{running: map[string]int{}, startedBy: map[string]int{}}}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	storeAddress, stale := strings.TrimPrefix(server.URL, "http://"), []string{freeAddress(t)}
+	addresses := []string{freeAddress(t), freeAddress(t)}
+	_, port, _ := net.SplitHostPort(addresses[0])
+	odd := []string{"", "127.0.0.1:99999", "0.0.0.0:" + port, "localhost:" + port, "127.0.0.1:" + port + "\xff", strings.Repeat("[", 1<<20)}
+	for i, value := range odd {
+		s.store.Put(fmt.Sprintf("papayahoist/entries/odd-%d", i), []byte(value))
+	}
+	s.configure(1, "/stamps/")
+	for i, address := range addresses {
+		s.entry(fmt.Sprintf("entry-%d", i), address, stale, storeAddress)
+	}
+	s.agent(0, stale, storeAddress)
+	for _, p := range s.entries {
+		s.waitUntil("a served job", func() bool { return s.ready(p) })
+	}
+	time.Sleep(2 * time.Second)
+	s.configure(2, "/b/")
+	for _, p := range s.entries {
+		s.waitUntil("the next configuration", func() bool {
+			status, _ := s.call(p, http.MethodGet, "/stamps/", "")
+			return status == http.StatusNotFound
+		})
+	}
+	if n := s.log.count("asked for another link"); n > 0 {
+		t.Errorf("%d links replaced", n)
+	}
+	if n := s.log.count(`"roster_entry_unreadable"`); n != 3*len(odd) {
+		t.Errorf("%d lines about %d keys of three processes", n, len(odd))
+	}
+}
--- a/node/roster/roster.go
+++ b/node/roster/roster.go
@@ -7,9 +7,11 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/papayahoist/papayahoist/node/settings"
 	"github.com/papayahoist/papayahoist/platform/store"
 )
 
@@ -44,12 +46,13 @@
 // Roster keeps one entry on the list.
 type Roster struct {
 	opts    Options
+	finder  *Finder
 	lease   atomic.Int64
 	leaving atomic.Bool
 }
 
 // New returns a Roster. Run adds the entry to the list and keeps it there.
-func New(o Options) *Roster { return &Roster{opts: o} }
+func New(o Options) *Roster { return &Roster{opts: o, finder: NewFinder(o.Store, o.Logger)} }
 
 // Run keeps the entry on the list until the context ends or Leave is called. It
 // passes the addresses of all listed entries, its own included, to found after each
@@ -74,7 +77,7 @@
 		if !listDue {
 			continue
 		}
-		if addresses, err := Find(ctx, r.opts.Store); err == nil {
+		if addresses, err := r.finder.Find(ctx); err == nil {
 			lastListed = time.Now()
 			found(addresses)
 		}
@@ -129,15 +132,40 @@
 	}
 }
 
-// Find returns the addresses of the listed entries.
-func Find(ctx context.Context, c store.Client) ([]string, error) {
-	items, _, err := c.List(ctx, KeyPrefix)
+// Finder reads the list.
+type Finder struct {
+	store  store.Client
+	logger *slog.Logger
+
+	mu         sync.Mutex
+	unreadable map[string]store.Revision // listed keys without an address, by the revision that was logged
+}
+
+// NewFinder returns a Finder.
+func NewFinder(c store.Client, l *slog.Logger) *Finder { return &Finder{store: c, logger: l} }
+
+// Find returns the addresses of the listed entries. Another program may have left a key that
+// holds none: it is skipped, and logged once.
+func (f *Finder) Find(ctx context.Context) ([]string, error) {
+	items, _, err := f.store.List(ctx, KeyPrefix)
 	if err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var out []string
+	unreadable := map[string]store.Revision{}
 	for _, i := range items {
-		out = append(out, string(i.Value))
+		address, err := settings.ParseAddress(string(i.Value))
+		if err == nil {
+			out = append(out, address.String())
+			continue
+		}
+		unreadable[i.Key] = i.Revision
+		if f.unreadable[i.Key] != i.Revision {
+			f.logger.Warn("roster_entry_unreadable", "key", i.Key, "revision", uint64(i.Revision), "err", err)
+		}
 	}
+	f.unreadable = unreadable
 	return out, nil
 }
--- a/node/settings/validate.go
+++ b/node/settings/validate.go
@@ -134,13 +134,21 @@
 	}
 }
 
+// ParseAddress parses an address that is dialed. Errors are of type WrongValue.
+func ParseAddress(value string) (netip.AddrPort, error) {
+	parsed, err := netip.ParseAddrPort(value)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() {
+		return netip.AddrPort{}, WrongValue.New("address is %s; allowed: %s", quote(value), allowedAddress)
+	}
+	return netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port()), nil
+}
+
 // address checks an address that is dialed.
 func (v *validator) address(key, value string) {
 	if !v.required(key, value == "", allowedAddress) {
 		return
 	}
-	parsed, err := netip.ParseAddrPort(value)
-	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() {
+	if _, err := ParseAddress(value); err != nil {
 		v.addWrongValue(key, quote(value), allowedAddress)
 	}
 }
@@ -171,9 +179,7 @@
 		return
 	}
 	for i, value := range values {
-		parsed, err := netip.ParseAddrPort(value)
-		invalid := err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified()
-		if invalid || slices.Contains(values[:i], value) {
+		if _, err := ParseAddress(value); err != nil || slices.Contains(values[:i], value) {
 			v.addWrongValue(key, quote(value), allowed)
 		}
 	}
