A worker's record is read with the bounds of its reports

An agent that is restarted takes its worker's capacity from the record in the store until the worker reports again. A worker's identifier with a line end made the worker count as silent, and labels of any size went to every entry.

The record is checked as a report is, and is at most 64 KiB long. One that doesn't pass is logged as worker_record_unreadable, which happens once for each process, and the agent waits for the report. Deep nesting and 1e400 were refused before.

TestUnreadableRecordNamesNoWorker failed before for six of the eight values added.

--- a/node/workerrecord/workerrecord.go
+++ b/node/workerrecord/workerrecord.go
@@ -16,6 +16,7 @@
 
 	"github.com/papayahoist/papayahoist/dispatch/runner"
 	"github.com/papayahoist/papayahoist/dispatch/size"
+	"github.com/papayahoist/papayahoist/platform/adapter"
 	"github.com/papayahoist/papayahoist/platform/store"
 )
 
@@ -31,6 +32,9 @@
 	// site whose workers all start at once: those of 11,000 workers are 275 per second, and
 	// the store handles several hundred.
 	maxWriteDelay = 40 * time.Second
+	// maxRecordBytes bounds a record, which holds no more than a worker's report. Its labels go
+	// to every entry.
+	maxRecordBytes = 64 << 10
 	// readTimeout bounds how long a new process waits for its record. The worker's next
 	// report, which makes the record needless, may arrive at any moment.
 	readTimeout = time.Second
@@ -91,7 +95,11 @@
 		return runner.Worker{}, false
 	}
 	var rec record
-	if err := json.Unmarshal(item.Value, &rec); err != nil || rec.Worker == "" || rec.Service == "" || rec.CPUMillis <= 0 {
+	err = json.Unmarshal(item.Value, &rec)
+	if err == nil {
+		err = adapter.CheckWorker(rec.worker())
+	}
+	if err != nil || rec.CPUMillis <= 0 || len(item.Value) > maxRecordBytes {
 		// Not written by an agent: it names no worker.
 		r.opts.Logger.Warn("worker_record_unreadable", "revision", uint64(item.Revision), "err", err)
 		return runner.Worker{}, false
--- a/node/workerrecord/workerrecord_test.go
+++ b/node/workerrecord/workerrecord_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -185,10 +186,17 @@
 
 // Another writer has stored invalid data at the key. It names no worker.
 func TestUnreadableRecordNamesNoWorker(t *testing.T) {
-	for _, text := range []string{"", "{", `{"worker":7}`, `{"worker":"w1"}`, `{"worker":"w1","service":"s","cpu_millis":0}`} {
+	for _, text := range []string{
+		"", "{", `{"worker":7}`, `{"worker":"w1"}`, `{"worker":"w1","service":"s","cpu_millis":0}`,
+		`{"worker":"w1","service":"s","cpu_millis":1e400}`, `{"worker":"w1","service":"s","cpu_millis":9223372036854775807}`,
+		`{"worker":"w1","service":"s","cpu_millis":2147483648}`, `{"worker":"w1","service":"s","cpu_millis":1000,"memory_mb":-1}`,
+		`{"worker":"w1","service":"s","cpu_millis":1000,"gpus":4294967297}`, `{"worker":"w\n1","service":"s","cpu_millis":1000}`,
+		`{"worker":"w1","service":"s","cpu_millis":1000,"labels":["` + strings.Repeat("a", 1<<20) + `"]}`,
+		strings.Repeat(`{"worker":`, 100_000) + strings.Repeat("}", 100_000),
+	} {
 		r := New(Options{Store: &fakeStore{item: store.Item{Key: keyPrefix + "a1", Value: []byte(text), Revision: 1}}, Agent: "a1", Logger: slog.New(slog.DiscardHandler)})
 		if w, ok := r.Read(t.Context()); ok {
-			t.Errorf("%q names %v", text, w)
+			t.Errorf("%.80q names %.80v", text, w)
 		}
 	}
 }
