A false report doesn't silence a worker for good

Reports of one incarnation are ordered by their sequence number, and a lower one counts as overtaken. A report of another writer with the highest number made each later report of the worker itself count as overtaken until its end, though it was answered with 200: the worker drains, or shrinks, and still gets tasks. A number can't be bounded: nothing says where a worker's count begins.

A report can be late by seconds at most, so a lower number is taken as the worker's own once nothing higher has come for 30 s (the time after which calls are no longer carried out either). Until then the false report stands.

TestFalseReportDoesNotSilenceWorkerForGood failed before: the worker was held with the false report's capacity, and not draining, after 60 reports of its own.

--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -98,11 +98,16 @@
 	r.adoptWorker(now, w, "on record")
 }
 
+// maxReportDelay is how late a report may arrive, with time to spare. A lower number than that of
+// an older report shows that the older one was not the worker's own.
+const maxReportDelay = 30 * time.Second
+
 // updateWorker applies a later report of the current incarnation.
 func (r *Runner) updateWorker(now time.Time, w Worker) bool {
-	if w.Sequence < r.worker.Sequence {
+	if w.Sequence < r.worker.Sequence && now.Sub(r.reportedAt) < maxReportDelay {
 		return false
 	}
+	r.reportedAt = now
 	before := r.worker
 	w.Draining = w.Draining || r.endAnnounced
 	r.worker = w
@@ -160,7 +165,7 @@
 	if w.Incarnation == r.worker.Incarnation {
 		how += " though it was taken for ended"
 	}
-	r.worker, r.known, r.endAnnounced, r.candidate = w, true, false, nil
+	r.worker, r.known, r.endAnnounced, r.candidate, r.reportedAt = w, true, false, nil, now
 	r.polled, r.failedPolls, r.unresponsive, r.suspects, r.lastEndNumber, r.clock = false, 0, false, nil, 0, 0
 	r.logDecision(now, Decision{Event: "worker_known", Reason: how + ": " + w.Incarnation.String()})
 	if restarted {
--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -68,6 +69,22 @@
 	}
 }
 
+// Another writer has sent a report with the highest number. The worker's own must not count as
+// overtaken for good: a worker that drains would get tasks until it ends.
+func TestFalseReportDoesNotSilenceWorkerForGood(t *testing.T) {
+	h := newIncarnationHarness(t, "e1")
+	h.r.HandleReport(h.now, worker(startMs, func(w *Worker) { w.Sequence = math.MaxUint64; w.Capacity.CPUMillis = 64000 }))
+	own := worker(startMs, func(w *Worker) { w.Sequence = 2; w.Draining = true })
+	for range 2 * maxReportDelay / time.Second {
+		h.r.HandleReport(h.now, own)
+		own.Sequence++
+		h.now = h.now.Add(time.Second)
+	}
+	if w, _ := h.r.Worker(); !w.Draining || w.Capacity != own.Capacity || w.Sequence != own.Sequence-1 {
+		t.Errorf("worker %+v, want its report %d", w, own.Sequence-1)
+	}
+}
+
 // Each incarnation numbers its ends anew: an end of the second incarnation must not be taken
 // for one that was seen in the first.
 func TestEndsOfLaterIncarnationAreHandled(t *testing.T) {
