Test: odd keys among announcements and contracts

Another program's values among the keys of the entries with an etcd store: not JSON, nested 100,000 deep, numbers too large, ports out of range, 512 KiB long, keys that aren't UTF-8. Nothing had to change: entries log and skip what they can't decode, an address that doesn't answer stays a candidate, and later contracts and entries are followed.

--- a/node/process/fleet_test.go
+++ b/node/process/fleet_test.go
@@ -195,6 +195,43 @@
 	}
 }
 
+// Another program has left odd values among the announcements and the contracts. Entries must go on,
+// find each other, and follow later changes.
+func TestOddKeysInTheStore(t *testing.T) {
+	f := &fleet{t: t, leaseTTL: 3 * time.Second, member: member.Options{
+		ExchangeInterval: 200 * time.Millisecond, DeadAfter: 800 * time.Millisecond, AssumeStoppedAfter: 1600 * time.Millisecond,
+	}}
+	f.open(2, 1)
+	odd := []string{
+		"", "\xff", "null", "[]", strings.Repeat("[", 100_000), strings.Repeat(`{"self":`, 100_000) + strings.Repeat("}", 100_000),
+		`{"incarnation":1e400}`, `{"incarnation":"x","address":"127.0.0.1:99999"}`, `{"incarnation":"y","address":"0.0.0.0:1"}`,
+		`{"incarnation":"z","address":"http://127.0.0.1:1/\u0000"}`, `{"incarnation":"` + strings.Repeat("w", 1<<19) + `","address":"a"}`,
+		`{"contract":{"name":"odd","rate":1e308,"memory_bytes":"18446744073709551615","weight":4294967295}}`,
+		`{"contract":{"name":"odd","rate":"NaN","concurrency":18446744073709551616}}`,
+	}
+	writer := etcdv3.New("http://"+f.store, etcdv3.Options{})
+	for i, value := range odd {
+		for _, key := range []string{"entries/odd", "contracts/odd", "odd", "contracts/\xff", "entries/\xff"} {
+			if i > 0 {
+				key += fmt.Sprint(i)
+			}
+			if _, err := writer.CompareAndSwap(t.Context(), "papayahoist/"+key, 0, []byte(value), 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	first := f.apply("c1", 0, nil)
+	f.waitUntil("a contract in force", func() bool { return f.inForce(first) })
+	added := f.start() // lists the keys
+	f.waitUntil("a contract in force at a new entry", func() bool { return f.inForce(first) })
+	f.waitUntil("all entries members", func() bool {
+		return !slices.ContainsFunc(f.entries, func(e *fleetEntry) bool { return len(e.membership.Peers()) != 3 })
+	})
+	f.waitUntil("a new entry serves", func() bool { status, _ := f.submit(added, 20); return status == http.StatusOK })
+	second := f.apply("c2", first, func(c *pb.Contract) { c.Weight = 2 })
+	f.waitUntil("a change in force", func() bool { return f.inForce(second) })
+}
+
 // BenchmarkTimeToForce measures the time from a contract change until it is in force at 3
 // entries with 11 linked agents and the intervals of production.
 func BenchmarkTimeToForce(b *testing.B) {
