Test: odd keys of operators

Configurations that can't be read (numbers too large, other types, nested 100,000 deep, with and without a version) and keys among those of evacuations that name no domain of the site. Nothing had to change: what is in force stays, each is logged as configuration_unreadable, and the next change is followed.

--- a/node/process/leased_test.go
+++ b/node/process/leased_test.go
@@ -400,3 +400,44 @@
 		t.Errorf("%d lines about %d keys of three processes", n, len(odd))
 	}
 }
+
+// An operator's key holds what can't be read, or is none that the system knows. Entries must keep what
+// is in force, and follow the next change.
+func TestOddKeysOfOperators(t *testing.T) {
+	s := newLeasedSite(t, 2, 1)
+	odd := func() {
+		for _, value := range []string{
+			"", "null", "[]", `{"version":1e400}`, `{"version":-1}`, `{"version":18446744073709551616}`, `{"version":"9"}`,
+			`{"version":9,"routes":[{"priority":4294967296}]}`, `{"version":9,"services":{"a":1e400}}`, `{"version":9,"limits":[]}`,
+			strings.Repeat("[", 100_000), `{"version":9,"routes":` + strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000) + `}`,
+			strings.Repeat(`{"version":`, 100_000) + strings.Repeat("}", 100_000),
+		} {
+			s.store.Put(adapter.ConfigurationKey, []byte(value))
+			time.Sleep(20 * time.Millisecond)
+		}
+		for _, key := range []string{"op/", "op/evacuate", "op/evacuate/", "op/evacuate/" + strings.Repeat("x", 180), "op/evacuate/\u0000", "op/odd"} {
+			s.store.Put(key, []byte(strings.Repeat("{", 100_000)))
+		}
+	}
+	odd()
+	s.configure(1, "/stamps/")
+	for _, p := range s.entries {
+		s.waitUntil("a served job", func() bool { return s.ready(p) })
+	}
+	odd()
+	for _, p := range s.entries {
+		if status, body := s.call(p, http.MethodPost, "/stamps/00000000000000ef", leasedJob(1, time.Millisecond)); status != http.StatusOK {
+			t.Errorf("beside odd keys: %d %s", status, body)
+		}
+	}
+	if n := s.log.count(`"configuration_unreadable"`); n < 2 {
+		t.Errorf("%d lines about configurations", n)
+	}
+	s.configure(2, "/more/")
+	for _, p := range s.entries {
+		s.waitUntil("the next configuration", func() bool {
+			status, _ := s.call(p, http.MethodGet, "/stamps/", "")
+			return status == http.StatusNotFound
+		})
+	}
+}
