agent: a planned stop waits until its results are acknowledged

What callers saw: an agent gets SIGTERM while a task runs. The task ends as done, and its job is answered about a second and a whole second run later: the entry had the task run again.

Cause: the agent counted as drained as soon as nothing ran, and ended within a millisecond of the last end. The frame with that end had been queued for the link and was lost with it. The entry then took the run for lost, when the agent's next process had found none or RunsEndedAfter had passed. Both are sound proofs that the run has ended, so this gives no two runs at a time; it is a start after a run has ended done whose end has been taken note of, which counts for jobs that are stored.

The driver now also waits until each linked entry has acknowledged all updates, at most for the grace period, as before. Entries without a link aren't waited for: results that are unacknowledged when an agent without links ends are still lost.

--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -99,6 +99,14 @@
 	return !slices.ContainsFunc(r.runList, func(x *run) bool { return !x.unfenced() })
 }
 
+// AllAcked reports whether the linked entries have acknowledged all updates. An entry that the
+// result of a run doesn't reach has the task run again.
+func (r *Runner) AllAcked() bool {
+	return !slices.ContainsFunc(r.entries, func(e *entry) bool {
+		return e.session.IsUp() && len(e.unsent)+len(e.unacked) > 0
+	})
+}
+
 // Running returns the number of runs that are, or may be, on the current incarnation, apart from
 // superseded ones.
 func (r *Runner) Running() int {
--- a/node/runner/links_test.go
+++ b/node/runner/links_test.go
@@ -29,6 +29,8 @@
 	idle        bool // it orders nothing
 	// news, if not nil, receives what the agent says of the order.
 	news chan *pb.OrderNews
+	// unresponsive: it acknowledges nothing.
+	unresponsive atomic.Bool
 	// attached counts the links that were opened.
 	attached atomic.Int64
 
@@ -83,8 +85,10 @@
 		if f == nil {
 			return nil
 		}
-		if err := send(&pb.OrderFrame{Ack: f.Seq}); err != nil {
-			return err
+		if !e.unresponsive.Load() {
+			if err := send(&pb.OrderFrame{Ack: f.Seq}); err != nil {
+				return err
+			}
 		}
 		for _, n := range f.News {
 			if e.news != nil {
@@ -172,17 +176,22 @@
 func runAgent(t *testing.T, address string, w Worker) { runAgentWith(t, []string{address}, w) }
 
 func runAgentWith(t *testing.T, addresses []string, w Worker) {
+	runAgentWithLinks(t, addresses, w, dispatchlink.Options{})
+}
+
+func runAgentWithLinks(t *testing.T, addresses []string, w Worker, o dispatchlink.Options) *Runner {
 	times, err := bounds.Derive(bounds.Params{ResendAfter: 10 * time.Minute, MaxLease: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := New(Options{
 		Entries: addresses, Worker: w, Logger: slog.New(slog.DiscardHandler),
-		Core: runner.Options{Agent: "a", Incarnation: "a1", Timeouts: times, Link: dispatchlink.Options{}.WithDefaults(), Token: 1},
+		Core: runner.Options{Agent: "a", Incarnation: "a1", Timeouts: times, Link: o.WithDefaults(), Token: 1},
 	})
 	go r.Run()
 	t.Cleanup(r.Close)
 	r.HandleReport(runner.Worker{Incarnation: runner.Incarnation{ID: "w"}, Service: "s", Capacity: size.Size{CPUMillis: 1000, MemoryMB: 1000}})
+	return r
 }
 
 // receive returns what comes next on a channel.
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -111,11 +111,11 @@
 // Drain makes the agent refuse new orders.
 func (r *Runner) Drain() { r.decide(r.core.Drain) }
 
-// Drained reports whether no runs are left.
+// Drained reports whether no runs are left and the linked entries know how all have ended.
 func (r *Runner) Drained() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Drained()
+	return r.core.Drained() && r.core.AllAcked()
 }
 
 // decide applies one input to the core and executes the actions that the core returns.
