membership: only an entry's own announcement makes a member

Callers of an entry that has started get no answer but deadline_exceeded, for as long as another writer's key stands among the entries' announcements: the entries take it for a member that can't be reached and wait for it to give back its share of each contract. Only its lease's end shows that a process has stopped, and such a key has none.

An announcement counts if its key names its incarnation, it has a lease, and its address is one that can be dialed; others are logged, as those that can't be decoded were. The package's own tests gave their entries addresses without a port, which no entry can announce; they have one now.

--- a/node/membership/membership_test.go
+++ b/node/membership/membership_test.go
@@ -75,7 +75,7 @@
 // start adds an entry process at a new address.
 func (c *cluster) start() *node {
 	c.mu.Lock()
-	address := fmt.Sprintf("10.0.0.%d", c.started+1)
+	address := fmt.Sprintf("10.0.0.%d:7440", c.started+1)
 	c.mu.Unlock()
 	return c.startAt(address)
 }
@@ -445,8 +445,8 @@
 		c := newCluster(t)
 		ahead := make(chan time.Duration, 10)
 		m := membership.New(membership.Options{
-			Self: &pb.Peer{Entry: "entry", Incarnation: "1", Address: "10.0.0.1"}, Store: c.client(c.random), Config: config.NewHolder(),
-			Exchanger: &exchanger{c, "10.0.0.1"}, Random: c.random, LeaseTTL: ttl,
+			Self: &pb.Peer{Entry: "entry", Incarnation: "1", Address: "10.0.0.1:7440"}, Store: c.client(c.random), Config: config.NewHolder(),
+			Exchanger: &exchanger{c, "10.0.0.1:7440"}, Random: c.random, LeaseTTL: ttl,
 			OnAnnounced: func(until time.Time) bool { ahead <- until.Sub(clock.Now()); return false },
 		})
 		ctx, stop := context.WithCancel(context.Background())
--- a/node/membership/store.go
+++ b/node/membership/store.go
@@ -9,6 +9,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/contract"
 	"github.com/papayahoist/papayahoist/dispatch/member"
 	"github.com/papayahoist/papayahoist/node/clock"
+	"github.com/papayahoist/papayahoist/node/settings"
 	"github.com/papayahoist/papayahoist/platform/retry"
 	"github.com/papayahoist/papayahoist/platform/store"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -85,13 +86,34 @@
 	return append(to, record.Contract)
 }
 
+// appendPeer appends the peer that the item announces. One that isn't an entry's own announcement is
+// ignored: entries would wait for it to give back its share of the contracts.
 func (m *Membership) appendPeer(to []*pb.Peer, item store.Item) []*pb.Peer {
-	var p pb.Peer
-	if err := protojson.Unmarshal(item.Value, &p); err != nil {
+	p, err := decodePeer(item)
+	if err != nil {
 		m.log.Error("announcement ignored", "key", item.Key, "err", err)
 		return to
 	}
-	return append(to, &p)
+	return append(to, p)
+}
+
+// decodePeer returns the peer that an entry announces. An entry's key names its incarnation and has a
+// lease, so that it goes with the process. Errors are of type ErrAnnouncement.
+func decodePeer(item store.Item) (*pb.Peer, error) {
+	var p pb.Peer
+	if err := protojson.Unmarshal(item.Value, &p); err != nil {
+		return nil, ErrAnnouncement.Wrap(err, "decode")
+	}
+	switch {
+	case p.Incarnation != strings.TrimPrefix(item.Key, EntriesPrefix):
+		return nil, ErrAnnouncement.New("the key is of another incarnation than %.80q", p.Incarnation)
+	case item.Lease == 0:
+		return nil, ErrAnnouncement.New("no lease")
+	}
+	if _, err := settings.ParseAddress(p.Address); err != nil {
+		return nil, ErrAnnouncement.Wrap(err, "address")
+	}
+	return &p, nil
 }
 
 func (m *Membership) applyEntryEvent(e store.Event) {
