agent: a lease doesn't run out, or get longer, while the machine is suspended

The agent counts by a clock that includes suspended time, and the worker beside it keeps its lease by one that doesn't. So an agent that resumed while its worker didn't answer took the worker's runs for ended at once, although they went on for the rest of their lease; and the first lease after a suspension was longer by the suspended time, up to the worker's longest (1 s instead of 0.72 s, where 0.88 s were waited for). Both need a second fault beside the suspension.

The agent now leaves the suspended time out of both, by the difference of its two clocks. Silent entries and delayed orders are judged as before. Suspensions under 100 ms are within Slack.

What an entry concludes while the machine is suspended is as before (docs/design/evidence-of-an-end.md).

--- a/dispatch/runner/lease_test.go
+++ b/dispatch/runner/lease_test.go
@@ -121,3 +121,41 @@
 		t.Errorf("stops %v, want one of t1", h.last.Stops)
 	}
 }
+
+// suspend suspends the machine of agent and worker.
+func (h *harness) suspend(d time.Duration) {
+	h.now = h.now.Add(d)
+	h.r.Suspended(d)
+}
+
+// A machine resumes, and its agent asks for a lease before the worker has answered again. Guards against
+// a lease that is longer by the time for which the worker's clock has stood still.
+func TestLeaseAfterASuspensionIsNoLonger(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t1", 1000)
+	h.poll()
+	clock := h.clock()
+	h.suspend(500 * time.Millisecond)
+	h.frame("e1", &pb.OrderFrame{})
+	if l, _ := h.r.NextPoll(h.now, true); l.Until-clock > h.times.Lease {
+		t.Errorf("a lease of %v, want %v at most", l.Until-clock, h.times.Lease)
+	}
+}
+
+// A machine is suspended while its worker doesn't answer. Guards against an agent that takes the runs
+// for ended when it resumes, while their lease, which has stood still, keeps them going.
+func TestRunsOfASuspendedWorkerAreKeptUntilTheirLeaseExpires(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t1", 1000)
+	h.failPolls()
+	h.suspend(3 * time.Second)
+	resumed := h.now
+	h.wait(h.times.Lease / 2)
+	if h.r.Running() == 0 {
+		t.Errorf("lost %v after it resumed", h.now.Sub(resumed))
+	}
+	h.wait(h.times.LeaseEndedAfter)
+	if h.r.Running() > 0 {
+		t.Errorf("still kept %v after it resumed", h.now.Sub(resumed))
+	}
+}
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -150,6 +150,15 @@
 	}
 }
 
+// Suspended records that the machine was suspended for a time since the last input. Its worker's clock,
+// which the lease is kept by, has stood still.
+func (r *Runner) Suspended(d time.Duration) {
+	r.clockAt, r.leaseRenewedAt = r.clockAt.Add(d), r.leaseRenewedAt.Add(d)
+	for _, x := range r.runList {
+		x.leaseExpiresAt = x.leaseExpiresAt.Add(d)
+	}
+}
+
 // Tick handles the passing of time.
 func (r *Runner) Tick(now time.Time) {
 	r.tickEntries(now)
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -125,6 +125,7 @@
 	now := clock.Now()
 	if elapsed, suspended := r.stall.observe(now, clock.Monotonic()); elapsed > 0 {
 		r.opts.Logger.Info("stalled", "elapsed_ms", elapsed.Milliseconds(), "suspended_ms", suspended.Milliseconds())
+		r.core.Suspended(suspended)
 	}
 	input(now)
 	ready := r.core.Ready(now)
--- a/node/runner/stall.go
+++ b/node/runner/stall.go
@@ -3,7 +3,8 @@
 import "time"
 
 // minLoggedStall exceeds the time between two polls of an idle worker, and minLoggedSuspension what
-// the two clocks differ by when they are read one after the other.
+// the two clocks differ by when they are read one after the other. Shorter suspensions are within
+// bounds.Slack.
 const (
 	minLoggedStall      = 700 * time.Millisecond
 	minLoggedSuspension = 100 * time.Millisecond
