leasedcheck: failing test for successes that are acknowledged and repeated

An agent is killed, a run on its worker ends done meanwhile, and the agent's next process reads that end, drops it (runner handleEnd: it doesn't know the run) and acknowledges it. The entry then takes the order for ended without a result and orders the task again: its work is done twice and the caller waits for the second run.

Jobs that were sent again by their callers aren't counted.

--- a/dispatch/leasedcheck/check.go
+++ b/dispatch/leasedcheck/check.go
@@ -19,9 +19,11 @@
 	running   map[string]map[*simWorker]uint32 // by task, on workers that are up
 	started   map[string]bool                  // jobs of which some task has started
 	succeeded map[string]bool                  // tasks that have succeeded
-	refused   map[string]bool                  // jobs whose attempts were all answered with NotRun
-	starts    map[string]int                   // by task
-	r         Result
+	// acknowledged holds the tasks of which an agent has acknowledged a success to the worker.
+	acknowledged map[string]bool
+	refused      map[string]bool // jobs whose attempts were all answered with NotRun
+	starts       map[string]int  // by task
+	r            Result
 }
 
 func (c *checker) violated(format string, args ...any) {
@@ -53,6 +55,9 @@
 	if len(c.running[r.task]) > 0 {
 		c.violated("%s run %d starts on %s while another run of the task is active", r.task, r.run, s.id())
 	}
+	if c.w.o.CheckReadEnds && c.acknowledged[r.task] && c.w.callers[callerIndex(r.task)].attempts == 1 {
+		c.violated("%s run %d starts on %s although an agent has acknowledged a success", r.task, r.run, s.id())
+	}
 	if c.running[r.task] == nil {
 		c.running[r.task] = map[*simWorker]uint32{}
 	}
--- a/dispatch/leasedcheck/leasedcheck_test.go
+++ b/dispatch/leasedcheck/leasedcheck_test.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// Agents are killed and started again, and nothing else fails. Guards against a next process that
+// acknowledges the success of a run which its entry then orders again.
+func TestAcknowledgedSuccessesAreNotRepeated(t *testing.T) {
+	promisesHold(t, func(seed uint64) Options {
+		o := options(seed)
+		o.Faults, o.Misleading, o.Signs, o.CheckReadEnds = 0, KilledAgents, 4+int(seed%17), true
+		return o
+	})
+}
+
 func promisesHold(t *testing.T, options func(seed uint64) Options) {
 	t.Parallel()
 	var total Result
--- a/dispatch/leasedcheck/signs.go
+++ b/dispatch/leasedcheck/signs.go
@@ -4,7 +4,7 @@
 
 // Misleading is a set of signs that look as if a process had ended although it lives, or as if it
 // lived although it has ended.
-type Misleading uint8
+type Misleading uint16
 
 // Misleading signs.
 const (
@@ -27,6 +27,8 @@
 	// ReusedNames: a machine is removed and another one gets its name, with a worker of its own. The
 	// removed agent's worker is out of reach and goes on.
 	ReusedNames
+	// KilledAgents: an agent is killed, and its next process finds what its runs have come to.
+	KilledAgents
 )
 
 func (m Misleading) has(x Misleading) bool { return m&x != 0 }
@@ -57,6 +59,9 @@
 	if w.o.Misleading.has(Succeeded) && a.worker.up {
 		signs = append(signs, func() { a.worker.succeed(w.jitter(time.Second)) })
 	}
+	if w.o.Misleading.has(KilledAgents) && a.up {
+		signs = append(signs, a.kill)
+	}
 	if w.o.Misleading.has(ReusedNames) && a.up && a.worker.up {
 		signs = append(signs, a.replaceMachine)
 	}
--- a/dispatch/leasedcheck/worker.go
+++ b/dispatch/leasedcheck/worker.go
@@ -479,6 +479,9 @@
 		s.token = max(s.token, l.Token)
 		s.extendLease(l.Until)
 		for len(s.ends) > 0 && s.ends[0].Number <= l.LastEnd {
+			if s.ends[0].Ending == runner.EndedDone {
+				s.w.checker.acknowledged[s.ends[0].Task] = true
+			}
 			s.ends = s.ends[1:]
 		}
 		if l.Wait == 0 || len(s.ends) > 0 {
--- a/dispatch/leasedcheck/world.go
+++ b/dispatch/leasedcheck/world.go
@@ -48,6 +48,8 @@
 	Signs      int
 	// ReportInterval is the time between two reports of a worker. Default 300 ms.
 	ReportInterval time.Duration
+	// CheckReadEnds has starts checked against the successes that an agent has read and acknowledged.
+	CheckReadEnds bool
 	// Disabled is the set of disabled features.
 	Disabled disabled.Set
 	// Trace, if not nil, is called with each event.
@@ -102,7 +104,7 @@
 	w.times, _ = bounds.Derive(bounds.Params{ResendAfter: resendDelay, MaxLease: time.Second, StopTime: 50 * time.Millisecond})
 	w.link = link.Options{AckDelay: 70 * time.Millisecond, AckTimeout: 430 * time.Millisecond, Heartbeat: time.Second, HeartbeatTimeout: 2500 * time.Millisecond}
 	w.operators = operators{w: w, revision: 1, evacuated: map[string]time.Time{}}
-	w.checker = checker{w: w, running: map[string]map[*simWorker]uint32{}, started: map[string]bool{}, succeeded: map[string]bool{}, refused: map[string]bool{}, starts: map[string]int{}}
+	w.checker = checker{w: w, running: map[string]map[*simWorker]uint32{}, started: map[string]bool{}, succeeded: map[string]bool{}, acknowledged: map[string]bool{}, refused: map[string]bool{}, starts: map[string]int{}}
 	for i := range o.Entries {
 		w.entries = append(w.entries, newEntryNode(w, i))
 	}
