runner, dispatcher: ends of an earlier process's runs reach their entries

What callers would see: an agent is killed and starts again, a run on its worker has ended done meanwhile, and the work is done a second time. The caller waits for the second run.

Cause: the next process reads the end, doesn't know the run, drops the end and acknowledges it to the worker with its next poll. The entry only learns that nothing is left, takes the order for ended without a result and orders the task again.

The next process now reports successes and failures of runs that it doesn't know, or that it stops as orphaned, to all its entries: at once, and on each new link for a minute, no later than the first clean state. An entry takes them for orders of the agent's earlier processes if worker, task and run are those of the order. A success that is reported after the entry has taken the run for lost completes the task as well, for 5 s; a later run of it is stopped. Nothing is learned of run times, which aren't known.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -248,6 +248,7 @@
 		d.removeOrder(o)
 		// The run may have begun without a report.
 		o.task.job.started = true
+		d.recordLost(now, o)
 		d.opts.OnDecision(Decision{
 			Event: "run_lost", Job: o.task.job.ID, Task: o.task.name(), Run: o.run, Agent: a.name, Order: o.number, Reason: reason,
 			Age: now.Sub(a.lastSent),
@@ -272,6 +273,7 @@
 	d.touch(a)
 	a.dirty = a.dirty || f.AnswerAtOnce
 	d.opts.Events.Observe(f.Clock, now)
+	d.applyEarlierEnds(now, a, f.Ends) // before a clean state takes these orders for lost
 	if f.State != nil {
 		d.applyState(now, a, f.State)
 	}
--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -190,6 +190,7 @@
 	lastJob     uint64 // number of the last job
 	lastOrder   uint64
 	lastLink    uint64 // number of the last link to an agent
+	lost        []lostOrder
 	jobs        map[uint64]*job
 	byID        map[string]*job            // by queue and id
 	ending      map[string]*job            // answered, with live runs; by queue and id
--- a/dispatch/runner/entries.go
+++ b/dispatch/runner/entries.go
@@ -38,6 +38,7 @@
 	retireSeq uint64
 
 	crashes []*pb.TaskCrash // not yet reported on this link
+	ends    []*pb.RunEnd    // the same
 
 	stateChanged     bool // the state has changed since the last report
 	immediateReports bool
@@ -134,7 +135,7 @@
 	e.delay.update(now, requested, sentNs)
 	e.stateChanged, e.reportedAt = true, time.Time{}
 	r.setEvacuations(now, e, g.Evacuations)
-	e.crashes = r.recentCrashes(now)
+	e.crashes, e.ends = r.recentCrashes(now), r.recentEarlierEnds(now)
 	for _, n := range e.unacked {
 		e.unsent = append(e.unsent, n.update)
 	}
@@ -340,8 +341,8 @@
 }
 
 func (r *Runner) send(now time.Time, e *entry) {
-	f := &pb.WorkerFrame{News: e.unsent, Crashes: e.crashes}
-	e.crashes = nil
+	f := &pb.WorkerFrame{News: e.unsent, Crashes: e.crashes, Ends: e.ends}
+	e.crashes, e.ends = nil, nil
 	if e.stateChanged {
 		f.State = r.state(now, e)
 		e.stateChanged, e.reportedAt = false, now
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -229,8 +229,14 @@
 		if e.Ending != EndedLapsed {
 			r.logLostRun(now, e.Task, e.Run, "has ended as "+e.Ending.String())
 		}
+		if r.recentRuns[e.Task].run < e.Run {
+			r.recordEarlierEnd(now, e)
+		}
 		return
 	}
+	if x.orphaned {
+		r.recordEarlierEnd(now, e)
+	}
 	switch e.Ending {
 	case EndedDone:
 		r.end(now, x, pb.OrderState_ORDER_STATE_DONE, "")
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -73,6 +73,7 @@
 	entries     []*entry
 	evacuations evacuation.View
 	crashes     []crashRecord // of the last minute, oldest first
+	earlierEnds []earlierEnd  // of the last minute, oldest first
 	// suspects are the tasks whose runs had a lease that expired while the worker was out of reach.
 	// If it turns out to have ended, it may have crashed under them.
 	suspects []*pb.TaskCrash
--- a/dispatch/runner/runner_test.go
+++ b/dispatch/runner/runner_test.go
@@ -24,6 +24,7 @@
 	updates   map[string][]*pb.OrderNews
 	crashes   map[string][]*pb.TaskCrash
 	states    map[string]*pb.WorkerState
+	ends      map[string][]*pb.RunEnd // received no later than the first clean state
 	acks      map[string]uint64
 	endNumber uint64
 	running   map[string]uint32
@@ -37,7 +38,7 @@
 	}
 	h := &harness{
 		t: t, now: time.Unix(1000, 0), times: times, seq: map[string]uint64{}, orders: map[string]uint64{},
-		updates: map[string][]*pb.OrderNews{}, crashes: map[string][]*pb.TaskCrash{}, states: map[string]*pb.WorkerState{}, acks: map[string]uint64{}, running: map[string]uint32{},
+		updates: map[string][]*pb.OrderNews{}, crashes: map[string][]*pb.TaskCrash{}, states: map[string]*pb.WorkerState{}, ends: map[string][]*pb.RunEnd{}, acks: map[string]uint64{}, running: map[string]uint32{},
 	}
 	h.r = New(Options{
 		Agent: "agent-1", Incarnation: "a1", Timeouts: times, Token: 1,
@@ -57,6 +58,9 @@
 	for _, f := range h.last.Frames {
 		h.updates[f.Entry] = append(h.updates[f.Entry], f.Frame.News...)
 		h.crashes[f.Entry] = append(h.crashes[f.Entry], f.Frame.Crashes...)
+		if !h.states[f.Entry].GetClean() {
+			h.ends[f.Entry] = append(h.ends[f.Entry], f.Frame.Ends...)
+		}
 		h.acks[f.Entry] = f.Frame.Seq
 		if f.Frame.State != nil {
 			h.states[f.Entry] = f.Frame.State
