runner: failing tests of leases that are renewed before the worker's runs are known

Runs that an earlier process has started, or that were superseded, are taken for ended by the lease that was renewed last as far as was known then. Two paths renew it afterwards: the clock in an answer that refuses a poll as fenced, and a late answer to a poll of before the worker was superseded. Both tests fail.

--- a/dispatch/runner/lease_test.go
+++ b/dispatch/runner/lease_test.go
@@ -159,3 +159,41 @@
 		t.Errorf("still kept %v after it resumed", h.now.Sub(resumed))
 	}
 }
+
+// A new process's first poll is refused because of an earlier one's token. Guards against a lease that is
+// requested before an answer shows which runs of that process are left, whose entry has lost it.
+func TestNoLeaseIsRequestedBeforeTheRunsAreKnown(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.r.HandleLeave(h.now, "w1")
+	h.ready()
+	h.r.HandleReport(h.now, reportOf("w2", 1, false))
+	l, _ := h.r.NextPoll(h.now, true)
+	h.r.PollFenced(h.now, l, h.clock())
+	if l, _ = h.r.NextPoll(h.now, true); l.Until != 0 {
+		t.Errorf("lease until %v requested of a worker that hasn't listed its runs", l.Until)
+	}
+}
+
+// A worker is superseded and takes its place again, and its answer to a poll of the time before comes
+// late. Guards against a lease that is renewed for a run whose end was reckoned from the earlier one.
+func TestLeaseOfASupersededRunIsNotRenewed(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.begin("e1", "t1", 1000)
+	late, _ := h.r.NextPoll(h.now, true)
+	l, _ := h.r.NextPoll(h.now, true)
+	h.r.PollMisdirected(h.now, l)
+	h.supersede("w2")
+	l, _ = h.r.NextPoll(h.now, true)
+	h.r.PollMisdirected(h.now, l)
+	h.wait(60 * time.Millisecond)
+	h.r.HandleReport(h.now, reportOf("w1", 9, false))
+	h.running = map[string]uint32{"t1": 1}
+	h.answer(late)
+	if l, _ = h.r.NextPoll(h.now, true); l.Until != 0 {
+		t.Errorf("lease until %v requested, while t1 counts as ended at %v", l.Until, h.r.runs["t1"].lostAt())
+	}
+	h.answer(l)
+	if x := h.r.runs["t1"]; x == nil || x.phase != running {
+		t.Errorf("t1 is %+v, want it running", x)
+	}
+}
