runner: no lease is renewed before the worker's incarnation has listed its runs

Callers could see a task run twice at a time. An agent that had to fence a higher token, or whose worker was superseded and came back, renewed the worker's lease before it knew which runs were there; those of an earlier process, and superseded ones, were then taken for ended by the lease of before, if another call was lost.

Cause: the clock of any answer was enough to request a lease, and an answer to a poll of before the incarnation took its place counted as one of now.

--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -167,6 +167,7 @@
 	}
 	r.worker, r.known, r.endAnnounced, r.candidate, r.reportedAt = w, true, false, nil, now
 	r.polled, r.failedPolls, r.unresponsive, r.suspects, r.lastEndNumber, r.clock = false, 0, false, nil, 0, 0
+	r.pollsBefore = r.pollsSent
 	r.logDecision(now, Decision{Event: "worker_known", Reason: how + ": " + w.Incarnation.String()})
 	if restarted {
 		r.fenceEarlierCalls()
--- a/dispatch/runner/poll.go
+++ b/dispatch/runner/poll.go
@@ -153,7 +153,7 @@
 		// may be marked as seen.
 		l.LastEnd = 0
 	}
-	if r.clock > 0 && !r.hasOrphaned() && !r.unresponsive && !r.endAnnounced {
+	if r.clock > 0 && r.polled && !r.hasOrphaned() && !r.unresponsive && !r.endAnnounced {
 		// Leases are left to lapse for runs that can't be stopped: those of an earlier process,
 		// and those on a worker that is unresponsive or leaves, whose tasks may then run elsewhere.
 		l.Until = r.leaseEnd(now)
@@ -189,6 +189,9 @@
 		r.PollFailed(now, l, false)
 		return
 	}
+	if l.number <= r.pollsBefore {
+		return // a late answer to a poll of before the worker took its place, perhaps again
+	}
 	if r.isCandidate(l.Worker) {
 		r.handleSuperseded(now, "a new life of the worker answers")
 	}
--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -59,6 +59,7 @@
 	lastEndNumber uint64
 	callSeq       uint64 // orders polls and answered starts and stops
 	pollsSent     uint64
+	pollsBefore   uint64 // pollsSent when the current incarnation took its place
 
 	runs    map[string]*run // by task
 	runList []*run          // the same runs, oldest first
