runner: failing test of a late start that an incarnation without polls has carried out

A worker that keeps its identifier starts again twice, and the incarnation in between is never polled. An earlier start that it has carried out late goes on with a lease of its own, and counts as ended with the first one's.

--- a/dispatch/runner/incarnation_test.go
+++ b/dispatch/runner/incarnation_test.go
@@ -949,3 +949,19 @@
 		t.Errorf("stops %v, want one of t1 at w1", h.last.Stops)
 	}
 }
+
+// A worker starts again twice under its identifier, and the second incarnation hasn't been polled. Guards
+// against taking for ended a late start that the second one has carried out, and may go on with.
+func TestUnfencedRunOfAnIncarnationThatWasNeverPolled(t *testing.T) {
+	h := newIncarnationHarness(t, "e1")
+	h.order("e1", "t1", 1000)
+	renewed := h.now
+	h.restartWorker(2 * startMs)
+	h.waitLinked(renewed.Add(h.leaseExpiry() + 20*time.Millisecond).Sub(h.now))
+	third := h.now
+	h.restartWorker(3 * startMs)
+	h.poll()
+	h.poll()
+	h.waitLinked(third.Add(h.leaseExpiry() - 20*time.Millisecond).Sub(h.now))
+	h.wantNoNews("e1", 1, pb.OrderState_ORDER_STATE_LOST)
+}
