runner: a late start counts as going on as long as any incarnation that may have carried it out

Callers could see a task run twice at a time, with workers that keep their identifier and start again twice within a lease: an unanswered start that the incarnation in between has carried out counted as ended with the lease of the first one. The test of package runner failed before.

--- a/dispatch/runner/incarnation.go
+++ b/dispatch/runner/incarnation.go
@@ -255,6 +255,10 @@
 // loseRuns supersedes all runs on the worker. Those whose lease has expired are lost at once.
 func (r *Runner) loseRuns(now time.Time, unresolved func(*run) bool, why func(*run) string) {
 	for _, x := range slices.Clone(r.runList) {
+		if x.unfenced() {
+			// The incarnation that is superseded now may have carried out its start.
+			x.leaseExpiresAt = now.Add(r.opts.Timeouts.LeaseEndedAfter)
+		}
 		if x.phase == queued || x.phase == superseded {
 			continue
 		}
