--- a/dispatch/leasedcheck/signs_test.go
+++ b/dispatch/leasedcheck/signs_test.go
@@ -55,6 +55,7 @@
 		"slowest workers":          func(o *Options) { o.SlowestWorkers = true },
 		"workers keep identifiers": func(o *Options) { o.WorkerRestarts = true },
 		"workers leave":            func(o *Options) { o.Misleading |= EarlyLeave },
+		"stalled workers":          func(o *Options) { o.WorkerStalls, o.SlowestWorkers = true, true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			promisesHold(t, func(seed uint64) Options {
