--- a/dispatch/dispatcher/dispatcher.go
+++ b/dispatch/dispatcher/dispatcher.go
@@ -151,7 +151,8 @@
 	ReasonCancelled    = "cancelled"
 )
 
-// ReasonRunsEnded: the runs at an agent that can't be reached must have ended by now.
+// ReasonRunsEnded is the reason for losing the runs at an agent that can't be reached: they must have
+// ended by now.
 const ReasonRunsEnded = "the agent can't be reached"
 
 // OutgoingFrame is a frame to be sent to an agent.
--- a/dispatch/leasedcheck/faults.go
+++ b/dispatch/leasedcheck/faults.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/papayahoist/papayahoist/dispatch/bounds"
 )
 
 // injectFault injects one random fault.
@@ -109,6 +108,9 @@
 }
 
 // stallWorker lets a worker get no CPU several times, mostly while no call reaches it, and sometimes
+// maxWorkerStall is the longest time for which workers of a sound service get no CPU.
+const maxWorkerStall = 200 * time.Millisecond
+
 // while no entry reaches its agent either.
 func (w *World) stallWorker(a *agentNode) {
 	s := a.worker
@@ -127,7 +129,7 @@
 		if w.now.After(end) {
 			return
 		}
-		d := w.jitter(bounds.WorkerStall)
+		d := w.jitter(maxWorkerStall)
 		s.stalledUntil = w.now.Add(d)
 		w.schedule(d+20*time.Millisecond+w.jitter(200*time.Millisecond), stall)
 	}
