--- a/dispatch/leasedcheck/faults.go
+++ b/dispatch/leasedcheck/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"time"
-
 )
 
 // injectFault injects one random fault.
@@ -107,10 +106,10 @@
 	a.partitions[e.index] = w.now.Add(100*time.Millisecond + w.jitter(3*time.Second))
 }
 
-// stallWorker lets a worker get no CPU several times, mostly while no call reaches it, and sometimes
 // maxWorkerStall is the longest time for which workers of a sound service get no CPU.
 const maxWorkerStall = 200 * time.Millisecond
 
+// stallWorker lets a worker get no CPU several times, mostly while no call reaches it, and sometimes
 // while no entry reaches its agent either.
 func (w *World) stallWorker(a *agentNode) {
 	s := a.worker
