--- a/dispatch/runner/runner.go
+++ b/dispatch/runner/runner.go
@@ -51,7 +51,7 @@
 	clockAt        time.Time
 	leaseRenewedAt time.Time // when a call that renews the lease was last sent
 	polledAt       time.Time
-	reportedAt     time.Time // when worker was last replaced
+	reportedAt     time.Time // when worker was last set from a report
 	// answeredPollSent is when the latest answered poll was sent.
 	answeredPollSent time.Time
 	// lossyUntil is until when calls to the worker are expected to get lost.
