soak: the test of a taken address isn't disturbed by one that is taken sooner

Cause, from the message and the code: the relay gives its port back, and before the test binds it again the kernel hands it to another socket of the package's parallel tests. The test then couldn't set up what it checks.

--- a/cmd/internal/soak/inject_test.go
+++ b/cmd/internal/soak/inject_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,6 +46,12 @@
 	i, r := injectorWithRelay(t, AgentToWorker)
 	r.Refuse()
 	taken, err := net.Listen("tcp", r.Address())
+	for attempt := 0; errors.Is(err, syscall.EADDRINUSE) && attempt < 10; attempt++ {
+		// Another socket of this machine has been given the port; it may be closed at any time.
+		i, r = injectorWithRelay(t, AgentToWorker)
+		r.Refuse()
+		taken, err = net.Listen("tcp", r.Address())
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
