leased entry: callers' connections and requests are limited for the process as a whole

What callers saw: an entry ended, out of memory, or took no more connections, while a crowd held requests that never end: bodies short of their end, whole, in pieces or in chunks, headers short of theirs, responses that nobody reads, kept connections.

Cause: each request had a limit of size, and some a limit of time, but nothing limited their sum, nor the number of connections. A limit of time alone doesn't: it frees a place which the next client takes. Requests whose body the handler doesn't read had no limit of time at all, and the kernel held up to megabytes a connection unread.

Change: package dispatch/connlimit decides, node/connlimit does the I/O. A port has a limit of connections, taken from the process's descriptors; all ports together have one of memory, taken from its memory. Text of headers and bodies is charged for what it takes when decoded. At a limit, the connections that have lingered longest without a whole request are closed; one with a whole request never is. If all have one, new connections are closed, and a request that needs more is answered 503 with Retry-After before it is handed on. Every body has a limit of time, also where nobody reads it; buffers of the kernel are small; a client that reads nothing for 10 s is closed. A header may have 64 KiB, so that a configuration with a larger header_bytes than 16,384 is served.

Ruled out: a time limit for each body (above); a limit of connections that stops accepting (ordinary callers would wait in the kernel's queue).

New settings: descriptors.

--- a/node/callerconn/callerconn.go
+++ b/node/callerconn/callerconn.go
@@ -29,10 +29,7 @@
 		return true
 	}
 	c, _ := ctx.Value(connKey{}).(net.Conn)
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapped.NetConn() // of a TLS connection
-	}
-	s, ok := c.(syscall.Conn)
+	s, ok := unwrap(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -46,6 +43,17 @@
 	return ended || errors.Is(err, net.ErrClosed)
 }
 
+// unwrap returns the innermost connection, such as that below TLS.
+func unwrap(c net.Conn) net.Conn {
+	for {
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = wrapped.NetConn()
+	}
+}
+
 // hungUp reports whether the peer of a socket has closed or reset the connection.
 //
 // Most connections have nothing to read, which a read that can't block tells for less CPU
--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	setMemoryLimit(s.MemoryMB)
+	SetMemoryLimit(s.MemoryMB)
 	a := &LeasedAgent{opts: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics()}
 	a.logger = slog.New(a.log.Handler())
 	if a.reports, err = net.Listen("tcp", s.ReportsListen); err != nil {
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -17,6 +17,7 @@
 	coredispatcher "github.com/papayahoist/papayahoist/dispatch/dispatcher"
 	"github.com/papayahoist/papayahoist/dispatch/link"
 	"github.com/papayahoist/papayahoist/node/callerconn"
+	"github.com/papayahoist/papayahoist/node/connlimit"
 	"github.com/papayahoist/papayahoist/node/decisionlog"
 	"github.com/papayahoist/papayahoist/node/dispatcher"
 	"github.com/papayahoist/papayahoist/node/entry"
@@ -35,9 +36,9 @@
 }
 
 const (
-	// maxHeaderBytes and headerTimeout limit the headers of requests until a
-	// configuration sets other limits. Connections idle for idleTimeout are closed.
-	maxHeaderBytes = 16 << 10
+	// maxHeaderBytes and headerTimeout limit the headers of requests. Connections idle for
+	// idleTimeout are closed.
+	maxHeaderBytes = 64 << 10
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	// shutdownDelay is how long a draining entry still accepts connections. The
@@ -85,6 +86,7 @@
 	dispatcher *dispatcher.Dispatcher
 	roster     *roster.Roster
 	store      *adapter.Store
+	limits     clientLimits
 	callers    net.Listener
 	ready      net.Listener
 	leaving    atomic.Bool
@@ -99,10 +101,14 @@
 	if err != nil {
 		return nil, err
 	}
-	setMemoryLimit(s.MemoryMB)
+	SetMemoryLimit(s.MemoryMB)
 	debug.SetGCPercent(entryGCPercent)
-	e := &LeasedEntry{opts: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics()}
+	e := &LeasedEntry{
+		opts: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics(),
+	}
 	e.logger = slog.New(e.log.Handler())
+	e.limits = newClientLimits(s.MemoryMB, s.Descriptors, e.logger)
+	e.metrics.registry.MustRegister(e.limits)
 	incarnation := entry.NewIncarnation()
 	features, err := disabled.Parse(s.Disabled)
 	if err != nil {
@@ -121,7 +127,7 @@
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "entry %s", s.Name)
 	}
-	if e.callers, err = net.Listen("tcp", s.CallersListen); err != nil {
+	if e.callers, err = connlimit.Listen(s.CallersListen, connlimit.SmallBuffer); err != nil {
 		return nil, ErrStart.Wrap(err, "listen for callers")
 	}
 	if e.ready, err = net.Listen("tcp", s.ReadyListen); err != nil {
@@ -149,7 +155,9 @@
 	return times, nil
 }
 
-func setMemoryLimit(mb uint32) {
+// SetMemoryLimit sets the runtime's soft limit for a process with the given memory; zero means
+// that it is not known. It is for programs that run one process.
+func SetMemoryLimit(mb uint32) {
 	if mb > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(mb) * (1 << 20)))
 	}
@@ -198,6 +206,10 @@
 		return behind.Seconds()
 	})
 	e.metrics.registerGauge("papayahoist_evacuated_domains", "Number of evacuated failure domains.", func() float64 { return float64(len(e.dispatcher.Evacuations().GetDomains())) })
+	callers := e.limits.Limit(connlimit.Port{
+		Name: "callers", MaxConns: e.limits.conns(callersFraction), BufferBytes: connlimit.SmallBuffer, Refuse: adapter.RefuseRequest,
+		BodyTimeout: func() time.Duration { return adapter.BodyTimeout(e.dispatcher.Limits()) },
+	}, e.callers, jobsServer)
 	metricsServer, err := e.metrics.serve(e.opts.Settings.MetricsListen)
 	if err != nil {
 		cancel()
@@ -206,7 +218,7 @@
 	readyServer := &http.Server{Handler: adapter.NewReadyHandler(e.readiness), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
 	go func() { failed <- e.dispatcher.Serve() }()
-	go func() { failed <- serveHTTP(jobsServer, e.callers) }()
+	go func() { failed <- serveHTTP(jobsServer, callers) }()
 	go func() { failed <- serveHTTP(readyServer, e.ready) }()
 	select {
 	case err = <-failed:
--- a/node/process/leased_test.go
+++ b/node/process/leased_test.go
@@ -180,13 +180,17 @@
 
 // configure writes a version of the configuration with queues of the given prefixes.
 func (s *leasedSite) configure(version int, prefixes ...string) {
+	s.configureLimits(version, nil, prefixes...)
+}
+
+func (s *leasedSite) configureLimits(version int, limits map[string]int, prefixes ...string) {
 	routes := []map[string]any{}
 	for _, p := range prefixes {
 		routes = append(routes, map[string]any{
 			"name": p, "host": "desk", "prefix": p, "service": "s", "timeout_ms": 5000, "target_latency_ms": 500, "attempts": 2, "stretch": 20,
 		})
 	}
-	text, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": "s"}}})
+	text, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": "s"}}, "limits": limits})
 	s.store.Put(adapter.ConfigurationKey, text)
 }
 
@@ -259,6 +263,31 @@
 	}
 }
 
+// Callers may send requests as large as the configuration allows, as soon as a version that
+// allows more is in force.
+func TestLeasedEntryServesTheLargestRequests(t *testing.T) {
+	s := newLeasedSite(t, 1, 1)
+	s.configure(3, "/stamps/")
+	e := s.entries[0]
+	s.waitUntil("the entry to be ready", func() bool { return s.ready(e) })
+	for i, bodyBytes := range []int{262144, 1 << 20} {
+		s.configureLimits(4+i, map[string]int{"header_bytes": 32 << 10, "body_bytes": bodyBytes, "header_timeout_ms": 3000}, "/stamps/")
+		job := strings.Replace(leasedJob(1, time.Millisecond), `"best_effort"`, `"note":"`+strings.Repeat("x", 4000)+`","best_effort"`, 1)
+		job += strings.Repeat(" ", bodyBytes-len(job))
+		s.waitUntil(fmt.Sprintf("a body of %d bytes to be served", bodyBytes), func() bool {
+			req, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/stamps/%016x", e.callers, s.nextJob()), strings.NewReader(job))
+			req.Host = "desk"
+			req.Header.Set("Note", strings.Repeat("x", 31<<10))
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+}
+
 // Operators remove a queue and add another, then write an unreadable and an older
 // version, and the store becomes busy. Every entry must apply the new version and keep
 // it.
--- a/node/settings/leased.go
+++ b/node/settings/leased.go
@@ -57,9 +57,12 @@
 	Seeds  []string `json:"seeds"`
 	Bounds Bounds   `json:"bounds"`
 	// ProcessorShare is the fraction of a core that the process may use.
-	ProcessorShare float64    `json:"processor_share"`
-	MemoryMB       uint32     `json:"memory_mb"`
-	LogLevel       slog.Level `json:"log_level"`
+	ProcessorShare float64 `json:"processor_share"`
+	MemoryMB       uint32  `json:"memory_mb"`
+	// Descriptors is the number of descriptors that the process may open. Zero means the
+	// operating system's limit.
+	Descriptors uint32     `json:"descriptors"`
+	LogLevel    slog.Level `json:"log_level"`
 	// Disabled lists the disabled features; see package disabled. It is meant for
 	// developers.
 	Disabled []string `json:"without"`
@@ -77,12 +80,14 @@
 	WorkerAddress string `json:"worker_address"`
 	// Connections is the number of connections that the worker accepts; if omitted,
 	// a default is used.
-	Connections  uint32     `json:"connections"`
-	StoreAddress string     `json:"store_address"`
-	Seeds        []string   `json:"seeds"`
-	Bounds       Bounds     `json:"bounds"`
-	MemoryMB     uint32     `json:"memory_mb"`
-	LogLevel     slog.Level `json:"log_level"`
+	Connections  uint32   `json:"connections"`
+	StoreAddress string   `json:"store_address"`
+	Seeds        []string `json:"seeds"`
+	Bounds       Bounds   `json:"bounds"`
+	MemoryMB     uint32   `json:"memory_mb"`
+	// Descriptors is as in LeasedEntry.
+	Descriptors uint32     `json:"descriptors"`
+	LogLevel    slog.Level `json:"log_level"`
 	// Disabled is as in LeasedEntry.
 	Disabled []string `json:"without"`
 }
@@ -133,6 +138,7 @@
 	v.number("store_value_bytes", uint64(e.StoreValueBytes), 1, maxStoreValueBytes)
 	v.addresses("seeds", e.Seeds, 0)
 	v.bounds(e.Bounds)
+	v.process(e.MemoryMB, e.Descriptors, "memory_mb")
 	v.level("log_level", e.LogLevel)
 	v.disabledFeatures("without", e.Disabled)
 	return join(v.problems)
@@ -150,6 +156,7 @@
 	v.address("store_address", a.StoreAddress)
 	v.addresses("seeds", a.Seeds, 0)
 	v.bounds(a.Bounds)
+	v.process(a.MemoryMB, a.Descriptors, "memory_mb")
 	v.level("log_level", a.LogLevel)
 	v.disabledFeatures("without", a.Disabled)
 	return join(v.problems)
@@ -161,6 +168,16 @@
 	}
 }
 
+// process checks what a process may use. Zero means that the file doesn't say.
+func (v *validator) process(memoryMB, descriptors uint32, memoryKey string) {
+	if memoryMB > 0 {
+		v.number(memoryKey, uint64(memoryMB), MinProcessMemoryMB, MaxProcessMemoryMB)
+	}
+	if descriptors > 0 {
+		v.number("descriptors", uint64(descriptors), MinDescriptors, MaxDescriptors)
+	}
+}
+
 func (v *validator) disabledFeatures(key string, list []string) {
 	if _, err := disabled.Parse(list); err != nil {
 		v.addWrongValue(key, strings.Join(list, ", "), "any of "+strings.Join(disabled.Names(), ", "))
--- a/node/settings/leased_test.go
+++ b/node/settings/leased_test.go
@@ -49,6 +49,8 @@
 		"not a number": {`0.4`, `"much"`, `:6: key "processor_share"`},
 		"bad duration": {`"50ms"`, `"fifty"`, `:5: key "bounds.stop"`},
 		"host name":    {`10.200.1.7:8169`, `store:8169`, `:4: key "store_address"`},
+		"descriptors":  {`"memory_mb": 284`, `"memory_mb": 284, "descriptors": 10`, `:6: key "descriptors"`},
+		"memory":       {`"memory_mb": 284`, `"memory_mb": 1`, `:6: key "memory_mb"`},
 		"no mechanism": {`"memory_mb": 284`, `"memory_mb": 284, "without": ["ahead", "tracing"]`, `:6: key "without"`},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -34,6 +34,12 @@
 	MaxCores            = 4096
 	MinMemoryBytes      = 64 << 20
 	MaxMemoryBytes      = 64 << 40
+
+	DefaultProcessMemoryMB = 256
+	MinProcessMemoryMB     = 32
+	MaxProcessMemoryMB     = 1 << 20
+	MinDescriptors         = 64
+	MaxDescriptors         = 1 << 20
 )
 
 // Entry holds the settings of an entry.
@@ -64,6 +70,11 @@
 
 	TLS EntryTLS `json:"tls"`
 
+	// ProcessMemoryMB is the memory that the process may use, in MiB, and Descriptors the number
+	// of descriptors that it may open; zero means the operating system's limit.
+	ProcessMemoryMB uint32 `json:"process_memory_mb"`
+	Descriptors     uint32 `json:"descriptors"`
+
 	// DrainTimeout is the maximum duration of a graceful shutdown.
 	DrainTimeout time.Duration `json:"drain_timeout"`
 	LogLevel     slog.Level    `json:"log_level"`
@@ -110,6 +121,11 @@
 
 	TLS AgentTLS `json:"tls"`
 
+	// ProcessMemoryMB is the memory that the process may use, in MiB, and Descriptors the number
+	// of descriptors that it may open; zero means the operating system's limit.
+	ProcessMemoryMB uint32 `json:"process_memory_mb"`
+	Descriptors     uint32 `json:"descriptors"`
+
 	// DrainTimeout is the maximum duration of a graceful shutdown.
 	DrainTimeout time.Duration `json:"drain_timeout"`
 	LogLevel     slog.Level    `json:"log_level"`
@@ -138,23 +154,25 @@
 // DefaultEntry returns an entry's default settings. Required settings are left empty.
 func DefaultEntry() Entry {
 	return Entry{
-		Role:         RoleEntry,
-		DrainTimeout: DefaultDrainTimeout,
-		LogLevel:     slog.LevelInfo,
-		LogFormat:    LogJSON,
-		Preset:       preset.NameResponse,
+		Role:            RoleEntry,
+		ProcessMemoryMB: DefaultProcessMemoryMB,
+		DrainTimeout:    DefaultDrainTimeout,
+		LogLevel:        slog.LevelInfo,
+		LogFormat:       LogJSON,
+		Preset:          preset.NameResponse,
 	}
 }
 
 // DefaultAgent returns an agent's default settings. Required settings are left empty.
 func DefaultAgent() Agent {
 	return Agent{
-		Role:         RoleAgent,
-		Slots:        DefaultSlots,
-		Connections:  DefaultConnections,
-		DrainTimeout: DefaultDrainTimeout,
-		LogLevel:     slog.LevelInfo,
-		LogFormat:    LogJSON,
-		Preset:       preset.NameResponse,
+		Role:            RoleAgent,
+		ProcessMemoryMB: DefaultProcessMemoryMB,
+		Slots:           DefaultSlots,
+		Connections:     DefaultConnections,
+		DrainTimeout:    DefaultDrainTimeout,
+		LogLevel:        slog.LevelInfo,
+		LogFormat:       LogJSON,
+		Preset:          preset.NameResponse,
 	}
 }
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -65,7 +65,7 @@
 		NodesListen: "10.0.2.3:7401", OperatorsListen: "10.0.2.3:7402",
 		EndpointAddress: "127.0.0.1:8000", Join: []string{"10.0.1.5:7401"},
 		Slots: 8, Connections: 64, Cores: 16, MemoryBytes: 32 << 30,
-		DrainTimeout: 30 * time.Second, LogFormat: LogJSON, Preset: "response",
+		ProcessMemoryMB: 256, DrainTimeout: 30 * time.Second, LogFormat: LogJSON, Preset: "response",
 	}
 	if diff := cmp.Diff(&want, got); diff != "" {
 		t.Errorf("settings (-want +got):\n%s", diff)
