entry: admitted jobs count against the memory, and an agent's outstanding orders are limited

What callers saw: jobs of 4,096 tasks from 600 clients left ordinary requests without an answer for a minute (TestJobsOfManyTasks, on and, with memory limited, on a trial).

Cause: an admitted job's tasks were not limited for the process, and their cost isn't linear. The log of the trial: 14 jobs, 57,344 orders at one agent; once they are given up, each job takes 4 to 7 s, since each order that ends searches all outstanding orders of its agent. The process stands still meanwhile ("stalled"), and agents take it for lost.

Change: a job is charged for its texts, steps and tasks until it is answered, and refused with 503 if there is no room. An agent may have 4,096 orders of one entry that have not ended, as many as the largest job; further jobs are refused at once. Tasks reserved at an agent are searched for suspected ones only if a crash is on record, and end without a walk through all.

--- a/dispatch/dispatcher/agents.go
+++ b/dispatch/dispatcher/agents.go
@@ -83,7 +83,9 @@
 }
 
 func (a *agent) endReservation(t *task) {
-	a.reserved = slices.DeleteFunc(a.reserved, func(x *task) bool { return x == t })
+	if i := slices.Index(a.reserved, t); i >= 0 {
+		a.reserved = slices.Delete(a.reserved, i, i+1)
+	}
 }
 
 // stepLimitReached reports whether as many tasks of the step are here as may be at one worker.
--- a/dispatch/dispatcher/crash.go
+++ b/dispatch/dispatcher/crash.go
@@ -159,6 +159,11 @@
 	return atStart > 0
 }
 
+// anySuspected reports whether one of the tasks is suspected.
+func (d *Dispatcher) anySuspected(tasks []*task) bool {
+	return len(d.crashes.byTask) > 0 && slices.ContainsFunc(tasks, d.suspected)
+}
+
 // applyCrashes records under which tasks an agent's worker has crashed.
 func (d *Dispatcher) applyCrashes(now time.Time, a *agent, reported []*pb.TaskCrash) {
 	for _, m := range reported {
--- a/dispatch/dispatcher/place.go
+++ b/dispatch/dispatcher/place.go
@@ -269,6 +269,10 @@
 	return d.isEligible(now, a, t, s) && !a.stepLimitReached(t, s)
 }
 
+// maxOrdersPerAgent limits the orders of one agent that have not ended, all of which are searched
+// whenever one ends. It is not below the size of the largest job.
+const maxOrdersPerAgent = MaxTasks
+
 // isEligible reports whether a worker may be given a task, apart from the limit of its step.
 func (d *Dispatcher) isEligible(now time.Time, a *agent, t *task, s *step) bool {
 	if a.healthState != place.Healthy {
@@ -281,7 +285,9 @@
 		return false
 	case !s.Size.FitsIn(a.capacity) || !a.hasLabel(s.Requires):
 		return false
-	case slices.Contains(t.avoid, a) || now.Before(a.trialUntil) || slices.ContainsFunc(a.reserved, d.suspected):
+	case slices.Contains(t.avoid, a) || now.Before(a.trialUntil) || d.anySuspected(a.reserved):
+		return false
+	case len(a.live)+len(a.reserved) >= maxOrdersPerAgent:
 		return false
 	}
 	return true
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -190,7 +190,7 @@
 		_ = follow.Run(bgCtx, e.store, adapter.OperatorPrefix, &operatorReader{entry: e}, follow.Options{MinWait: minStoreRetryWait, MaxWait: maxStoreRetryWait, ListAfter: storeListAfter})
 	}()
 	jobsServer := &http.Server{
-		Handler: adapter.NewJobsHandler(e.dispatcher), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: adapter.NewJobsHandler(e.dispatcher, adapter.JobsOptions{Hold: connlimit.Hold}), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ConnContext: callerconn.WithConn, ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
 	e.metrics.registerGauge("papayahoist_links", "Linked agents.", func() float64 { return float64(e.dispatcher.Links()) })
