leased processes: limits at the ports for readiness checks and metrics

What callers saw: 400 kept connections at the port for readiness checks, or for metrics, take all descriptors: no check and no scrape has an answer for 60 s, so the balancer takes the entry out. 20 headers of 400 KB took 133 MB of 96.

Cause: no limit of connections, no limit of idle time (net/http has none where no read time-out is set), none of bodies, and headers of up to 1 MiB.

They are internal ports: callers who hold all of their memory leave them an eighth of it.

Evidence, before -> after: headers 133 -> 29 MB; connections: no answer -> 25 descriptors, answered (both ports).

--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -37,6 +37,7 @@
 	logger   *slog.Logger
 	runner   *runner.Runner
 	recorder *workerrecord.Recorder
+	limits   clientLimits
 	reports  net.Listener
 	metrics  *leasedMetrics
 }
@@ -50,8 +51,12 @@
 		return nil, err
 	}
 	SetMemoryLimit(s.MemoryMB)
-	a := &LeasedAgent{opts: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics()}
+	a := &LeasedAgent{
+		opts: o, log: decisionlog.New(o.Out, slog.String("process", s.Name)), metrics: newLeasedMetrics(),
+	}
 	a.logger = slog.New(a.log.Handler())
+	a.limits = newClientLimits(s.MemoryMB, s.Descriptors, a.logger)
+	a.metrics.registry.MustRegister(a.limits)
 	if a.reports, err = net.Listen("tcp", s.ReportsListen); err != nil {
 		return nil, ErrStart.Wrap(err, "listen for the worker's reports")
 	}
@@ -84,7 +89,7 @@
 	bgCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() { a.log.Run(bgCtx) })
-	metricsServer, err := a.metrics.serve(a.opts.Settings.MetricsListen)
+	metricsServer, err := a.metrics.serve(a.opts.Settings.MetricsListen, a.limits)
 	if err != nil {
 		cancel()
 		return err
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -41,6 +41,8 @@
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
+	// maxInternalHeaderBytes limits the headers of requests of the platform and of operators.
+	maxInternalHeaderBytes = 16 << 10
 	// shutdownDelay is how long a draining entry still accepts connections. The
 	// balancer checks readiness once a second, and removes an entry after two failed
 	// checks.
@@ -130,7 +132,7 @@
 	if e.callers, err = connlimit.Listen(s.CallersListen, connlimit.SmallBuffer); err != nil {
 		return nil, ErrStart.Wrap(err, "listen for callers")
 	}
-	if e.ready, err = net.Listen("tcp", s.ReadyListen); err != nil {
+	if e.ready, err = connlimit.Listen(s.ReadyListen, connlimit.SmallBuffer); err != nil {
 		return nil, ErrStart.Wrap(err, "listen for readiness checks")
 	}
 	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{
@@ -210,16 +212,17 @@
 		Name: "callers", MaxConns: e.limits.conns(callersFraction), BufferBytes: connlimit.SmallBuffer, Refuse: adapter.RefuseRequest,
 		BodyTimeout: func() time.Duration { return adapter.BodyTimeout(e.dispatcher.Limits()) },
 	}, e.callers, jobsServer)
-	metricsServer, err := e.metrics.serve(e.opts.Settings.MetricsListen)
+	metricsServer, err := e.metrics.serve(e.opts.Settings.MetricsListen, e.limits)
 	if err != nil {
 		cancel()
 		return err
 	}
-	readyServer := &http.Server{Handler: adapter.NewReadyHandler(e.readiness), ReadHeaderTimeout: headerTimeout}
+	readyServer := newInternalServer(adapter.NewReadyHandler(e.readiness))
+	ready := e.limits.Limit(connlimit.Port{Name: "ready", MaxConns: e.limits.conns(operatorsFraction), BufferBytes: connlimit.SmallBuffer, Internal: true}, e.ready, readyServer)
 	failed := make(chan error, 3)
 	go func() { failed <- e.dispatcher.Serve() }()
 	go func() { failed <- serveHTTP(jobsServer, callers) }()
-	go func() { failed <- serveHTTP(readyServer, e.ready) }()
+	go func() { failed <- serveHTTP(readyServer, ready) }()
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
@@ -240,6 +243,11 @@
 	return nil
 }
 
+// newInternalServer returns a server for requests that have small headers and no bodies.
+func newInternalServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, MaxHeaderBytes: maxInternalHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 func serveHTTP(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); err != http.ErrServerClosed {
 		return err
--- a/node/process/leased_metrics.go
+++ b/node/process/leased_metrics.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
+	"github.com/papayahoist/papayahoist/node/connlimit"
 	"github.com/papayahoist/papayahoist/node/dispatcher"
 	"github.com/papayahoist/papayahoist/platform/adapter"
 )
@@ -155,16 +155,21 @@
 	m.frames.WithLabelValues(kind).Inc()
 }
 
-// serve serves the metrics at the address. If that is empty, it returns nil, nil.
-func (m *leasedMetrics) serve(address string) (*http.Server, error) {
+// maxScrapes limits concurrent scrapes, each of which holds all metrics.
+const maxScrapes = 2
+
+// serve serves the metrics at the address, within the limits. If the address is empty, it returns
+// nil, nil.
+func (m *leasedMetrics) serve(address string, limits clientLimits) (*http.Server, error) {
 	if address == "" {
 		return nil, nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := connlimit.Listen(address, connlimit.SmallBuffer)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listen for metrics scrapes")
 	}
-	s := &http.Server{Handler: promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = serveHTTP(s, l) }()
+	s := newInternalServer(promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
+	limited := limits.Limit(connlimit.Port{Name: "metrics", MaxConns: limits.conns(operatorsFraction), BufferBytes: connlimit.SmallBuffer, Internal: true}, l, s)
+	go func() { _ = serveHTTP(s, limited) }()
 	return s, nil
 }
