leased entry: limits at the port for agents and entries

What callers saw: 20 messages of 32 MB without an end take an entry 1,417 MB; 400 kept connections take all descriptors, and no job has an answer for 60 s.

Cause: the port had neither a limit of connections nor of a message's size or time.

Change: connections are limited to 0.2 of the descriptors, a message to 1 MiB and twice the largest value of the store (an entry of an earlier version sends a whole configuration), its time to 10 s. A link lingers only until its greeting is accepted; from then on it is never closed for others.

Open: a process that greets as an agent is trusted; who can reach this port can take its connections for links.

--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/go-chi/chi/v5"
 	"github.com/joomcode/errorx"
 
@@ -19,6 +20,7 @@
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
 	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
 	"github.com/papayahoist/papayahoist/node/clock"
+	"github.com/papayahoist/papayahoist/node/connlimit"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -50,7 +52,13 @@
 	OnFrameSent func(wait time.Duration)
 	OnExchange  func(Transfer)
 	OnFetch     func(Transfer)
-	Logger      *slog.Logger
+	// Limiter limits the connections of the nodes' port to MaxConns, and what their requests
+	// hold. If it is nil, there is no limit.
+	Limiter  *connlimit.Limiter
+	MaxConns int
+	// MaxMessageBytes limits a message from another process; zero means no limit.
+	MaxMessageBytes int
+	Logger          *slog.Logger
 }
 
 // Transfer describes a call to another entry that has ended.
@@ -96,7 +104,7 @@
 	if o.StoreDelivering == nil {
 		o.StoreDelivering = func() bool { return false }
 	}
-	l, err := net.Listen("tcp", o.NodesListen)
+	l, err := connlimit.Listen(o.NodesListen, connlimit.LargeBuffer)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listen on %s", o.NodesListen)
 	}
@@ -112,9 +120,10 @@
 	d.timer = rpc.NewTimer(func() { d.decide(d.core.Tick) })
 	d.peers = newPeers(d)
 	r := chi.NewRouter()
-	path, h := papayahoistv1connect.NewWorkServiceHandler(&service{d: d}, rpc.NoCompression)
+	path, h := papayahoistv1connect.NewWorkServiceHandler(&service{d: d}, rpc.NoCompression, connect.WithReadMaxBytes(o.MaxMessageBytes))
 	r.Mount(path, limitTransfers(h))
 	d.server = rpc.NewServer(r, nil)
+	d.nodes = o.Limiter.Limit(connlimit.Port{Name: "nodes", MaxConns: o.MaxConns, BufferBytes: connlimit.LargeBuffer, Internal: true}, l, d.server)
 	return d, nil
 }
 
--- a/node/dispatcher/links.go
+++ b/node/dispatcher/links.go
@@ -11,6 +11,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/dispatcher"
 	"github.com/papayahoist/papayahoist/dispatch/size"
 	"github.com/papayahoist/papayahoist/node/clock"
+	"github.com/papayahoist/papayahoist/node/connlimit"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
 
@@ -46,6 +47,7 @@
 		return connect.NewError(connect.CodeAborted, ErrLink.New("a newer link is open"))
 	}
 	defer d.linkDown(g, l)
+	connlimit.KeepOpen(ctx)
 	go d.readLink(stream, g, end)
 	return l.out.SendAll(ctx, func(f *pb.OrderFrame) error {
 		err := stream.Send(f)
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -119,6 +119,7 @@
 	e.dispatcher, err = dispatcher.New(dispatcher.Options{
 		NodesListen: s.NodesListen, Address: s.AdvertisedAddress(), Seeds: s.Seeds, Logger: e.logger,
 		OnFrame: e.metrics.countOrderFrame, OnFrameSent: e.metrics.observeFrameWait, OnExchange: e.metrics.countExchange,
+		Limiter: e.limits.Limiter, MaxConns: e.limits.conns(nodesFraction), MaxMessageBytes: maxMessageBytes(s.StoreValueBytes),
 		OnFetch: e.metrics.countFetch, StoreDelivering: func() bool { return e.store.Delivering() },
 		Core: coredispatcher.Options{
 			Entry: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Timeouts: times, Link: leasedLinkOptions(times),
@@ -149,6 +150,9 @@
 	return e, nil
 }
 
+// maxMessageBytes limits a message from another entry, which may carry a configuration.
+func maxMessageBytes(storeValueBytes uint32) int { return 1<<20 + 2*int(storeValueBytes) }
+
 func deriveTimes(b settings.Bounds) (bounds.Timeouts, error) {
 	times, err := bounds.Derive(bounds.Params{ResendAfter: b.ResendAfter, MaxLease: b.MaxLease, StopTime: b.StopTime})
 	if err != nil {
