entry: searches for a job to cancel are limited

A DELETE of a job that this entry doesn't know asks all other entries, with a goroutine and possibly a connection for each. Found on reading; no test plays so many entries.

--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -56,6 +56,7 @@
 	d       *Dispatcher
 	ctx     context.Context
 	changed chan struct{} // the view may have changed
+	cancels chan struct{} // one element for each search for a job to cancel
 
 	mu          sync.Mutex
 	all         map[string]*peer
@@ -75,7 +76,7 @@
 	fixed := slices.DeleteFunc(slices.Clone(d.opts.Seeds), func(a string) bool { return a == d.opts.Address })
 	startMs := uint64(time.Now().UnixMilli())
 	p := &peers{
-		d: d, changed: make(chan struct{}, 1), all: make(map[string]*peer),
+		d: d, changed: make(chan struct{}, 1), cancels: make(chan struct{}, maxCancels), all: make(map[string]*peer),
 		view: gossip.New(d.opts.Address, startMs, fixed), tally: tally.New(d.opts.Address, startMs),
 		versions: newVersionTracker(),
 	}
@@ -266,8 +267,18 @@
 	return p.view.IsPartner(x.address)
 }
 
+// maxCancels limits how many jobs are searched at the other entries at a time: each search has a
+// call to each of them.
+const maxCancels = 32
+
 // cancel asks all other live entries to cancel a job.
 func (p *peers) cancel(ctx context.Context, queue, id string) bool {
+	select {
+	case p.cancels <- struct{}{}:
+		defer func() { <-p.cancels }()
+	case <-ctx.Done():
+		return false
+	}
 	var mu sync.Mutex
 	known := false
 	p.callAll(ctx, p.others(), func(ctx context.Context, x *peer) {
