entry, agent: limits of clients at the ports of the product's own interface

What callers saw: 60 submissions of 8 MiB short of their end take an entry 911 MB, 20 whole ones of {"tasks":[{},{},... 6,461 MB; 40 messages of 15 MiB at the port for processes 953 MB. 400 kept connections, or endless bodies of DELETE, take all descriptors: callers and operators have no answer for 60 s; an agent's port for entries takes all of its descriptors, too.

Cause: as at leased entries: each request had limits, their sum had none; tasks were counted after decoding.

Change: the same limits at all ports of both roles. A submission is read, charged and decoded up to one task more than allowed. The runtime's soft memory limit is set. New settings process_memory_mb (256, what a node may use for control) and descriptors (the operating system's limit).

--- a/cmd/papayahoistd/serve.go
+++ b/cmd/papayahoistd/serve.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return cli.Fail(cli.CodeUsage, err)
 	}
+	process.SetMemoryLimit(read.ProcessMemoryMB)
 	entry, err := process.NewEntry(process.EntryOptions{
 		Settings: *read, Version: version(), Logger: logger(env.Err, read.LogFormat, read.LogLevel),
 	})
@@ -48,6 +49,7 @@
 	if err != nil {
 		return cli.Fail(cli.CodeUsage, err)
 	}
+	process.SetMemoryLimit(read.ProcessMemoryMB)
 	agent, err := process.NewAgent(process.AgentOptions{
 		Settings: *read, Version: version(), Logger: logger(env.Err, read.LogFormat, read.LogLevel),
 	})
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -21,6 +21,7 @@
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/agent"
 	"github.com/papayahoist/papayahoist/dispatch/event"
+	"github.com/papayahoist/papayahoist/node/connlimit"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
@@ -63,6 +64,10 @@
 	Version string
 	// NodesTLS secures connections from and to entries; nil means no TLS.
 	NodesTLS *tls.Config
+	// Limiter limits the connections of the ports to the numbers below, and what their requests
+	// hold. If it is nil, there is no limit.
+	Limiter                *connlimit.Limiter
+	MaxNodes, MaxOperators int
 	// DrainTimeout limits the drain of a planned stop. Zero means
 	// DefaultDrainTimeout.
 	DrainTimeout time.Duration
@@ -104,13 +109,13 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewAgent(prometheus.NewRegistry(), metrics.Options{Role: "agent"})
 	}
-	nodes, err := net.Listen("tcp", opts.NodesListen)
+	nodes, err := connlimit.Listen(opts.NodesListen, connlimit.LargeBuffer)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listen on %s", opts.NodesListen)
 	}
 	var operators net.Listener
 	if opts.OperatorsListen != "" {
-		if operators, err = net.Listen("tcp", opts.OperatorsListen); err != nil {
+		if operators, err = connlimit.Listen(opts.OperatorsListen, connlimit.LargeBuffer); err != nil {
 			_ = nodes.Close()
 			return nil, ErrStart.Wrap(err, "listen on %s", opts.OperatorsListen)
 		}
@@ -158,10 +163,11 @@
 // passed.
 func (a *Agent) Run(ctx context.Context) error {
 	servers := []*http.Server{rpc.NewServer(a.nodesHandler(), a.opts.NodesTLS)}
-	listeners := []net.Listener{a.nodes}
+	l := a.opts.Limiter
+	listeners := []net.Listener{l.Limit(connlimit.Port{Name: "nodes", MaxConns: a.opts.MaxNodes, BufferBytes: connlimit.LargeBuffer, Internal: true}, a.nodes, servers[0])}
 	if a.operators != nil {
 		servers = append(servers, rpc.NewServer(a.operatorsHandler(), a.opts.OperatorsTLS))
-		listeners = append(listeners, a.operators)
+		listeners = append(listeners, l.Limit(connlimit.Port{Name: "operators", MaxConns: a.opts.MaxOperators, BufferBytes: connlimit.LargeBuffer, Internal: true}, a.operators, servers[1]))
 	}
 	go a.announceLoop()
 	a.log.Info("serving", "nodes", a.NodesAddress())
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -13,6 +13,7 @@
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/api/papayahoistv1/papayahoistv1connect"
+	"github.com/papayahoist/papayahoist/node/connlimit"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 )
@@ -59,6 +60,7 @@
 		}})
 	}
 	defer a.linkDown(hello, l)
+	connlimit.KeepOpen(ctx)
 	go a.readLink(stream, hello, cancel)
 	return l.out.SendAll(ctx, stream.Send)
 }
--- a/node/entry/callers.go
+++ b/node/entry/callers.go
@@ -5,7 +5,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	mathrand "math/rand/v2"
 	"net/http"
 	"time"
 
@@ -14,11 +16,9 @@
 	"github.com/papayahoist/papayahoist/api/jobs"
 	pb "github.com/papayahoist/papayahoist/api/papayahoistv1"
 	"github.com/papayahoist/papayahoist/dispatch/job"
+	"github.com/papayahoist/papayahoist/node/connlimit"
 )
 
-// bodyTimeout limits how long a caller may take to send a request body.
-const bodyTimeout = 10 * time.Second
-
 // callersHandler serves the callers' HTTP API defined in api/jobs.
 func (e *Entry) callersHandler() http.Handler {
 	r := chi.NewRouter()
@@ -60,21 +60,25 @@
 }
 
 func (e *Entry) handleSubmit(w http.ResponseWriter, r *http.Request) {
-	var in jobs.SubmitRequest
-	// Without a deadline, a body that trickles in would hold a connection and its
-	// buffers forever.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, jobs.MaxBody))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&in); err != nil {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, jobs.MaxBody))
+	if err != nil {
+		writeBadBody(w, err)
+		return
+	}
+	in, trailing, err := decodeSubmission(body)
+	if err != nil {
 		writeBadBody(w, err)
 		return
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+	if !connlimit.Hold(r.Context(), int64(len(body))) {
+		refuseRequest(w, r)
+		return
+	}
+	if trailing {
 		writeError(w, denial(in.ID, request{fresh: neverUsed(in.ID)}, jobs.CodeBadRequest, "the body has data after the JSON value"))
 		return
 	}
-	if msg := e.check(&in); msg != "" {
+	if msg := e.check(in); msg != "" {
 		writeError(w, denial(in.ID, request{fresh: neverUsed(in.ID)}, jobs.CodeBadRequest, msg))
 		return
 	}
@@ -82,7 +86,7 @@
 	if fresh {
 		in.ID = e.token() + "." + rand.Text()
 	}
-	e.respond(w, r, in.ID, request{job: toJob(&in), contract: in.Contract, fresh: fresh, wait: clampWait(in.WaitMillis)})
+	e.respond(w, r, in.ID, request{job: toJob(in), contract: in.Contract, fresh: fresh, wait: clampWait(in.WaitMillis)})
 }
 
 // neverUsed reports whether no job can have run under id, because it is empty or
@@ -180,13 +184,33 @@
 	return &pb.Answer{Job: id, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Code: string(code), Message: message}
 }
 
+// maxRefusalSeconds is the longest time after which a refused caller is told to return. Callers
+// that are refused together are told times apart.
+const maxRefusalSeconds = 3
+
+// refuseRequest responds to a request for which there is not enough memory.
+func refuseRequest(w http.ResponseWriter, _ *http.Request) {
+	a := refusal("", jobs.CodeOverloaded, "the entry has not enough memory for the request")
+	a.RetryAfterMs = uint32(time.Second.Milliseconds() * (1 + mathrand.Int64N(maxRefusalSeconds)))
+	writeError(w, a)
+}
+
+// maxErrorText is the length of the longest error text in a response. Errors of the decoder quote
+// the body.
+const maxErrorText = 200
+
 func writeBadBody(w http.ResponseWriter, err error) {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		writeError(w, refusal("", jobs.CodeTooLarge, "the body is larger than 8 MiB"))
 		return
+	case connlimit.IsNoMemory(err):
+		w.Header().Set("Connection", "close")
+		refuseRequest(w, nil)
+		return
 	}
-	writeError(w, refusal("", jobs.CodeBadRequest, "the body is not the JSON of a submission: "+err.Error()))
+	writeError(w, refusal("", jobs.CodeBadRequest, fmt.Sprintf("the body is not the JSON of a submission: %.*s", maxErrorText, err.Error())))
 }
 
 var outcomes = map[pb.Outcome]jobs.Outcome{
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/papayahoist/papayahoist/dispatch/event"
 	"github.com/papayahoist/papayahoist/dispatch/job"
 	"github.com/papayahoist/papayahoist/node/clock"
+	"github.com/papayahoist/papayahoist/node/connlimit"
 	"github.com/papayahoist/papayahoist/node/metrics"
 	"github.com/papayahoist/papayahoist/node/rpc"
 	"github.com/papayahoist/papayahoist/platform/retry"
@@ -86,6 +87,10 @@
 	NodesTLS *tls.Config
 	// CallersTLS secures the callers' port; nil means no TLS.
 	CallersTLS *tls.Config
+	// Limiter limits the connections of the ports to the numbers below, and what their requests
+	// hold. If it is nil, there is no limit.
+	Limiter                            *connlimit.Limiter
+	MaxCallers, MaxNodes, MaxOperators int
 	// DrainTimeout limits the drain of a planned stop. Zero means
 	// DefaultDrainTimeout.
 	DrainTimeout time.Duration
@@ -151,7 +156,7 @@
 		if l.address == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", l.address)
+		ln, err := connlimit.Listen(l.address, connlimit.LargeBuffer)
 		if err != nil {
 			e.closeListeners()
 			return nil, ErrStart.Wrap(err, "listen on %s", l.address)
@@ -213,10 +218,14 @@
 		rpc.NewServer(e.callersHandler(), e.opts.CallersTLS),
 		rpc.NewServer(e.nodesHandler(), e.opts.NodesTLS),
 	}
-	listeners := []net.Listener{e.callers, e.nodes}
+	l := e.opts.Limiter
+	listeners := []net.Listener{
+		l.Limit(connlimit.Port{Name: "callers", MaxConns: e.opts.MaxCallers, BufferBytes: connlimit.LargeBuffer, Refuse: refuseRequest}, e.callers, servers[0]),
+		l.Limit(connlimit.Port{Name: "nodes", MaxConns: e.opts.MaxNodes, BufferBytes: connlimit.LargeBuffer, Internal: true}, e.nodes, servers[1]),
+	}
 	if e.operators != nil {
 		servers = append(servers, rpc.NewServer(e.operatorsHandler(), e.opts.OperatorsTLS))
-		listeners = append(listeners, e.operators)
+		listeners = append(listeners, l.Limit(connlimit.Port{Name: "operators", MaxConns: e.opts.MaxOperators, BufferBytes: connlimit.LargeBuffer, Internal: true}, e.operators, servers[2]))
 	}
 	e.log.Info("serving", "callers", e.CallersAddress(), "nodes", e.NodesAddress())
 	err := rpc.ServeUntil(ctx, servers, listeners)
--- a/node/process/agent.go
+++ b/node/process/agent.go
@@ -57,12 +57,15 @@
 	core.Events = event.NewRing(event.Options{Process: s.Name, Worker: s.Worker, Size: o.EventCapacity})
 	collectors := metrics.NewAgent(o.Registry, metrics.Options{Role: string(s.Role), Version: o.Version, Ring: core.Events})
 	log := newLogger(o.Logger, s.Name, collectors.Process)
+	limits := newClientLimits(s.ProcessMemoryMB, s.Descriptors, log)
+	o.Registry.MustRegister(limits)
 	driver, err := agent.New(agent.Options{
 		Hello: agentHello(s), NodesListen: s.NodesListen, OperatorsListen: s.OperatorsListen, Join: s.Join,
 		Endpoint: agent.HTTPEndpoint{
 			Client: endpoint.New(s.EndpointAddress, endpoint.Options{Connections: int(s.Connections)}),
 		},
 		NodesTLS: tlsFiles.nodes.Config(), OperatorsTLS: tlsFiles.operators.Config(),
+		Limiter: limits.Limiter, MaxNodes: limits.conns(agentNodesFraction), MaxOperators: limits.conns(operatorsFraction),
 		DrainTimeout: s.DrainTimeout, Core: core, Version: o.Version,
 		Metrics:  collectors,
 		Gatherer: o.Registry, Logger: log,
--- a/node/process/entry.go
+++ b/node/process/entry.go
@@ -179,6 +179,8 @@
 		return err
 	}
 	s, core := b.opts.Settings, b.opts.Core
+	limits := newClientLimits(s.ProcessMemoryMB, s.Descriptors, b.log)
+	b.opts.Registry.MustRegister(limits)
 	core.Events = b.ring
 	if p, ok := preset.ByName(s.Preset); ok {
 		core.ApplyPreset(p)
@@ -196,6 +198,8 @@
 		ConfigRevision: func() uint64 { return e.config.Snapshot().CompleteUpTo() },
 		Ready:          e.ready,
 		CallersTLS:     b.tls.callers.Config(), NodesTLS: b.tls.nodes.Config(), OperatorsTLS: b.tls.operators.Config(),
+		Limiter: limits.Limiter, MaxCallers: limits.conns(callersFraction), MaxNodes: limits.conns(nodesFraction),
+		MaxOperators: limits.conns(operatorsFraction),
 		DrainTimeout: s.DrainTimeout, Core: core, Version: b.opts.Version,
 		Metrics: b.metrics, Gatherer: b.opts.Registry, Logger: b.log,
 	})
