--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -109,13 +109,13 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewAgent(prometheus.NewRegistry(), metrics.Options{Role: "agent"})
 	}
-	nodes, err := connlimit.Listen(opts.NodesListen, connlimit.LargeBuffer)
+	nodes, err := connlimit.Listen(opts.NodesListen, connlimit.NodeBuffers)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listen on %s", opts.NodesListen)
 	}
 	var operators net.Listener
 	if opts.OperatorsListen != "" {
-		if operators, err = connlimit.Listen(opts.OperatorsListen, connlimit.LargeBuffer); err != nil {
+		if operators, err = connlimit.Listen(opts.OperatorsListen, connlimit.NodeBuffers); err != nil {
 			_ = nodes.Close()
 			return nil, ErrStart.Wrap(err, "listen on %s", opts.OperatorsListen)
 		}
@@ -164,10 +164,10 @@
 func (a *Agent) Run(ctx context.Context) error {
 	servers := []*http.Server{rpc.NewServer(a.nodesHandler(), a.opts.NodesTLS)}
 	l := a.opts.Limiter
-	listeners := []net.Listener{l.Limit(connlimit.Port{Name: "nodes", MaxConns: a.opts.MaxNodes, BufferBytes: connlimit.LargeBuffer, Internal: true}, a.nodes, servers[0])}
+	listeners := []net.Listener{l.Limit(connlimit.Port{Name: "nodes", MaxConns: a.opts.MaxNodes, Buffers: connlimit.NodeBuffers, Internal: true}, a.nodes, servers[0])}
 	if a.operators != nil {
 		servers = append(servers, rpc.NewServer(a.operatorsHandler(), a.opts.OperatorsTLS))
-		listeners = append(listeners, l.Limit(connlimit.Port{Name: "operators", MaxConns: a.opts.MaxOperators, BufferBytes: connlimit.LargeBuffer, Internal: true}, a.operators, servers[1]))
+		listeners = append(listeners, l.Limit(connlimit.Port{Name: "operators", MaxConns: a.opts.MaxOperators, Buffers: connlimit.NodeBuffers, Internal: true}, a.operators, servers[1]))
 	}
 	go a.announceLoop()
 	a.log.Info("serving", "nodes", a.NodesAddress())
--- a/node/connlimit/connlimit.go
+++ b/node/connlimit/connlimit.go
@@ -40,7 +40,7 @@
 	// defaultBodyTimeout is the default of Port.BodyTimeout.
 	defaultBodyTimeout = 10 * time.Second
 	// writeTimeout is the longest time for which a client may read nothing of what is sent to it.
-	writeTimeout = 10 * time.Second
+	writeTimeout = 5 * time.Second
 )
 
 // Limiter holds the limits of one process. A nil Limiter limits nothing. It is safe for
@@ -89,8 +89,8 @@
 	Name string
 	// MaxConns limits the open connections.
 	MaxConns int
-	// BufferBytes is the size with which the port's listener was made; see Listen.
-	BufferBytes int
+	// Buffers are those with which the port's listener was made; see Listen.
+	Buffers Buffers
 	// Internal ports serve the system itself, which callers must not keep out.
 	Internal bool
 	// BodyTimeout returns the time in which a request's body must be received. If it is nil, a
@@ -114,7 +114,7 @@
 		p.Refuse = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
 	}
 	x := &port{Port: &connlimit.Port{
-		Name: p.Name, MaxConns: p.MaxConns, Internal: p.Internal, ConnBytes: connBytes + kernelFactor*int64(p.BufferBytes),
+		Name: p.Name, MaxConns: p.MaxConns, Internal: p.Internal, ConnBytes: connBytes + kernelFactor*int64(p.Buffers.Receive),
 	}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -104,7 +104,7 @@
 	if o.StoreDelivering == nil {
 		o.StoreDelivering = func() bool { return false }
 	}
-	l, err := connlimit.Listen(o.NodesListen, connlimit.LargeBuffer)
+	l, err := connlimit.Listen(o.NodesListen, connlimit.NodeBuffers)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listen on %s", o.NodesListen)
 	}
@@ -123,7 +123,7 @@
 	path, h := papayahoistv1connect.NewWorkServiceHandler(&service{d: d}, rpc.NoCompression, connect.WithReadMaxBytes(o.MaxMessageBytes))
 	r.Mount(path, limitTransfers(h))
 	d.server = rpc.NewServer(r, nil)
-	d.nodes = o.Limiter.Limit(connlimit.Port{Name: "nodes", MaxConns: o.MaxConns, BufferBytes: connlimit.LargeBuffer, Internal: true}, l, d.server)
+	d.nodes = o.Limiter.Limit(connlimit.Port{Name: "nodes", MaxConns: o.MaxConns, Buffers: connlimit.NodeBuffers, Internal: true}, l, d.server)
 	return d, nil
 }
 
@@ -201,10 +201,13 @@
 	return d.core.JobState(queue, id)
 }
 
-// Cancel cancels a job at this entry or at another one. It returns false if none of the
-// entries that respond knows the job.
-func (d *Dispatcher) Cancel(ctx context.Context, queue, id string) bool {
-	return d.cancelLocal(queue, id) || d.peers.cancel(ctx, queue, id)
+// Cancel cancels a job at this entry or at another one. Known is false if none of the entries that
+// respond knows the job, and ok is false if the others could not be asked.
+func (d *Dispatcher) Cancel(ctx context.Context, queue, id string) (known, ok bool) {
+	if d.cancelLocal(queue, id) {
+		return true, true
+	}
+	return d.peers.cancel(ctx, queue, id)
 }
 
 func (d *Dispatcher) cancelLocal(queue, id string) (known bool) {
--- a/node/dispatcher/peers.go
+++ b/node/dispatcher/peers.go
@@ -271,16 +271,20 @@
 // call to each of them.
 const maxCancels = 32
 
-// cancel asks all other live entries to cancel a job.
-func (p *peers) cancel(ctx context.Context, queue, id string) bool {
+// cancel asks all other live entries to cancel a job. It returns ok = false if too many other
+// searches are under way.
+func (p *peers) cancel(ctx context.Context, queue, id string) (known, ok bool) {
+	wait := time.NewTimer(exchangeTimeout)
+	defer wait.Stop()
 	select {
 	case p.cancels <- struct{}{}:
 		defer func() { <-p.cancels }()
+	case <-wait.C:
+		return false, false
 	case <-ctx.Done():
-		return false
+		return false, false
 	}
 	var mu sync.Mutex
-	known := false
 	p.callAll(ctx, p.others(), func(ctx context.Context, x *peer) {
 		resp, err := x.client.Cancel(ctx, connect.NewRequest(&pb.CancelRequest{Queue: queue, Job: id}))
 		if err != nil {
@@ -291,5 +295,5 @@
 		defer mu.Unlock()
 		known = known || resp.Msg.Known
 	})
-	return known
+	return known, true
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -152,11 +152,16 @@
 	for _, l := range []struct {
 		to      *net.Listener
 		address string
-	}{{&e.callers, opts.CallersListen}, {&e.nodes, opts.NodesListen}, {&e.operators, opts.OperatorsListen}} {
+		buffers connlimit.Buffers
+	}{
+		{&e.callers, opts.CallersListen, connlimit.LargeBuffers},
+		{&e.nodes, opts.NodesListen, connlimit.NodeBuffers},
+		{&e.operators, opts.OperatorsListen, connlimit.NodeBuffers},
+	} {
 		if l.address == "" {
 			continue
 		}
-		ln, err := connlimit.Listen(l.address, connlimit.LargeBuffer)
+		ln, err := connlimit.Listen(l.address, l.buffers)
 		if err != nil {
 			e.closeListeners()
 			return nil, ErrStart.Wrap(err, "listen on %s", l.address)
@@ -220,12 +225,12 @@
 	}
 	l := e.opts.Limiter
 	listeners := []net.Listener{
-		l.Limit(connlimit.Port{Name: "callers", MaxConns: e.opts.MaxCallers, BufferBytes: connlimit.LargeBuffer, Refuse: refuseRequest}, e.callers, servers[0]),
-		l.Limit(connlimit.Port{Name: "nodes", MaxConns: e.opts.MaxNodes, BufferBytes: connlimit.LargeBuffer, Internal: true}, e.nodes, servers[1]),
+		l.Limit(connlimit.Port{Name: "callers", MaxConns: e.opts.MaxCallers, Buffers: connlimit.LargeBuffers, Refuse: refuseRequest}, e.callers, servers[0]),
+		l.Limit(connlimit.Port{Name: "nodes", MaxConns: e.opts.MaxNodes, Buffers: connlimit.NodeBuffers, Internal: true}, e.nodes, servers[1]),
 	}
 	if e.operators != nil {
 		servers = append(servers, rpc.NewServer(e.operatorsHandler(), e.opts.OperatorsTLS))
-		listeners = append(listeners, l.Limit(connlimit.Port{Name: "operators", MaxConns: e.opts.MaxOperators, BufferBytes: connlimit.LargeBuffer, Internal: true}, e.operators, servers[2]))
+		listeners = append(listeners, l.Limit(connlimit.Port{Name: "operators", MaxConns: e.opts.MaxOperators, Buffers: connlimit.NodeBuffers, Internal: true}, e.operators, servers[2]))
 	}
 	e.log.Info("serving", "callers", e.CallersAddress(), "nodes", e.NodesAddress())
 	err := rpc.ServeUntil(ctx, servers, listeners)
--- a/node/process/leased_agent.go
+++ b/node/process/leased_agent.go
@@ -57,7 +57,7 @@
 	a.logger = slog.New(a.log.Handler())
 	a.limits = newClientLimits(s.MemoryMB, s.Descriptors, a.logger)
 	a.metrics.registry.MustRegister(a.limits)
-	if a.reports, err = connlimit.Listen(s.ReportsListen, connlimit.SmallBuffer); err != nil {
+	if a.reports, err = connlimit.Listen(s.ReportsListen, connlimit.SmallBuffers); err != nil {
 		return nil, ErrStart.Wrap(err, "listen for the worker's reports")
 	}
 	incarnation := entry.NewIncarnation()
@@ -96,7 +96,7 @@
 	}
 	reportsServer := newInternalServer(adapter.NewReportsHandler(recordingReports{a.runner, a.recorder}, a.logger))
 	reports := a.limits.Limit(connlimit.Port{
-		Name: "reports", MaxConns: a.limits.conns(reportsFraction), BufferBytes: connlimit.SmallBuffer, BodyTimeout: func() time.Duration { return headerTimeout },
+		Name: "reports", MaxConns: a.limits.conns(reportsFraction), Buffers: connlimit.SmallBuffers, BodyTimeout: func() time.Duration { return headerTimeout },
 	}, a.reports, reportsServer)
 	failed := make(chan error, 1)
 	go func() { failed <- serveHTTP(reportsServer, reports) }()
--- a/node/process/leased_entry.go
+++ b/node/process/leased_entry.go
@@ -130,10 +130,10 @@
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "entry %s", s.Name)
 	}
-	if e.callers, err = connlimit.Listen(s.CallersListen, connlimit.SmallBuffer); err != nil {
+	if e.callers, err = connlimit.Listen(s.CallersListen, connlimit.SmallBuffers); err != nil {
 		return nil, ErrStart.Wrap(err, "listen for callers")
 	}
-	if e.ready, err = connlimit.Listen(s.ReadyListen, connlimit.SmallBuffer); err != nil {
+	if e.ready, err = connlimit.Listen(s.ReadyListen, connlimit.SmallBuffers); err != nil {
 		return nil, ErrStart.Wrap(err, "listen for readiness checks")
 	}
 	e.store = adapter.NewStore(s.StoreAddress, adapter.StoreOptions{
@@ -213,7 +213,7 @@
 	})
 	e.metrics.registerGauge("papayahoist_evacuated_domains", "Number of evacuated failure domains.", func() float64 { return float64(len(e.dispatcher.Evacuations().GetDomains())) })
 	callers := e.limits.Limit(connlimit.Port{
-		Name: "callers", MaxConns: e.limits.conns(callersFraction), BufferBytes: connlimit.SmallBuffer, Refuse: adapter.RefuseRequest,
+		Name: "callers", MaxConns: e.limits.conns(callersFraction), Buffers: connlimit.SmallBuffers, Refuse: adapter.RefuseRequest,
 		BodyTimeout: func() time.Duration { return adapter.BodyTimeout(e.dispatcher.Limits()) },
 	}, e.callers, jobsServer)
 	metricsServer, err := e.metrics.serve(e.opts.Settings.MetricsListen, e.limits)
@@ -222,7 +222,7 @@
 		return err
 	}
 	readyServer := newInternalServer(adapter.NewReadyHandler(e.readiness))
-	ready := e.limits.Limit(connlimit.Port{Name: "ready", MaxConns: e.limits.conns(operatorsFraction), BufferBytes: connlimit.SmallBuffer, Internal: true}, e.ready, readyServer)
+	ready := e.limits.Limit(connlimit.Port{Name: "ready", MaxConns: e.limits.conns(operatorsFraction), Buffers: connlimit.SmallBuffers, Internal: true}, e.ready, readyServer)
 	failed := make(chan error, 3)
 	go func() { failed <- e.dispatcher.Serve() }()
 	go func() { failed <- serveHTTP(jobsServer, callers) }()
--- a/node/process/leased_metrics.go
+++ b/node/process/leased_metrics.go
@@ -164,12 +164,12 @@
 	if address == "" {
 		return nil, nil
 	}
-	l, err := connlimit.Listen(address, connlimit.SmallBuffer)
+	l, err := connlimit.Listen(address, connlimit.SmallBuffers)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listen for metrics scrapes")
 	}
 	s := newInternalServer(promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
-	limited := limits.Limit(connlimit.Port{Name: "metrics", MaxConns: limits.conns(operatorsFraction), BufferBytes: connlimit.SmallBuffer, Internal: true}, l, s)
+	limited := limits.Limit(connlimit.Port{Name: "metrics", MaxConns: limits.conns(operatorsFraction), Buffers: connlimit.SmallBuffers, Internal: true}, l, s)
 	go func() { _ = serveHTTP(s, limited) }()
 	return s, nil
 }
