--- a/cmd/internal/crowd/leased_test.go
+++ b/cmd/internal/crowd/leased_test.go
@@ -120,7 +120,7 @@
 	callersEndure(t, callers, ample, false, text(header("POST", submitPath, contentLength(1000))+fields(15000)+"\r\n"))
 }
 
-// Refusals that quote the request and that nobody reads must not exhaust the memory.
+// Large requests that are refused, by clients that read no response, must not exhaust the memory.
 func TestUnreadRefusals(t *testing.T) {
 	body := `{"steps":` + strings.Repeat("1", bodyBytes-10) + `}`
 	callersEndure(t, callers, ample, true, text(header("POST", submitPath, contentLength(len(body)))+"\r\n"+body))
