--- a/dispatch/connlimit/connlimit_test.go
+++ b/dispatch/connlimit/connlimit_test.go
@@ -1,6 +1,9 @@
 package connlimit
 
-import "testing"
+import (
+	"math/rand/v2"
+	"testing"
+)
 
 func open(t *testing.T, table *Table, p *Port) *Conn {
 	t.Helper()
@@ -117,3 +120,77 @@
 		t.Error("the reserve is exceeded")
 	}
 }
+
+// Whatever connections do, in any order, the sums must match what is open, no limit may be
+// exceeded by what lingers, and everything must be free in the end.
+func TestSumsMatch(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		table := New(Options{MaxBytes: 500, ReserveBytes: 50})
+		ports := []*Port{{MaxConns: 10, ConnBytes: 10}, {MaxConns: 5, ConnBytes: 20, Internal: true}}
+		for _, p := range ports {
+			table.AddPort(p)
+		}
+		var conns []*Conn
+		for range 500 {
+			if len(conns) == 0 || random.IntN(4) == 0 {
+				if c, _ := table.Open(ports[random.IntN(2)]); c != nil {
+					conns = append(conns, c)
+				}
+				continue
+			}
+			i := random.IntN(len(conns))
+			switch c := conns[i]; random.IntN(5) {
+			case 0:
+				table.Begin(c)
+			case 1:
+				if c.partial > 0 {
+					table.Received(c)
+				}
+			case 2:
+				if c.partial+c.whole > 0 {
+					table.End(c, c.whole > 0)
+				}
+			case 3:
+				table.Charge(c, random.Int64N(100))
+			case 4:
+				table.Close(c)
+				if c.bytes == 0 {
+					conns = append(conns[:i], conns[i+1:]...)
+				}
+			}
+			checkSums(t, seed, table, ports, conns)
+		}
+		for _, c := range conns {
+			table.Close(c)
+			table.Charge(c, -c.bytes)
+		}
+		checkSums(t, seed, table, ports, nil)
+	}
+}
+
+func checkSums(t *testing.T, seed uint64, table *Table, ports []*Port, conns []*Conn) {
+	t.Helper()
+	var used, leaving int64
+	open := map[*Port]int{}
+	for _, c := range conns {
+		used += c.bytes
+		if c.evicted {
+			leaving += c.bytes
+		}
+		if !c.evicted && !c.closed {
+			open[c.port]++
+		}
+		if lingers := !c.evicted && !c.closed && (c.partial > 0 || c.whole == 0); lingers != (c.place != nil) {
+			t.Fatalf("seed %d: lingers %t", seed, !lingers)
+		}
+	}
+	for i, p := range ports {
+		if p.Conns() != open[p] || p.Conns() > p.MaxConns {
+			t.Fatalf("seed %d: %d connections at port %d, %d are open", seed, p.Conns(), i, open[p])
+		}
+	}
+	if table.Used() != used || table.leaving != leaving {
+		t.Fatalf("seed %d: %d bytes, %d leaving; want %d and %d", seed, table.Used(), table.leaving, used, leaving)
+	}
+}
