crowd: bodies without an end on shared connections

One more shape, of the ports that speak HTTP/2: 10 connections with 50 streams each whose bodies of 1 MiB never end.

--- a/cmd/internal/crowd/clients_test.go
+++ b/cmd/internal/crowd/clients_test.go
@@ -21,6 +21,9 @@
 	send func(c net.Conn) error
 	// deaf clients read no response.
 	deaf bool
+	// connect, if not nil, takes the place of send: it opens a connection of its own, and returns
+	// when that has ended.
+	connect func(t *testing.T, address string)
 }
 
 const (
@@ -38,7 +41,7 @@
 	for range c.clients {
 		go func() {
 			for time.Now().Before(end) && t.Context().Err() == nil {
-				c.connect(t)
+				c.connectOnce(t)
 				time.Sleep(reopenDelay)
 			}
 		}()
@@ -46,8 +49,12 @@
 	time.Sleep(time.Until(end))
 }
 
-// connect opens one connection, sends, and stays until the other side closes it.
-func (c crowd) connect(t *testing.T) {
+// connectOnce opens one connection, sends, and stays until the other side closes it.
+func (c crowd) connectOnce(t *testing.T) {
+	if c.connect != nil {
+		c.connect(t, c.address)
+		return
+	}
 	conn, err := net.Dial("tcp", c.address)
 	if err != nil {
 		return
--- a/cmd/internal/crowd/contract_test.go
+++ b/cmd/internal/crowd/contract_test.go
@@ -3,7 +3,10 @@
 package crowd
 
 import (
+	"io"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 )
 
@@ -65,3 +68,33 @@
 	s := newContractSite(t, scarceContract)
 	s.endures(s.agent, contractMemory, maxDescriptors, crowd{clients: holders, address: s.agent.address(nodesPort), send: text(header("GET", "/") + "\r\n")}, s.job)
 }
+
+// Bodies without an end on many streams of HTTP/2 connections must not exhaust the memory.
+func TestEndlessBodiesOnSharedConnections(t *testing.T) {
+	const streams, size = 50, mb
+	s := newContractSite(t, ampleContract)
+	c := crowd{clients: 10, address: s.entry.address(callersPort), connect: func(t *testing.T, address string) {
+		var protocols http.Protocols
+		protocols.SetUnencryptedHTTP2(true)
+		transport := &http.Transport{Protocols: &protocols}
+		defer transport.CloseIdleConnections()
+		client := http.Client{Transport: transport}
+		var wg sync.WaitGroup
+		for range streams {
+			wg.Go(func() {
+				body, rest := io.Pipe()
+				defer rest.Close()
+				go func() {
+					_, _ = io.WriteString(rest, `{"contract":"`+strings.Repeat("x", size))
+					<-t.Context().Done()
+					_ = rest.CloseWithError(io.ErrUnexpectedEOF)
+				}()
+				if resp, err := client.Post("http://"+address+"/v1/jobs", "application/json", body); err == nil {
+					_ = resp.Body.Close()
+				}
+			})
+		}
+		wg.Wait()
+	}}
+	s.endures(s.entry, contractMemory, manyDescriptors, c, s.job)
+}
