review: case 6, of two evacuations in one transaction one is dropped

Each event of a transaction makes a list with the transaction's revision, and the second list counts as not newer.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -16,11 +16,11 @@
 )
 
 var cases = map[string]func(s *site, trouble bool) (int, error){
-	"cancel":  caseCancel,
-	"shrink":  caseShrink,
-	"route":   caseRoute,
-	"foreign": caseForeign,
-	"late":    caseLate,
+	"cancel":   caseCancel,
+	"evacuate": caseEvacuate,
+	"shrink":   caseShrink,
+	"route":    caseRoute,
+	"late":     caseLate,
 }
 
 func main() {
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -86,6 +86,17 @@
 	s.notify()
 }
 
+// putTogether writes keys as the operator does, in one transaction.
+func (s *store) putTogether(keys ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	for _, key := range keys {
+		s.write(key, []byte("{}"), 0)
+	}
+	s.notify()
+}
+
 func (s *store) write(key string, value []byte, lease int64) {
 	i := storeItem{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
 	if old, ok := s.items[key]; ok {
