--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -36,8 +36,8 @@
 	first *relay
 }
 
-// deploy starts a deployment and waits until it is calm.
-func deploy(s *site, withRelay bool) (*deployment, error) {
+// deploy starts a deployment, with changes to its workers, and waits until it is calm.
+func deploy(s *site, withRelay bool, change ...func(*workerLife)) (*deployment, error) {
 	s.manifest(3, 30000)
 	d := &deployment{}
 	var nodes, seeds []string
@@ -64,6 +64,9 @@
 			site: s, name: fmt.Sprintf("machine-%d", i+1), id: fmt.Sprintf("i-%d", i+1), service: "svc", zone: zone(i),
 			labels: []string{kind, fmt.Sprintf("r%d-0", 1+i%entryCount)}, cpu: largeCPU, memory: largeMemory, address: s.address(),
 		}
+		for _, f := range change {
+			f(w)
+		}
 		a := s.newAgent(fmt.Sprintf("agent-%d", i+1), zone(i), w.address, seeds)
 		w.agent = a.reports
 		d.agents, d.workers = append(d.agents, a), append(d.workers, w)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -16,11 +16,11 @@
 )
 
 var cases = map[string]func(s *site, trouble bool) (int, error){
-	"cancel":   caseCancel,
 	"evacuate": caseEvacuate,
 	"shrink":   caseShrink,
 	"route":    caseRoute,
 	"late":     caseLate,
+	"reborn":   caseReborn,
 }
 
 func main() {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -22,6 +22,11 @@
 	cpu, memory    int64
 	zone           string
 	address, agent string
+	// keepsID: each life has the same id, and states when it began.
+	keepsID bool
+	// onStart, if not nil, is called with a call that starts a run before it is carried out. If it
+	// returns false, the call is not carried out and not answered.
+	onStart func(c workerCall) bool
 
 	mu       sync.Mutex
 	cond     chan struct{}
@@ -136,11 +141,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sequence++
-	text, _ := json.Marshal(map[string]any{
+	text, _ := json.Marshal(w.withBirth(map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": w.state, "cold_remaining_ms": 0,
 		"capacity": map[string]int64{"cpu": w.cpu, "task_memory_mb": w.memory, "gpu": 0}, "labels": w.labels,
 		"clock_ms": w.clock().Milliseconds(), "sequence": w.sequence,
-	})
+	}))
 	return w.state, text
 }
 
@@ -199,6 +204,10 @@
 		answer(rw, http.StatusMisdirectedRequest, struct{}{})
 		return
 	}
+	if w.onStart != nil && strings.HasSuffix(r.URL.Path, "/run-start") && !w.onStart(c) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	w.mu.Lock()
 	if w.dead {
 		w.mu.Unlock()
@@ -255,6 +264,18 @@
 	return http.StatusOK, w.says("")
 }
 
+// startLate carries out a call that came earlier. Nobody gets its answer.
+func (w *workerLife) startLate(c workerCall) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	status, body := http.StatusConflict, any(w.says("fence"))
+	if !w.dead && c.Token >= w.token {
+		w.token = c.Token
+		status, body = w.startRun(c)
+	}
+	w.site.logf("worker %s: carries out a start of %s run %d late: %d %v", w, c.Task, c.Run, status, body)
+}
+
 func (w *workerLife) stopRun(c workerCall) (int, any) {
 	if r := w.runs[c.Task]; r != nil && r.run <= c.Run && r.stopAt.IsZero() {
 		r.stopAt = time.Now().Add(stopTime)
@@ -287,7 +308,14 @@
 		running = append(running, []any{x.task, x.run, "", percent, 0})
 	}
 	ended := append([][]any{}, w.ended[:min(500, len(w.ended))]...)
-	return http.StatusOK, map[string]any{"clock_ms": w.clock().Milliseconds(), "running": running, "ended": ended}
+	return http.StatusOK, w.withBirth(map[string]any{"clock_ms": w.clock().Milliseconds(), "running": running, "ended": ended})
+}
+
+func (w *workerLife) withBirth(m map[string]any) map[string]any {
+	if w.keepsID {
+		m["born"] = w.born.UnixMilli()
+	}
+	return m
 }
 
 func (w *workerLife) String() string { return fmt.Sprintf("%s (%s)", w.name, w.id) }
